--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/DefaultNodeCore.java
@@ -0,0 +1,53 @@
+package org.amaranthlock.coordination;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
+import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.model.ErrorCode;
+
+/** Offers every event to all components in a fixed order and feeds the events that they raise back. */
+public final class DefaultNodeCore implements NodeCore {
+    /** Events that one event may raise, directly and indirectly; more is an endless loop between components. */
+    private static final int MAX_RAISED_EVENTS = 100_000;
+
+    private final List<Component> components;
+
+    /** Creates a core; the order of the components is the order in which they see an event. */
+    public DefaultNodeCore(List<Component> components) {
+        this.components = List.copyOf(components);
+    }
+
+    @Override
+    public List<Command> handle(Event event, long nowMillis) {
+        Objects.requireNonNull(event, "event");
+        List<Command> commands = new ArrayList<>();
+        Deque<Event> events = new ArrayDeque<>();
+        events.add(event);
+        int handled = 0;
+        while (!events.isEmpty()) {
+            handled++;
+            if (handled > MAX_RAISED_EVENTS) {
+                throw new AmaranthlockException(
+                        ErrorCode.INTERNAL, "components raise events endlessly; report this with the event: " + event);
+            }
+            Event next = events.removeFirst();
+            for (Component component : components) {
+                collect(component.handle(next, nowMillis), commands, events);
+            }
+        }
+        return commands;
+    }
+
+    private static void collect(List<Command> produced, List<Command> commands, Deque<Event> events) {
+        for (Command command : produced) {
+            if (command instanceof Command.Raise(Event raised)) {
+                events.addLast(raised);
+            } else {
+                commands.add(command);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/routing/DefaultTargetSelector.java
@@ -0,0 +1,265 @@
+package org.amaranthlock.coordination.routing;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.amaranthlock.coordination.TargetEvent;
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.Region;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.model.TargetId;
+import org.amaranthlock.model.Work;
+import org.amaranthlock.state.TargetDirectory;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Chooses the target with the least expected cost, from own observation first and late reports second.
+ *
+ * <p>The cost of a target is its occupancy with this request, times its slowness against the median of its service,
+ * plus a cost for another region, minus a bonus for a cached prompt prefix. Not thread-safe.
+ */
+public final class DefaultTargetSelector implements TargetSelector, CapacityView {
+    /** Expected time between tokens before anything was observed, in milliseconds. */
+    private static final double PRIOR_PACE_MILLIS = 50;
+
+    /** Expected time to the first token before anything was observed, in milliseconds. */
+    private static final double PRIOR_FIRST_TOKEN_MILLIS = 300;
+
+    /** Cost of another region, in units of a full target. */
+    private static final double OTHER_REGION_COST = 0.5;
+
+    /** Cost that a wholly cached prompt saves, in units of a full target. */
+    private static final double CACHED_PREFIX_BONUS = 0.3;
+
+    /** A cached prefix draws no work to a target whose occupancy is above this multiple of the mean. */
+    private static final double AFFINITY_LOAD_FACTOR = 1.25;
+
+    /** Share of choices that goes to a random target, so that the recovery of a slow one is noticed. */
+    private static final double PROBE_SHARE = 0.01;
+
+    /** Costs that differ by less than this are equal; the choice among equals is random. */
+    private static final double EQUAL_COST_MARGIN = 0.02;
+
+    /** Reads an average as of its last sample. */
+    private static final long NO_DECAY = Long.MIN_VALUE;
+
+    private static final int PREFIXES_PER_TARGET = 4_096;
+
+    private final TargetDirectory directory;
+    private final Region region;
+    private final UniformRandomProvider random;
+    private final Map<TargetId, TargetState> states = new LinkedHashMap<>();
+    private final Map<AttemptId, RunningAttempt> attempts = new LinkedHashMap<>();
+
+    /** Creates a selector for a router in {@code region}. */
+    public DefaultTargetSelector(TargetDirectory directory, Region region, UniformRandomProvider random) {
+        this.directory = Objects.requireNonNull(directory, "directory");
+        this.region = Objects.requireNonNull(region, "region");
+        this.random = Objects.requireNonNull(random, "random");
+    }
+
+    @Override
+    public Optional<Target> select(RequestSpec spec, SelectionContext context, long nowMillis) {
+        List<Target> candidates = candidates(spec, context);
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        if (context.resumedTokens() == 0 && random.nextDouble() < PROBE_SHARE) {
+            return Optional.of(candidates.get(random.nextInt(candidates.size())));
+        }
+        return Optional.of(cheapest(candidates, spec, nowMillis));
+    }
+
+    @Override
+    public void started(AttemptId attempt, RequestSpec spec, Target target, int resumedTokens, long nowMillis) {
+        TargetState state = state(target.id());
+        state.load.started(attempt, nowMillis);
+        if (spec.work() instanceof Work.Generation generation) {
+            state.prefixes.add(generation.prefixHashes());
+        }
+        attempts.put(attempt, new RunningAttempt(target.id(), nowMillis));
+    }
+
+    @Override
+    public void progressed(AttemptId attempt, int tokens, long nowMillis) {
+        RunningAttempt running = attempts.get(attempt);
+        if (running == null || tokens <= 0) {
+            return;
+        }
+        TargetState state = state(running.target);
+        long elapsed = nowMillis - running.lastProgressMillis;
+        if (running.hasTokens) {
+            state.pace.add((double) elapsed / tokens, tokens, nowMillis);
+        } else {
+            state.firstToken.add(elapsed, 1, nowMillis);
+        }
+        running.hasTokens = true;
+        running.lastProgressMillis = nowMillis;
+    }
+
+    @Override
+    public void finished(AttemptId attempt, AttemptResult result, long nowMillis) {
+        RunningAttempt running = attempts.remove(attempt);
+        if (running != null) {
+            state(running.target).load.finished(attempt, nowMillis);
+        }
+    }
+
+    @Override
+    public void observed(TargetEvent event, long nowMillis) {
+        switch (event) {
+            case TargetEvent.LoadReported report ->
+                state(report.target()).load.reported(report.running() + report.queued(), report.ageMillis(), nowMillis);
+            case TargetEvent.CacheChanged change -> {
+                PrefixHistory prefixes = state(change.target()).prefixes;
+                prefixes.add(change.added());
+                prefixes.remove(change.evicted());
+            }
+            case TargetEvent.Leaving _,
+                    TargetEvent.Unreachable _,
+                    TargetEvent.Reachable _,
+                    TargetEvent.OrderAnswered _ -> {
+                // The target directory and the engine orders react to these.
+            }
+        }
+    }
+
+    @Override
+    public int inFlight(TargetId target) {
+        return state(target).load.own();
+    }
+
+    @Override
+    public double expectedPaceMillis(TargetId target) {
+        TargetState state = state(target);
+        return state.pace.middle(PRIOR_PACE_MILLIS, NO_DECAY);
+    }
+
+    @Override
+    public double expectedFirstTokenMillis(RequestSpec spec, TargetId target, int resumedTokens) {
+        TargetState state = state(target);
+        return state.firstToken.middle(PRIOR_FIRST_TOKEN_MILLIS, NO_DECAY);
+    }
+
+    @Override
+    public int freeSlots(ServiceName service, long nowMillis) {
+        int free = 0;
+        for (Target target : directory.targets(service)) {
+            if (directory.available(target.id())) {
+                free += Math.max(0, target.slots() - state(target.id()).load.estimated(nowMillis));
+            }
+        }
+        return free;
+    }
+
+    @Override
+    public int totalSlots(ServiceName service) {
+        int slots = 0;
+        for (Target target : directory.targets(service)) {
+            if (directory.available(target.id())) {
+                slots += target.slots();
+            }
+        }
+        return slots;
+    }
+
+    private List<Target> candidates(RequestSpec spec, SelectionContext context) {
+        List<Target> suitable = new ArrayList<>();
+        for (Target target : directory.targets(spec.service())) {
+            boolean versionFits = context.requiredVersion().isEmpty()
+                    || context.requiredVersion().equals(target.version());
+            if (versionFits && !context.excluded().contains(target.id()) && directory.available(target.id())) {
+                suitable.add(target);
+            }
+        }
+        List<Target> preferred = suitable;
+        if (context.avoidedDomain().isPresent()) {
+            preferred = preferred.stream()
+                    .filter(target -> !target.failureDomain()
+                            .equals(context.avoidedDomain().get()))
+                    .toList();
+        }
+        if (context.alone()) {
+            preferred = preferred.stream()
+                    .filter(target -> inFlight(target.id()) == 0)
+                    .toList();
+        }
+        return preferred.isEmpty() ? suitable : preferred;
+    }
+
+    private Target cheapest(List<Target> candidates, RequestSpec spec, long nowMillis) {
+        double medianPace = medianPace(candidates, nowMillis);
+        double meanOccupancy = candidates.stream()
+                .mapToDouble(target -> occupancy(target, nowMillis))
+                .average()
+                .orElse(0);
+        List<Target> best = new ArrayList<>();
+        double bestCost = Double.POSITIVE_INFINITY;
+        for (Target target : candidates) {
+            double cost = cost(target, spec, medianPace, meanOccupancy, nowMillis);
+            if (cost < bestCost - EQUAL_COST_MARGIN) {
+                best.clear();
+                bestCost = cost;
+            }
+            if (cost <= bestCost + EQUAL_COST_MARGIN) {
+                best.add(target);
+            }
+        }
+        return best.get(random.nextInt(best.size()));
+    }
+
+    private double cost(Target target, RequestSpec spec, double medianPace, double meanOccupancy, long nowMillis) {
+        TargetState state = state(target.id());
+        double occupancy = occupancy(target, nowMillis);
+        double slowness = Math.max(1, state.pace.pessimistic(medianPace, nowMillis) / medianPace);
+        double cost = occupancy * slowness + (slowness - 1);
+        if (!target.region().equals(region)) {
+            cost += OTHER_REGION_COST;
+        }
+        if (spec.work() instanceof Work.Generation generation && occupancy <= meanOccupancy * AFFINITY_LOAD_FACTOR) {
+            cost -= CACHED_PREFIX_BONUS * state.prefixes.cachedPart(generation.prefixHashes());
+        }
+        return cost;
+    }
+
+    private double occupancy(Target target, long nowMillis) {
+        return (state(target.id()).load.estimated(nowMillis) + 1.0) / target.slots();
+    }
+
+    private double medianPace(List<Target> candidates, long nowMillis) {
+        double[] paces = candidates.stream()
+                .map(target -> state(target.id()))
+                .filter(state -> state.pace.observed(nowMillis))
+                .mapToDouble(state -> state.pace.middle(PRIOR_PACE_MILLIS, nowMillis))
+                .sorted()
+                .toArray();
+        return paces.length == 0 ? PRIOR_PACE_MILLIS : Math.max(1, paces[(paces.length - 1) / 2]);
+    }
+
+    private TargetState state(TargetId target) {
+        return states.computeIfAbsent(target, _ -> new TargetState());
+    }
+
+    private static final class TargetState {
+        private final TargetLoad load = new TargetLoad();
+        private final TargetPace pace = new TargetPace();
+        private final TargetPace firstToken = new TargetPace();
+        private final PrefixHistory prefixes = new PrefixHistory(PREFIXES_PER_TARGET);
+    }
+
+    private static final class RunningAttempt {
+        private final TargetId target;
+        private long lastProgressMillis;
+        private boolean hasTokens;
+
+        private RunningAttempt(TargetId target, long startedAtMillis) {
+            this.target = target;
+            this.lastProgressMillis = startedAtMillis;
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/routing/PrefixHistory.java
@@ -0,0 +1,47 @@
+package org.amaranthlock.coordination.routing;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.amaranthlock.model.Arguments;
+
+/**
+ * Prompt prefixes that a target has probably cached, least recently used first.
+ *
+ * <p>Not thread-safe.
+ */
+final class PrefixHistory {
+    private final int capacity;
+    private final Map<Long, Boolean> prefixes;
+
+    PrefixHistory(int capacity) {
+        this.capacity = (int) Arguments.requirePositive(capacity, "capacity");
+        this.prefixes = new LinkedHashMap<>(16, 0.75f, true);
+    }
+
+    void add(Collection<Long> hashes) {
+        for (Long hash : hashes) {
+            prefixes.put(hash, Boolean.TRUE);
+        }
+        while (prefixes.size() > capacity) {
+            prefixes.remove(prefixes.keySet().iterator().next());
+        }
+    }
+
+    void remove(Collection<Long> hashes) {
+        hashes.forEach(prefixes::remove);
+    }
+
+    /** Returns the part of the prefixes, shortest first, that is cached: 0 for none, 1 for all. */
+    double cachedPart(List<Long> hashes) {
+        int cached = 0;
+        for (Long hash : hashes) {
+            if (!prefixes.containsKey(hash)) {
+                break;
+            }
+            cached++;
+        }
+        return hashes.isEmpty() ? 0 : (double) cached / hashes.size();
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/routing/TargetLoad.java
@@ -0,0 +1,75 @@
+package org.amaranthlock.coordination.routing;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.amaranthlock.model.AttemptId;
+
+/**
+ * What a router knows of the load of one target: its own attempts exactly, the others' from late reports.
+ *
+ * <p>Not thread-safe.
+ */
+final class TargetLoad {
+    /** A report without successor loses its meaning after this time. */
+    private static final long REPORT_LIFETIME_MILLIS = 10_000;
+
+    /** Own load is remembered this long, so that a late report can be compared with the own load at its time. */
+    private static final long HISTORY_MILLIS = 10_000;
+
+    private final Map<AttemptId, Long> running = new LinkedHashMap<>();
+    private final Deque<OwnLoad> history = new ArrayDeque<>();
+    private int othersAtReport;
+    private long reportedAtMillis = Long.MIN_VALUE / 2;
+
+    void started(AttemptId attempt, long nowMillis) {
+        running.put(attempt, nowMillis);
+        remember(nowMillis);
+    }
+
+    boolean finished(AttemptId attempt, long nowMillis) {
+        boolean known = running.remove(attempt) != null;
+        remember(nowMillis);
+        return known;
+    }
+
+    void reported(int runningAndQueued, long ageMillis, long nowMillis) {
+        long asOfMillis = nowMillis - ageMillis;
+        othersAtReport = Math.max(0, runningAndQueued - ownAt(asOfMillis));
+        reportedAtMillis = asOfMillis;
+    }
+
+    int own() {
+        return running.size();
+    }
+
+    /** Returns own attempts plus those of other routers as far as a report tells. */
+    int estimated(long nowMillis) {
+        boolean fresh = nowMillis - reportedAtMillis <= REPORT_LIFETIME_MILLIS;
+        return own() + (fresh ? othersAtReport : 0);
+    }
+
+    private int ownAt(long asOfMillis) {
+        int own = 0;
+        for (OwnLoad load : history) {
+            if (load.atMillis() > asOfMillis) {
+                break;
+            }
+            own = load.attempts();
+        }
+        return own;
+    }
+
+    private void remember(long nowMillis) {
+        if (!history.isEmpty() && history.peekLast().atMillis() == nowMillis) {
+            history.removeLast();
+        }
+        history.addLast(new OwnLoad(nowMillis, running.size()));
+        while (history.size() > 1 && history.peekFirst().atMillis() < nowMillis - HISTORY_MILLIS) {
+            history.removeFirst();
+        }
+    }
+
+    private record OwnLoad(long atMillis, int attempts) {}
+}
