Add the policy bench model and tests of the fair queue and the load estimate

Cause: policies can only be compared when measured on the same workload, in virtual time. Ruled out: real time and threads, since the verdict must be the same on every run.

--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Virtual-time bench of the policies under load and faults. */
+package org.amaranthlock.bench;
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/policy/AmaranthlockPolicy.java
@@ -0,0 +1,21 @@
+package org.amaranthlock.bench.policy;
+
+import org.amaranthlock.coordination.admission.DefaultAdmissionController;
+import org.amaranthlock.coordination.routing.DefaultTargetSelector;
+
+/** The policy of the product. */
+public final class AmaranthlockPolicy implements Policy {
+    @Override
+    public String title() {
+        return "amaranthlock";
+    }
+
+    @Override
+    public Parts create(Surroundings surroundings) {
+        DefaultTargetSelector selector =
+                new DefaultTargetSelector(surroundings.directory(), surroundings.region(), surroundings.random());
+        DefaultAdmissionController admission = new DefaultAdmissionController(
+                selector, surroundings.configuration(), surroundings.membership(), surroundings.random());
+        return new Parts(selector, admission);
+    }
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/policy/package-info.java
@@ -0,0 +1,2 @@
+/** The policies that are compared. */
+package org.amaranthlock.bench.policy;
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/scenario/Simulation.java
@@ -0,0 +1,159 @@
+package org.amaranthlock.bench.scenario;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.OptionalDouble;
+import org.amaranthlock.bench.policy.Policy;
+import org.amaranthlock.bench.sim.Fleet;
+import org.amaranthlock.bench.sim.FleetDirectory;
+import org.amaranthlock.bench.sim.RecordingLedger;
+import org.amaranthlock.bench.sim.SimulatedEngine;
+import org.amaranthlock.bench.sim.SimulatedRequest;
+import org.amaranthlock.bench.sim.SimulatedRouter;
+import org.amaranthlock.bench.sim.StaticConfiguration;
+import org.amaranthlock.bench.sim.StaticMembership;
+import org.amaranthlock.bench.sim.VirtualTime;
+import org.amaranthlock.coordination.TargetEvent;
+import org.amaranthlock.coordination.configuration.AccountSettings;
+import org.amaranthlock.coordination.configuration.ServiceSettings;
+import org.amaranthlock.coordination.membership.RouterMember;
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.model.HostId;
+import org.amaranthlock.model.Region;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Carries out one run in virtual time. */
+public final class Simulation {
+    private final Run run;
+    private final VirtualTime time = new VirtualTime();
+    private final UniformRandomProvider random;
+    private final Fleet fleet;
+    private final Workload workload;
+    private final List<SimulatedRouter> routers = new ArrayList<>();
+    private final List<RecordingLedger> ledgers = new ArrayList<>();
+    private final List<SimulatedRequest> requests = new ArrayList<>();
+
+    /** Prepares a run. */
+    public Simulation(Run run) {
+        this.run = Objects.requireNonNull(run, "run");
+        this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(run.seed());
+        Deployment deployment = run.deployment();
+        this.fleet = new Fleet(
+                Workload.SERVICE,
+                deployment.engines(),
+                deployment.regions(),
+                deployment.domainsPerRegion(),
+                deployment.engine(),
+                time);
+        this.workload = new Workload(deployment, run.demand(), random);
+        createRouters();
+    }
+
+    /** Carries the run out. */
+    public RunResult run() {
+        routers.forEach(SimulatedRouter::start);
+        fleet.engines().forEach(this::scheduleReport);
+        scheduleFault();
+        scheduleArrival();
+        time.runUntilMillis(run.arrivalsMillis() + run.drainMillis());
+        return new RunResult(
+                requests,
+                ledgers.stream().flatMap(ledger -> ledger.records().stream()).toList(),
+                fleet.engines().stream()
+                        .mapToLong(SimulatedEngine::generatedTokens)
+                        .sum(),
+                fleet.engines().stream()
+                        .mapToLong(SimulatedEngine::prefilledTokens)
+                        .sum());
+    }
+
+    private void createRouters() {
+        Deployment deployment = run.deployment();
+        List<RouterMember> members = new ArrayList<>();
+        for (int i = 0; i < deployment.routers(); i++) {
+            String region = "region-" + i % deployment.regions();
+            String domain = region + "-domain-" + i / deployment.regions() % deployment.domainsPerRegion();
+            members.add(new RouterMember(
+                    new HostId("router-" + i + "-0"),
+                    "10.1.0." + i + ":7000",
+                    new Region(region),
+                    new FailureDomain(domain)));
+        }
+        StaticConfiguration configuration = new StaticConfiguration(
+                List.of(new ServiceSettings(Workload.SERVICE, Workload.PROFILE, true)),
+                Workload.accounts().stream()
+                        .map(account -> new AccountSettings(account, "key-" + account, 1, OptionalDouble.empty()))
+                        .toList(),
+                fleet.targets());
+        for (RouterMember member : members) {
+            routers.add(createRouter(member, members, configuration));
+        }
+    }
+
+    private SimulatedRouter createRouter(
+            RouterMember member, List<RouterMember> members, StaticConfiguration configuration) {
+        FleetDirectory directory = new FleetDirectory(fleet.targets());
+        StaticMembership membership = new StaticMembership(member, members);
+        UniformRandomProvider routerRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(random.nextLong());
+        Policy.Parts parts = run.policy()
+                .create(new Policy.Surroundings(directory, configuration, membership, member.region(), routerRandom));
+        RecordingLedger ledger = new RecordingLedger();
+        ledgers.add(ledger);
+        return new SimulatedRouter(
+                CoreFactory.create(parts, directory, configuration, membership, ledger, routerRandom),
+                member.region(),
+                fleet,
+                directory,
+                time);
+    }
+
+    private void scheduleArrival() {
+        time.afterMillis(workload.nextGapMillis(time.nowMillis()), () -> {
+            if (time.nowMillis() >= run.arrivalsMillis()) {
+                return;
+            }
+            SimulatedRequest request = workload.next(time.nowMillis());
+            requests.add(request);
+            SimulatedRouter router = routers.get(random.nextInt(routers.size()));
+            time.afterMillis(run.deployment().clientMillis(), () -> router.arrive(request));
+            scheduleArrival();
+        });
+    }
+
+    private void scheduleReport(SimulatedEngine engine) {
+        long age = run.deployment().engine().reportDelayMillis();
+        time.afterMillis(run.deployment().engine().reportIntervalMillis(), () -> {
+            if (!engine.alive()) {
+                return;
+            }
+            TargetEvent.LoadReported report = new TargetEvent.LoadReported(
+                    engine.target().id(), engine.runningCount(), engine.queuedCount(), age);
+            time.afterMillis(age, () -> routers.forEach(router -> router.report(report)));
+            scheduleReport(engine);
+        });
+    }
+
+    private void scheduleFault() {
+        List<SimulatedEngine> engines = List.copyOf(fleet.engines());
+        switch (run.fault()) {
+            case Fault.None _ -> {
+                // All goes well.
+            }
+            case Fault.SlowEngines slow ->
+                time.afterMillis(
+                        slow.atMillis(),
+                        () -> engines.stream().limit(slow.count()).forEach(engine -> engine.slowDown(slow.factor())));
+            case Fault.EngineDeath death ->
+                time.afterMillis(death.atMillis(), () -> engines.getFirst().die());
+            case Fault.DomainDeath death ->
+                time.afterMillis(death.atMillis(), () -> {
+                    FailureDomain domain = engines.getFirst().target().failureDomain();
+                    engines.stream()
+                            .filter(engine -> engine.target().failureDomain().equals(domain))
+                            .forEach(SimulatedEngine::die);
+                });
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/scenario/Workload.java
@@ -0,0 +1,111 @@
+package org.amaranthlock.bench.scenario;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.amaranthlock.bench.sim.SimulatedRequest;
+import org.amaranthlock.coordination.ledger.LedgerPartitions;
+import org.amaranthlock.model.AccountId;
+import org.amaranthlock.model.Profile;
+import org.amaranthlock.model.ProfileKind;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.Work;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ContinuousSampler;
+import org.apache.commons.rng.sampling.distribution.LogNormalSampler;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+
+/** Draws requests of ten client accounts, three of them large. Not thread-safe. */
+public final class Workload {
+    /** The service that all requests address. */
+    public static final ServiceName SERVICE = new ServiceName("generations");
+
+    /** Profile of the service. */
+    public static final Profile PROFILE = new Profile("kept", ProfileKind.KEPT_ALIVE, 6, 0, 600_000);
+
+    private static final int LARGE_ACCOUNTS = 3;
+    private static final int SMALL_ACCOUNTS = 7;
+
+    /** Part of the requests that comes from the large accounts together. */
+    private static final double LARGE_PART = 0.75;
+
+    private static final int PREFIXES_PER_ACCOUNT = 4;
+    private static final int MAX_TOKENS = 10_000;
+    private static final long STRAGGLER_DEADLINE_MILLIS = 600_000;
+
+    private final Deployment deployment;
+    private final Demand demand;
+    private final UniformRandomProvider random;
+    private final ContinuousSampler lengths;
+    private final ContinuousSampler exponential;
+    private long created;
+
+    /** Creates a workload. */
+    public Workload(Deployment deployment, Demand demand, UniformRandomProvider random) {
+        this.deployment = Objects.requireNonNull(deployment, "deployment");
+        this.demand = Objects.requireNonNull(demand, "demand");
+        this.random = Objects.requireNonNull(random, "random");
+        double spread = deployment.lengthSpread();
+        double mu = Math.log(deployment.meanTokens()) - spread * spread / 2;
+        this.lengths = LogNormalSampler.of(ZigguratSampler.NormalizedGaussian.of(random), mu, spread);
+        this.exponential = ZigguratSampler.Exponential.of(random);
+    }
+
+    /** Returns all accounts. */
+    public static List<AccountId> accounts() {
+        return IntStream.range(0, LARGE_ACCOUNTS + SMALL_ACCOUNTS)
+                .mapToObj(Workload::account)
+                .toList();
+    }
+
+    /** Tells whether an account is one of the small ones. */
+    public static boolean small(AccountId account) {
+        return account.value().startsWith("small");
+    }
+
+    /** Returns the time until the next request, in milliseconds. */
+    public double nextGapMillis(long nowMillis) {
+        double perSecond = demand.utilisation()
+                * deployment.capacityTokensPerSecond()
+                / deployment.meanTokens()
+                * demand.factorAt(nowMillis);
+        return exponential.sample() * 1_000 / perSecond;
+    }
+
+    /** Draws the next request. */
+    public SimulatedRequest next(long nowMillis) {
+        created++;
+        AccountId account = account(drawAccount());
+        boolean straggler = random.nextDouble() < demand.stragglerShare();
+        double length = lengths.sample() * (straggler ? deployment.stragglerFactor() : 1);
+        long prefix = account.value().hashCode() * 31L + random.nextInt(PREFIXES_PER_ACCOUNT);
+        int prompt = (int) Math.max(10, exponential.sample() * deployment.meanPromptTokens());
+        String unique = "bench-" + created;
+        long deadline = straggler ? STRAGGLER_DEADLINE_MILLIS : deployment.deadlineMillis();
+        RequestSpec spec = new RequestSpec(
+                LedgerPartitions.requestId(LedgerPartitions.ofKey(unique), unique),
+                account,
+                SERVICE,
+                PROFILE,
+                Optional.empty(),
+                created,
+                nowMillis,
+                nowMillis + deadline,
+                new Work.Generation("model-1", "", "prompt " + created, List.of(prefix), MAX_TOKENS, created));
+        int tokens = (int) Math.clamp(Math.round(length), 2, MAX_TOKENS);
+        return new SimulatedRequest(spec, prompt, prefix, tokens, straggler);
+    }
+
+    private int drawAccount() {
+        if (random.nextDouble() < LARGE_PART) {
+            return random.nextInt(LARGE_ACCOUNTS);
+        }
+        return LARGE_ACCOUNTS + random.nextInt(SMALL_ACCOUNTS);
+    }
+
+    private static AccountId account(int index) {
+        return new AccountId(index < LARGE_ACCOUNTS ? "large-" + index : "small-" + (index - LARGE_ACCOUNTS));
+    }
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/scenario/package-info.java
@@ -0,0 +1,2 @@
+/** Workloads, faults and measures of the bench. */
+package org.amaranthlock.bench.scenario;
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/EngineSettings.java
@@ -0,0 +1,24 @@
+package org.amaranthlock.bench.sim;
+
+/**
+ * Properties of a simulated engine.
+ *
+ * @param slots requests in a batch
+ * @param basePaceMillis time of a decoding step with an empty batch
+ * @param paceMillisPerRequest additional time of a step per request in the batch
+ * @param prefillMillisPerToken time to read a prompt token that is not cached
+ * @param reportDelayMillis age of a load report when it arrives
+ * @param reportIntervalMillis time between load reports
+ */
+public record EngineSettings(
+        int slots,
+        double basePaceMillis,
+        double paceMillisPerRequest,
+        double prefillMillisPerToken,
+        long reportDelayMillis,
+        long reportIntervalMillis) {
+    /** Returns the tokens per second of a full batch. */
+    public double capacityTokensPerSecond() {
+        return slots * 1_000 / (basePaceMillis + paceMillisPerRequest * slots);
+    }
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/Fleet.java
@@ -0,0 +1,79 @@
+package org.amaranthlock.bench.sim;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.amaranthlock.model.Capability;
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.model.Region;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.model.TargetId;
+
+/** The simulated engines of one service, spread over regions and failure domains. */
+public final class Fleet {
+    /** One way between failure domains of a region, in milliseconds. */
+    private static final double SAME_REGION_MILLIS = 1;
+
+    /** One way between regions, in milliseconds. */
+    private static final double OTHER_REGION_MILLIS = 12;
+
+    private final Map<TargetId, SimulatedEngine> engines = new LinkedHashMap<>();
+
+    /**
+     * Creates engines.
+     *
+     * @param service the service that all engines implement
+     * @param count number of engines
+     * @param regions number of regions; engine {@code i} is in region {@code i % regions}
+     * @param domainsPerRegion number of failure domains in a region
+     */
+    public Fleet(
+            ServiceName service,
+            int count,
+            int regions,
+            int domainsPerRegion,
+            EngineSettings settings,
+            VirtualTime time) {
+        for (int i = 0; i < count; i++) {
+            String region = "region-" + i % regions;
+            String domain = region + "-domain-" + i / regions % domainsPerRegion;
+            Target target = new Target(
+                    new TargetId("engine-%02d".formatted(i)),
+                    service,
+                    "10.0.0." + (i + 1) + ":8000",
+                    new Region(region),
+                    new FailureDomain(domain),
+                    "model-1",
+                    "v1",
+                    settings.slots(),
+                    Set.of(Capability.ATTACH, Capability.RESUME));
+            engines.put(target.id(), new SimulatedEngine(target, settings, time));
+        }
+    }
+
+    /** Returns all engines, in order of id. */
+    public Collection<SimulatedEngine> engines() {
+        return engines.values();
+    }
+
+    /** Returns an engine. */
+    public SimulatedEngine engine(TargetId id) {
+        return engines.get(id);
+    }
+
+    /** Returns all targets, in order of id. */
+    public List<Target> targets() {
+        List<Target> targets = new ArrayList<>();
+        engines.values().forEach(engine -> targets.add(engine.target()));
+        return targets;
+    }
+
+    /** Returns the one-way time between a router's region and an engine, in milliseconds. */
+    public static double oneWayMillis(Region from, Target target) {
+        return from.equals(target.region()) ? SAME_REGION_MILLIS : OTHER_REGION_MILLIS;
+    }
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/FleetDirectory.java
@@ -0,0 +1,49 @@
+package org.amaranthlock.bench.sim;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.model.TargetId;
+import org.amaranthlock.state.TargetDirectory;
+
+/** Directory of one simulated router; a target becomes unavailable when this router found it dead. */
+public final class FleetDirectory implements TargetDirectory {
+    private final Map<TargetId, Target> targets = new TreeMap<>();
+    private final Map<TargetId, String> unavailable = new TreeMap<>();
+
+    /** Creates a directory in which all targets are available. */
+    public FleetDirectory(List<Target> targets) {
+        Objects.requireNonNull(targets, "targets").forEach(target -> this.targets.put(target.id(), target));
+    }
+
+    /** Marks a target as dead. */
+    public void foundDead(TargetId id) {
+        unavailable.put(id, "unreachable");
+    }
+
+    @Override
+    public List<Target> targets(ServiceName service) {
+        return targets.values().stream()
+                .filter(target -> target.service().equals(service))
+                .toList();
+    }
+
+    @Override
+    public List<Target> all() {
+        return List.copyOf(targets.values());
+    }
+
+    @Override
+    public Optional<Target> target(TargetId id) {
+        return Optional.ofNullable(targets.get(id));
+    }
+
+    @Override
+    public Optional<String> unavailableReason(TargetId id) {
+        return Optional.ofNullable(unavailable.get(id));
+    }
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/RecordingLedger.java
@@ -0,0 +1,44 @@
+package org.amaranthlock.bench.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.RequestEvent;
+import org.amaranthlock.coordination.ledger.LedgerClient;
+import org.amaranthlock.model.OutcomeRecord;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.protocol.peer.ClaimVerdict;
+import org.amaranthlock.protocol.peer.PeerMessage.FinalOutcome;
+
+/** Ledger that grants every claim at once and keeps the outcome records of the run. */
+public final class RecordingLedger implements LedgerClient {
+    private final List<OutcomeRecord> records = new ArrayList<>();
+
+    /** Returns the records, in the order in which the requests ended. */
+    public List<OutcomeRecord> records() {
+        return List.copyOf(records);
+    }
+
+    @Override
+    public List<Command> claim(RequestSpec spec, long nowMillis) {
+        return List.of(
+                new Command.Raise(new RequestEvent.ClaimDecided(spec.id(), new ClaimVerdict.Granted(nowMillis))));
+    }
+
+    @Override
+    public List<Command> close(FinalOutcome outcome, long nowMillis) {
+        records.add(outcome.record());
+        return List.of();
+    }
+
+    @Override
+    public int pendingOutcomes() {
+        return 0;
+    }
+
+    @Override
+    public List<Command> handle(Event event, long nowMillis) {
+        return List.of();
+    }
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/SimulatedEngine.java
@@ -0,0 +1,211 @@
+package org.amaranthlock.bench.sim;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.PriorityQueue;
+import java.util.Set;
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.Target;
+
+/** Queueing model of an engine: continuous batching, priorities, prefix cache, late load reports, slowdown, death. */
+public final class SimulatedEngine {
+    /** Receives what an attempt produces. */
+    public interface Listener {
+        /** Tokens were generated; {@code firstIndex} is their position in the whole answer. */
+        void tokens(AttemptId attempt, int firstIndex, int count);
+
+        /** The answer is complete. */
+        void ended(AttemptId attempt, int count);
+
+        /** The engine died. */
+        void lost(AttemptId attempt);
+    }
+
+    /**
+     * Work of an attempt.
+     *
+     * @param attempt the attempt
+     * @param promptTokens tokens of the prompt
+     * @param prefixHash hash of the shareable part of the prompt
+     * @param firstIndex position at which the answer goes on
+     * @param length tokens of the whole answer
+     * @param priority scheduling priority, higher first
+     * @param listener receiver of the results
+     */
+    public record Job(
+            AttemptId attempt,
+            int promptTokens,
+            long prefixHash,
+            int firstIndex,
+            int length,
+            int priority,
+            Listener listener) {}
+
+    private static final int CACHED_PREFIXES = 64;
+
+    /** Part of a prompt that a cached prefix covers. */
+    private static final double PREFIX_PART = 0.8;
+
+    private final Target target;
+    private final EngineSettings settings;
+    private final VirtualTime time;
+    private final PriorityQueue<Queued> queue = new PriorityQueue<>(
+            Comparator.comparingInt((Queued queued) -> -queued.job.priority).thenComparingLong(queued -> queued.order));
+    private final Map<AttemptId, Running> running = new LinkedHashMap<>();
+    private final Set<Long> cachedPrefixes = new LinkedHashSet<>();
+    private double slowFactor = 1;
+    private boolean alive = true;
+    private boolean stepping;
+    private long order;
+    private long generatedTokens;
+    private long prefilledTokens;
+
+    /** Creates an idle engine. */
+    public SimulatedEngine(Target target, EngineSettings settings, VirtualTime time) {
+        this.target = Objects.requireNonNull(target, "target");
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.time = Objects.requireNonNull(time, "time");
+    }
+
+    /** Returns the target that the engine stands for. */
+    public Target target() {
+        return target;
+    }
+
+    /** Tells whether the engine runs. */
+    public boolean alive() {
+        return alive;
+    }
+
+    /** Returns the tokens generated so far. */
+    public long generatedTokens() {
+        return generatedTokens;
+    }
+
+    /** Returns the prompt and prefix tokens read so far that were not cached. */
+    public long prefilledTokens() {
+        return prefilledTokens;
+    }
+
+    /** Returns the attempts that run. */
+    public int runningCount() {
+        return running.size();
+    }
+
+    /** Returns the attempts that wait. */
+    public int queuedCount() {
+        return queue.size();
+    }
+
+    /** Makes every step take {@code factor} times as long. */
+    public void slowDown(double factor) {
+        slowFactor = factor;
+    }
+
+    /** Takes a job. */
+    public void submit(Job job) {
+        if (!alive) {
+            job.listener().lost(job.attempt());
+            return;
+        }
+        order++;
+        queue.add(new Queued(job, order));
+        startStepping();
+    }
+
+    /** Drops a job. */
+    public void cancel(AttemptId attempt) {
+        queue.removeIf(queued -> queued.job.attempt().equals(attempt));
+        running.remove(attempt);
+    }
+
+    /** Ends the engine; every job is lost. */
+    public void die() {
+        alive = false;
+        List<Job> lost = new ArrayList<>();
+        running.values().forEach(attempt -> lost.add(attempt.job));
+        queue.forEach(queued -> lost.add(queued.job));
+        running.clear();
+        queue.clear();
+        lost.forEach(job -> job.listener().lost(job.attempt()));
+    }
+
+    private void startStepping() {
+        if (!stepping) {
+            stepping = true;
+            step();
+        }
+    }
+
+    private void step() {
+        if (!alive) {
+            return;
+        }
+        double prefillMillis = admitQueued();
+        if (running.isEmpty()) {
+            stepping = false;
+            return;
+        }
+        double pace = settings.basePaceMillis() + settings.paceMillisPerRequest() * running.size();
+        time.afterMillis((pace + prefillMillis) * slowFactor, this::completeStep);
+    }
+
+    private double admitQueued() {
+        double prefillMillis = 0;
+        while (running.size() < settings.slots() && !queue.isEmpty()) {
+            Job job = queue.poll().job;
+            int uncached = uncachedTokens(job);
+            prefilledTokens += uncached;
+            prefillMillis += uncached * settings.prefillMillisPerToken();
+            running.put(job.attempt(), new Running(job));
+        }
+        return prefillMillis;
+    }
+
+    private int uncachedTokens(Job job) {
+        boolean cached = cachedPrefixes.remove(job.prefixHash());
+        cachedPrefixes.add(job.prefixHash());
+        if (cachedPrefixes.size() > CACHED_PREFIXES) {
+            cachedPrefixes.remove(cachedPrefixes.iterator().next());
+        }
+        int prompt = cached ? (int) (job.promptTokens() * (1 - PREFIX_PART)) : job.promptTokens();
+        return prompt + job.firstIndex();
+    }
+
+    private void completeStep() {
+        if (!alive) {
+            return;
+        }
+        for (Running attempt : List.copyOf(running.values())) {
+            if (!running.containsKey(attempt.job.attempt())) {
+                continue;
+            }
+            generatedTokens++;
+            int index = attempt.next;
+            attempt.next++;
+            attempt.job.listener().tokens(attempt.job.attempt(), index, 1);
+            if (attempt.next >= attempt.job.length()) {
+                running.remove(attempt.job.attempt());
+                attempt.job.listener().ended(attempt.job.attempt(), attempt.job.length());
+            }
+        }
+        step();
+    }
+
+    private record Queued(Job job, long order) {}
+
+    private static final class Running {
+        private final Job job;
+        private int next;
+
+        private Running(Job job) {
+            this.job = job;
+            this.next = job.firstIndex();
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/SimulatedRequest.java
@@ -0,0 +1,116 @@
+package org.amaranthlock.bench.sim;
+
+import java.util.Objects;
+import org.amaranthlock.model.RequestSpec;
+
+/** A request of the workload and what its caller has seen of the answer. Not thread-safe. */
+public final class SimulatedRequest {
+    /** State of a request. */
+    public enum State {
+        OPEN,
+        COMPLETED,
+        REFUSED,
+        FAILED
+    }
+
+    private final RequestSpec spec;
+    private final int promptTokens;
+    private final long prefixHash;
+    private final int length;
+    private final boolean straggler;
+    private State state = State.OPEN;
+    private int delivered;
+    private long firstTokenMillis = -1;
+    private long endedMillis = -1;
+    private long lastDeliveryMillis = -1;
+    private long longestGapMillis;
+
+    /** Creates an open request. */
+    public SimulatedRequest(RequestSpec spec, int promptTokens, long prefixHash, int length, boolean straggler) {
+        this.spec = Objects.requireNonNull(spec, "spec");
+        this.promptTokens = promptTokens;
+        this.prefixHash = prefixHash;
+        this.length = length;
+        this.straggler = straggler;
+    }
+
+    void delivered(int firstIndex, int tokens, long nowMillis) {
+        if (firstIndex != delivered) {
+            throw new IllegalStateException("tokens are missing or repeated in " + spec.id() + ": expected position "
+                    + delivered + ", got " + firstIndex);
+        }
+        if (firstTokenMillis < 0) {
+            firstTokenMillis = nowMillis;
+        } else {
+            longestGapMillis = Math.max(longestGapMillis, nowMillis - lastDeliveryMillis);
+        }
+        lastDeliveryMillis = nowMillis;
+        delivered += tokens;
+    }
+
+    void ended(State endState, long nowMillis) {
+        if (state != State.OPEN) {
+            throw new IllegalStateException("request ended twice: " + spec.id());
+        }
+        if (endState == State.COMPLETED && delivered != length) {
+            throw new IllegalStateException("answer of " + spec.id() + " ended after " + delivered + " of " + length);
+        }
+        state = endState;
+        endedMillis = nowMillis;
+    }
+
+    /** Returns the description of the request. */
+    public RequestSpec spec() {
+        return spec;
+    }
+
+    /** Returns the tokens of the prompt. */
+    public int promptTokens() {
+        return promptTokens;
+    }
+
+    /** Returns the hash of the shareable part of the prompt. */
+    public long prefixHash() {
+        return prefixHash;
+    }
+
+    /** Returns the tokens of the whole answer. */
+    public int length() {
+        return length;
+    }
+
+    /** Tells whether the answer is many times longer than the others. */
+    public boolean straggler() {
+        return straggler;
+    }
+
+    /** Returns the state. */
+    public State state() {
+        return state;
+    }
+
+    /** Returns the tokens that the caller has. */
+    public int deliveredTokens() {
+        return delivered;
+    }
+
+    /** Returns the time from arrival to the first token in milliseconds, or -1 if there was none. */
+    public long waitMillis() {
+        return firstTokenMillis < 0 ? -1 : firstTokenMillis - spec.arrivedAtMillis();
+    }
+
+    /** Returns the time from arrival to the end in milliseconds, or -1 if it is open. */
+    public long latencyMillis() {
+        return endedMillis < 0 ? -1 : endedMillis - spec.arrivedAtMillis();
+    }
+
+    /** Returns the time of the end, or -1 if it is open. */
+    public long endedMillis() {
+        return endedMillis;
+    }
+
+    /** Returns the longest time between two deliveries, in milliseconds. */
+    public long longestGapMillis() {
+        return longestGapMillis;
+    }
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/VirtualTime.java
@@ -0,0 +1,47 @@
+package org.amaranthlock.bench.sim;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.amaranthlock.model.Arguments;
+
+/** Runs actions at virtual times, in order of time and then of scheduling. */
+public final class VirtualTime {
+    private final PriorityQueue<Scheduled> queue =
+            new PriorityQueue<>(Comparator.comparingLong(Scheduled::atMicros).thenComparingLong(Scheduled::order));
+    private long nowMicros;
+    private long scheduled;
+
+    /** Returns the virtual time in milliseconds. */
+    public long nowMillis() {
+        return nowMicros / 1_000;
+    }
+
+    /** Returns the virtual time in microseconds. */
+    public long nowMicros() {
+        return nowMicros;
+    }
+
+    /** Runs an action after a delay, in microseconds. */
+    public void afterMicros(long delayMicros, Runnable action) {
+        Arguments.requireNonNegative(delayMicros, "delayMicros");
+        scheduled++;
+        queue.add(new Scheduled(nowMicros + delayMicros, scheduled, action));
+    }
+
+    /** Runs an action after a delay, in milliseconds. */
+    public void afterMillis(double delayMillis, Runnable action) {
+        afterMicros(Math.max(0, Math.round(delayMillis * 1_000)), action);
+    }
+
+    /** Runs all actions up to a time, in milliseconds. */
+    public void runUntilMillis(long endMillis) {
+        while (!queue.isEmpty() && queue.peek().atMicros() <= endMillis * 1_000) {
+            Scheduled next = queue.poll();
+            nowMicros = next.atMicros();
+            next.action().run();
+        }
+        nowMicros = Math.max(nowMicros, endMillis * 1_000);
+    }
+
+    private record Scheduled(long atMicros, long order, Runnable action) {}
+}
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/admission/FairQueueProperties.java
@@ -0,0 +1,79 @@
+package org.amaranthlock.coordination.admission;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.amaranthlock.model.AccountId;
+import org.amaranthlock.model.RequestId;
+
+class FairQueueProperties {
+    private static final AccountId LARGE = new AccountId("large");
+    private static final AccountId SMALL = new AccountId("small");
+
+    /** Guards against a large account that keeps a small one waiting behind its backlog. */
+    @Property(seed = "7", tries = 200)
+    void smallAccountWaitsBehindAtMostItsFairShareOfABacklog(
+            @ForAll @IntRange(min = 1, max = 400) int backlog, @ForAll @IntRange(min = 1, max = 10) int small) {
+        FairQueue<String> queue = new FairQueue<>();
+        for (int i = 0; i < backlog; i++) {
+            queue.add(LARGE, id("l" + i), "large", 100, 1);
+        }
+        for (int i = 0; i < small; i++) {
+            queue.add(SMALL, id("s" + i), "small", 100, 1);
+        }
+
+        List<String> served = drain(queue);
+
+        assertThat(served).hasSize(backlog + small);
+        // With equal weights the accounts alternate, so the n-th small item is at most at place 2n.
+        assertThat(served.lastIndexOf("small")).isAtMost(2 * small);
+    }
+
+    /** Guards against an account that saves up service while it is idle and then starves the others. */
+    @Property(seed = "8", tries = 200)
+    void idleAccountSavesNothingUp(@ForAll @IntRange(min = 1, max = 200) int servedBefore) {
+        FairQueue<String> queue = new FairQueue<>();
+        for (int i = 0; i < servedBefore; i++) {
+            queue.add(LARGE, id("before" + i), "large", 10, 1);
+        }
+        drain(queue);
+        for (int i = 0; i < 10; i++) {
+            queue.add(SMALL, id("s" + i), "small", 10, 1);
+            queue.add(LARGE, id("l" + i), "large", 10, 1);
+        }
+
+        List<String> firstFour = drain(queue).subList(0, 4);
+
+        assertThat(firstFour).containsAtLeast("large", "small");
+    }
+
+    /** Guards against a wrong prediction of the wait, on which refusals are based. */
+    @Property(seed = "9", tries = 200)
+    void queuedWorkIsTheSumOfAllThatWaits(@ForAll @IntRange(min = 0, max = 50) int count) {
+        FairQueue<String> queue = new FairQueue<>();
+        for (int i = 0; i < count; i++) {
+            queue.add(i % 2 == 0 ? LARGE : SMALL, id("r" + i), "item", 1 + i, 1);
+        }
+
+        assertThat(queue.queuedWork()).isWithin(1e-6).of(count + count * (count - 1) / 2.0);
+        assertThat(queue.workBefore(SMALL, _ -> 1)).isAtMost(queue.queuedWork());
+        drain(queue);
+        assertThat(queue.queuedWork()).isEqualTo(0.0);
+    }
+
+    private static List<String> drain(FairQueue<String> queue) {
+        List<String> served = new ArrayList<>();
+        while (queue.size() > 0) {
+            served.add(queue.poll(_ -> true).orElseThrow());
+        }
+        return served;
+    }
+
+    private static RequestId id(String text) {
+        return new RequestId("00-" + text);
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/routing/TargetLoadTest.java
@@ -0,0 +1,46 @@
+package org.amaranthlock.coordination.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.RequestId;
+import org.junit.jupiter.api.Test;
+
+class TargetLoadTest {
+    private final TargetLoad load = new TargetLoad();
+
+    /** Guards against counting own attempts twice when a late report already contains them. */
+    @Test
+    void lateReportAddsOnlyTheLoadOfOthers() {
+        load.started(attempt(1), 1_000);
+        load.started(attempt(2), 1_100);
+
+        load.reported(5, 2_000, 3_200);
+
+        assertThat(load.estimated(3_200)).isEqualTo(2 + 3);
+    }
+
+    /** Guards against hiding work that was sent after the moment that a late report shows. */
+    @Test
+    void workSentAfterTheReportedMomentIsAddedToTheReport() {
+        load.started(attempt(1), 1_000);
+        load.started(attempt(2), 2_500);
+
+        load.reported(4, 2_000, 3_000);
+
+        assertThat(load.estimated(3_000)).isEqualTo(2 + 3);
+    }
+
+    /** Guards against avoiding a target for ever because its reports stopped. */
+    @Test
+    void oldReportLosesItsMeaning() {
+        load.reported(8, 0, 1_000);
+
+        assertThat(load.estimated(1_000)).isEqualTo(8);
+        assertThat(load.estimated(11_001)).isEqualTo(0);
+    }
+
+    private static AttemptId attempt(int number) {
+        return new AttemptId(new RequestId("00-r" + number), 1);
+    }
+}
