--- /dev/null
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/protocol/WireFormat.java
@@ -0,0 +1,13 @@
+package org.amaranthlock.protocol;
+
+import java.io.IOException;
+import org.msgpack.core.MessageBufferPacker;
+
+/** Writes and reads one type of value as MessagePack. */
+interface WireFormat {
+    /** Writes a value of the type. */
+    void write(MessageBufferPacker packer, Object value) throws IOException;
+
+    /** Reads a value of the type. */
+    Object read(BoundedUnpacker unpacker) throws IOException;
+}
--- /dev/null
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/protocol/WireSamples.java
@@ -0,0 +1,123 @@
+package org.amaranthlock.protocol;
+
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.lang.reflect.Type;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Random;
+import java.util.TreeMap;
+
+/** Random values of records, made from their component types, and their comparison by content. */
+final class WireSamples {
+    private static final List<String> TEXTS = List.of("a", "acc/1", "déjà", "漢字", "\uD83D\uDE00", "x y", "00-q\n");
+
+    private final Random random;
+
+    WireSamples(long seed) {
+        random = new Random(seed);
+    }
+
+    <T> T sample(Class<T> type) {
+        return type.cast(value(type));
+    }
+
+    /** Returns the content of a value; arrays are shown by content, unlike in {@code Record.toString}. */
+    static String describe(Object value) {
+        return switch (value) {
+            case byte[] bytes -> Arrays.toString(bytes);
+            case Optional<?> optional -> "?" + optional.map(WireSamples::describe);
+            case List<?> list ->
+                list.stream().map(WireSamples::describe).toList().toString();
+            case Map<?, ?> map -> new TreeMap<>(map).toString();
+            case Record data -> describeRecord(data);
+            default -> value.toString();
+        };
+    }
+
+    private static String describeRecord(Record data) {
+        StringBuilder text = new StringBuilder(data.getClass().getSimpleName());
+        for (RecordComponent component : data.getClass().getRecordComponents()) {
+            try {
+                Object value = component.getAccessor().invoke(data);
+                text.append(' ').append(component.getName()).append('=').append(describe(value));
+            } catch (ReflectiveOperationException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+        return text.append(';').toString();
+    }
+
+    private Object value(Type type) {
+        if (type instanceof ParameterizedType generic) {
+            return collection((Class<?>) generic.getRawType(), generic.getActualTypeArguments());
+        }
+        Class<?> raw = (Class<?>) type;
+        if (raw.isEnum()) {
+            return raw.getEnumConstants()[random.nextInt(raw.getEnumConstants().length)];
+        }
+        if (raw.isRecord()) {
+            return data(raw);
+        }
+        if (raw.isInterface()) {
+            Class<?>[] permitted = raw.getPermittedSubclasses();
+            return value(permitted[random.nextInt(permitted.length)]);
+        }
+        return simple(raw);
+    }
+
+    private Object simple(Class<?> raw) {
+        return switch (raw.getSimpleName()) {
+            case "String" -> TEXTS.get(random.nextInt(TEXTS.size()));
+            case "int" -> 1 + random.nextInt(1 << random.nextInt(1, 31));
+            case "long", "Long" -> 1 + (random.nextLong() >>> random.nextInt(2, 63));
+            case "double" -> random.nextDouble();
+            case "boolean" -> random.nextBoolean();
+            case "byte[]" -> bytes();
+            case "OptionalDouble" ->
+                random.nextBoolean() ? OptionalDouble.empty() : OptionalDouble.of(random.nextDouble());
+            default -> throw new IllegalStateException("no sample for " + raw);
+        };
+    }
+
+    private byte[] bytes() {
+        byte[] bytes = new byte[random.nextInt(300)];
+        random.nextBytes(bytes);
+        return bytes;
+    }
+
+    private Object collection(Class<?> raw, Type[] arguments) {
+        if (raw == Optional.class) {
+            return random.nextBoolean() ? Optional.empty() : Optional.of(value(arguments[0]));
+        }
+        if (raw == Map.class) {
+            return Map.of("accept", "a", "x-" + random.nextInt(9), "b");
+        }
+        List<Object> list = new ArrayList<>();
+        for (int count = random.nextInt(4); count > 0; count--) {
+            list.add(value(arguments[0]));
+        }
+        return list;
+    }
+
+    private Object data(Class<?> raw) {
+        RecordComponent[] components = raw.getRecordComponents();
+        Object[] values = Arrays.stream(components)
+                .map(component -> value(component.getGenericType()))
+                .toArray();
+        if (raw.getSimpleName().equals("Checkpoint")
+                && ((Optional<?>) values[2]).isPresent() != ((Optional<?>) values[3]).isPresent()) {
+            values[2] = Optional.empty();
+            values[3] = Optional.empty();
+        }
+        try {
+            return raw.getDeclaredConstructors()[0].newInstance(values);
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
