Add the HTTP transports to the platform and to targets

The decision core's platform and target commands had no carrier. The clients use one ServiceTalk connection pool per address without retries or host ejection, because both decisions belong to the core.

--- /dev/null
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/transport/platform/PlatformAnswers.java
@@ -0,0 +1,87 @@
+package org.amaranthlock.transport.platform;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.amaranthlock.coordination.PlatformEvent.HostsListed;
+import org.amaranthlock.coordination.PlatformEvent.ListDone;
+import org.amaranthlock.coordination.PlatformEvent.WatchReturned;
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.model.Region;
+import org.amaranthlock.protocol.MalformedDataException;
+import org.amaranthlock.protocol.PlatformValueCodec;
+import org.amaranthlock.protocol.platform.HostEntry;
+import org.amaranthlock.protocol.platform.Versioned;
+import org.jboss.logging.Logger;
+
+/** Reads the JSON answers of the platform; rows that can't be read are skipped, so one bad object blocks no others. */
+final class PlatformAnswers {
+    private static final Logger LOG = Logger.getLogger(PlatformAnswers.class);
+
+    private final ObjectMapper mapper = new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    private final PlatformValueCodec codec;
+
+    PlatformAnswers(PlatformValueCodec codec) {
+        this.codec = codec;
+    }
+
+    /** Object with its value in base64. */
+    record Row(String key, long version, long revision, byte[] value) {}
+
+    /** Deleted object. */
+    record DeletedRow(String key, long revision) {}
+
+    /** Answer to a watch. */
+    record WatchAnswer(long revision, List<Row> changed, List<DeletedRow> deleted) {}
+
+    /** Row of the host list. */
+    record HostRow(String name, String role, String address, String region, String failureDomain, boolean leaving) {}
+
+    ListDone list(long operation, byte[] body, long revision) throws IOException {
+        return new ListDone(operation, objects(Arrays.asList(mapper.readValue(body, Row[].class))), revision);
+    }
+
+    WatchReturned watch(long operation, byte[] body) throws IOException {
+        WatchAnswer answer = mapper.readValue(body, WatchAnswer.class);
+        List<Row> changed = answer.changed() == null ? List.of() : answer.changed();
+        List<DeletedRow> deleted = answer.deleted() == null ? List.of() : answer.deleted();
+        return new WatchReturned(
+                operation,
+                objects(changed),
+                deleted.stream().map(DeletedRow::key).toList(),
+                answer.revision());
+    }
+
+    HostsListed hosts(byte[] body) throws IOException {
+        List<HostEntry> hosts = new ArrayList<>();
+        for (HostRow row : mapper.readValue(body, HostRow[].class)) {
+            try {
+                hosts.add(new HostEntry(
+                        row.name(),
+                        row.role(),
+                        row.address(),
+                        new Region(row.region()),
+                        new FailureDomain(row.failureDomain()),
+                        row.leaving()));
+            } catch (IllegalArgumentException | NullPointerException e) {
+                LOG.warnf(e, "Skipped the row of host %s in the host list; correct the row", row.name());
+            }
+        }
+        return new HostsListed(hosts);
+    }
+
+    private List<Versioned> objects(List<Row> rows) {
+        List<Versioned> objects = new ArrayList<>();
+        for (Row row : rows) {
+            try {
+                objects.add(new Versioned(row.key(), row.version(), row.revision(), codec.decode(row.value())));
+            } catch (MalformedDataException | IllegalArgumentException | NullPointerException e) {
+                LOG.warnf(e, "Skipped the object %s; delete it or write it again", row.key());
+            }
+        }
+        return objects;
+    }
+}
--- /dev/null
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/transport/platform/HttpPlatformTransportTest.java
@@ -0,0 +1,137 @@
+package org.amaranthlock.transport.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.Base64;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.PlatformCommand;
+import org.amaranthlock.coordination.PlatformEvent;
+import org.amaranthlock.model.HostId;
+import org.amaranthlock.protocol.PlatformValueCodec;
+import org.amaranthlock.protocol.platform.PlatformValue.EngineLease;
+import org.amaranthlock.transport.EventQueue;
+import org.amaranthlock.transport.RawServer;
+import org.junit.jupiter.api.Test;
+
+class HttpPlatformTransportTest {
+    private static final EngineLease LEASE = new EngineLease("g", new HostId("r1"), 3, 4, 1.5);
+
+    private final PlatformValueCodec codec = new PlatformValueCodec();
+    private final EventQueue events = new EventQueue();
+    private String requestHead = "";
+
+    /** Guards against a lost answer of a write that is reported as a failure, which would repeat the write. */
+    @Test
+    void writeWithoutAnswerIsUnknown() throws Exception {
+        assertThat(answerTo(new PlatformCommand.Write(1, "engines/g", 0, LEASE), (head, out) -> {}))
+                .isEqualTo(new PlatformEvent.WriteUnknown(1));
+    }
+
+    /** Guards against a write that waits for ever on a silent platform. */
+    @Test
+    void lateAnswerOfWriteIsUnknown() throws Exception {
+        CountDownLatch end = new CountDownLatch(1);
+        assertThat(answerTo(
+                        new PlatformCommand.Write(1, "engines/g", 0, LEASE),
+                        (head, out) ->
+                                assertThat(end.await(10, TimeUnit.SECONDS)).isTrue()))
+                .isEqualTo(new PlatformEvent.WriteUnknown(1));
+        end.countDown();
+    }
+
+    /** Guards against an unreachable platform whose writes wait for a needless read-back. */
+    @Test
+    void refusedConnectionFailsTheWrite() throws Exception {
+        Event event = execute(RawServer.unusedAddress(), new PlatformCommand.Write(1, "engines/g", 0, LEASE));
+        assertThat(event).isInstanceOf(PlatformEvent.OperationFailed.class);
+    }
+
+    /** Guards against unconditional writes and against versions that are read wrongly. */
+    @Test
+    void writeIsConditional() throws Exception {
+        String applied = "HTTP/1.1 200 OK\r\netag: \"6\"\r\nplatform-revision: 41\r\ncontent-length: 0\r\n\r\n";
+        assertThat(answerTo(
+                        new PlatformCommand.Write(1, "a/b c", 5, LEASE), (head, out) -> RawServer.write(out, applied)))
+                .isEqualTo(new PlatformEvent.WriteApplied(1, 6, 41));
+        assertThat(requestHead).startsWith("PUT /objects/a/b%20c HTTP/1.1");
+        assertThat(requestHead).contains("if-match: \"5\"");
+        assertThat(answerTo(new PlatformCommand.Write(2, "a", 0, LEASE), (head, out) -> status(out, 412)))
+                .isEqualTo(new PlatformEvent.WriteConflicted(2));
+        assertThat(requestHead).contains("if-none-match: *");
+    }
+
+    /** Guards against statuses that are mapped to a wrong certainty about the effect. */
+    @Test
+    void statusTellsWhetherAWriteHadAnEffect() throws Exception {
+        PlatformCommand write = new PlatformCommand.Write(1, "a", 0, LEASE);
+        assertThat(answerTo(write, (head, out) -> status(out, 429))).isInstanceOf(PlatformEvent.OperationFailed.class);
+        assertThat(answerTo(write, (head, out) -> status(out, 503))).isInstanceOf(PlatformEvent.OperationFailed.class);
+        assertThat(answerTo(write, (head, out) -> status(out, 500))).isInstanceOf(PlatformEvent.WriteUnknown.class);
+    }
+
+    /** Guards against one unreadable object that hides all others from a watch. */
+    @Test
+    void watchSkipsUnreadableObjects() throws Exception {
+        String value = Base64.getEncoder().encodeToString(codec.encode(LEASE));
+        String body = "{\"revision\":9,\"changed\":[{\"key\":\"bad\",\"version\":1,\"revision\":8,\"value\":\"AAAA\"},"
+                + "{\"key\":\"engines/g\",\"version\":2,\"revision\":9,\"value\":\"" + value + "\"}],"
+                + "\"deleted\":[{\"key\":\"old\",\"revision\":7}]}";
+        PlatformEvent.WatchReturned event = (PlatformEvent.WatchReturned)
+                answerTo(new PlatformCommand.Watch(1, "engines/", 6, 100), (head, out) -> json(out, body));
+        assertThat(requestHead).startsWith("GET /watch?prefix=engines/&after=6&timeoutMs=100 ");
+        assertThat(event.changed()).hasSize(1);
+        assertThat(event.changed().getFirst().value()).isEqualTo(LEASE);
+        assertThat(event.deletedKeys()).containsExactly("old");
+        assertThat(event.revision()).isEqualTo(9);
+    }
+
+    /** Guards against an absent object that looks like an outage. */
+    @Test
+    void absentObjectIsReadAsEmpty() throws Exception {
+        PlatformEvent.ReadDone event =
+                (PlatformEvent.ReadDone) answerTo(new PlatformCommand.Read(1, "a"), (head, out) -> status(out, 404));
+        assertThat(event.object()).isEmpty();
+    }
+
+    /** Guards against leaving targets that stay in use because a host row is lost. */
+    @Test
+    void hostListShowsLeavingHosts() throws Exception {
+        String body = "[{\"name\":\"t1\",\"role\":\"target\",\"address\":\"127.0.0.1:1\",\"region\":\"eu\","
+                + "\"failureDomain\":\"a\",\"leaving\":true},{\"name\":\"\"}]";
+        PlatformEvent.HostsListed event =
+                (PlatformEvent.HostsListed) answerTo(new PlatformCommand.ListHosts(1), (head, out) -> json(out, body));
+        assertThat(event.hosts()).hasSize(1);
+        assertThat(event.hosts().getFirst().leaving()).isTrue();
+    }
+
+    private Event answerTo(PlatformCommand command, RawServer.Script script) throws Exception {
+        try (RawServer server = new RawServer(script)) {
+            Event event = execute(server.address(), command);
+            requestHead = server.heads().poll(10, TimeUnit.SECONDS);
+            return event;
+        }
+    }
+
+    private Event execute(String address, PlatformCommand command) throws Exception {
+        HttpPlatformTransport transport = new HttpPlatformTransport(address, events, codec);
+        transport.start();
+        try {
+            transport.execute(command);
+            return events.next(PlatformEvent.class);
+        } finally {
+            transport.stop();
+        }
+    }
+
+    private static void json(OutputStream out, String body) throws IOException {
+        RawServer.write(out, "HTTP/1.1 200 OK\r\ncontent-length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    private static void status(OutputStream out, int status) throws IOException {
+        RawServer.write(out, "HTTP/1.1 " + status + " status\r\ncontent-length: 0\r\n\r\n");
+    }
+}
