--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/Exchange.java
@@ -0,0 +1,183 @@
+package org.amaranthlock.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.http.api.BlockingStreamingHttpRequest;
+import io.servicetalk.http.api.BlockingStreamingHttpServerResponse;
+import io.servicetalk.http.api.HttpPayloadWriter;
+import io.servicetalk.http.api.HttpResponseStatus;
+import io.servicetalk.http.api.HttpServiceContext;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** One HTTP request and the means to answer it. */
+public final class Exchange {
+    /** Size up to which a request body is read, in bytes; 1 MiB as for callers of the routers. */
+    public static final int MAX_BODY_BYTES = 1 << 20;
+
+    private final HttpServiceContext context;
+    private final BlockingStreamingHttpRequest request;
+    private final BlockingStreamingHttpServerResponse response;
+    private boolean answered;
+
+    Exchange(
+            HttpServiceContext context,
+            BlockingStreamingHttpRequest request,
+            BlockingStreamingHttpServerResponse response) {
+        this.context = context;
+        this.request = request;
+        this.response = response;
+    }
+
+    /** Returns the HTTP method. */
+    public String method() {
+        return request.method().name();
+    }
+
+    /** Returns the decoded path. */
+    public String path() {
+        return request.path();
+    }
+
+    /** Returns method and path, for matching. */
+    public String route() {
+        return method() + " " + path();
+    }
+
+    /** Returns the path behind a prefix. */
+    public String pathAfter(String prefix) {
+        return path().substring(prefix.length());
+    }
+
+    /** Returns a query parameter or a default value. */
+    public String query(String name, String defaultValue) {
+        String value = request.queryParameter(name);
+        return value == null ? defaultValue : value;
+    }
+
+    /**
+     * Returns a numeric query parameter or a default value.
+     *
+     * @throws HttpProblem with status 400 if it is not a number
+     */
+    public long queryNumber(String name, long defaultValue) {
+        return number(name, query(name, null), defaultValue);
+    }
+
+    /** Returns a request header, or null if it is absent. */
+    public String header(String name) {
+        CharSequence value = request.headers().get(name);
+        return value == null ? null : value.toString();
+    }
+
+    /**
+     * Returns a numeric request header or a default value.
+     *
+     * @throws HttpProblem with status 400 if it is not a number
+     */
+    public long headerNumber(String name, long defaultValue) {
+        return number(name, header(name), defaultValue);
+    }
+
+    /**
+     * Reads the body.
+     *
+     * @throws HttpProblem with status 413 if it is larger than {@link #MAX_BODY_BYTES}
+     */
+    public byte[] body() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        for (Buffer buffer : request.payloadBody()) {
+            byte[] part = new byte[buffer.readableBytes()];
+            buffer.readBytes(part);
+            if (bytes.size() <= MAX_BODY_BYTES) {
+                bytes.writeBytes(part);
+            }
+        }
+        if (bytes.size() > MAX_BODY_BYTES) {
+            throw new HttpProblem(413, "payload-too-large", "Send at most " + MAX_BODY_BYTES + " bytes.");
+        }
+        return bytes.toByteArray();
+    }
+
+    /** Reads the body as JSON. */
+    public JsonNode json() {
+        return Json.parse(body());
+    }
+
+    /** Sets a header of the answer. */
+    public Exchange respondHeader(String name, Object value) {
+        response.setHeader(name, String.valueOf(value));
+        return this;
+    }
+
+    /** Answers with a JSON value. */
+    public void sendJson(int status, Object value) throws IOException {
+        send(status, "application/json", Json.text(value).getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Answers with a problem document. */
+    public void sendProblem(HttpProblem problem) throws IOException {
+        Map<String, Object> document = new LinkedHashMap<>();
+        document.put("type", "about:blank");
+        document.put("title", problem.code());
+        document.put("status", problem.status());
+        document.put("detail", problem.getMessage());
+        document.put("code", problem.code());
+        send(problem.status(), "application/problem+json", Json.text(document).getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Answers with a body. */
+    public void send(int status, String contentType, byte[] body) throws IOException {
+        answered = true;
+        response.status(HttpResponseStatus.of(status, ""));
+        response.setHeader("content-type", contentType);
+        response.setHeader("content-length", Integer.toString(body.length));
+        try (HttpPayloadWriter<Buffer> writer = response.sendMetaData()) {
+            if (body.length > 0) {
+                writer.write(context.executionContext().bufferAllocator().wrap(body));
+            }
+        }
+    }
+
+    /** Starts an answer of server-sent events. */
+    public EventWriter sendEvents() {
+        answered = true;
+        response.status(HttpResponseStatus.OK);
+        response.setHeader("content-type", "text/event-stream");
+        response.setHeader("cache-control", "no-cache");
+        return new EventWriter(
+                response.sendMetaData(), context.executionContext().bufferAllocator());
+    }
+
+    /** Closes the connection without an answer. */
+    public void dropConnection() {
+        answered = true;
+        context.closeAsync().subscribe();
+        throw new DroppedConnection();
+    }
+
+    boolean answered() {
+        return answered;
+    }
+
+    private static long number(String name, String text, long defaultValue) {
+        if (text == null) {
+            return defaultValue;
+        }
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            throw new HttpProblem(400, "invalid-request", "'" + name + "' must be a number: " + text);
+        }
+    }
+
+    /** Unwinds the handler after its connection was closed. */
+    static final class DroppedConnection extends RuntimeException {
+        DroppedConnection() {
+            super("connection closed on purpose");
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/Json.java
@@ -0,0 +1,48 @@
+package org.amaranthlock.standin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** Conversion between JSON and Java values. */
+public final class Json {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private Json() {}
+
+    /** Writes a value (record, map, list, node) as JSON text. */
+    public static String text(Object value) {
+        try {
+            return MAPPER.writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * Parses JSON; empty input gives a missing node.
+     *
+     * @throws HttpProblem with status 400 if the input is not JSON
+     */
+    public static JsonNode parse(byte[] bytes) {
+        try {
+            JsonNode node = MAPPER.readTree(bytes);
+            return node == null ? MissingNode.getInstance() : node;
+        } catch (IOException e) {
+            throw new HttpProblem(400, "invalid-request", "The body is not valid JSON: " + e.getMessage());
+        }
+    }
+
+    /** Parses JSON and returns a missing node if the text is not JSON. */
+    public static JsonNode parseLeniently(String text) {
+        try {
+            JsonNode node = MAPPER.readTree(text);
+            return node == null ? MissingNode.getInstance() : node;
+        } catch (JsonProcessingException e) {
+            return MissingNode.getInstance();
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/TokenBucket.java
@@ -0,0 +1,41 @@
+package org.amaranthlock.standin;
+
+import java.util.function.LongSupplier;
+
+/** Token bucket; thread-safe. */
+public final class TokenBucket {
+    private static final double MILLIS_PER_SECOND = 1000.0;
+
+    private final double perSecond;
+    private final double burst;
+    private final LongSupplier nowMillis;
+    private double tokens;
+    private long filledAtMillis;
+
+    /**
+     * Creates a full bucket.
+     *
+     * @param perSecond tokens added per second
+     * @param burst tokens that the bucket holds at most
+     * @param nowMillis monotonic clock, in milliseconds
+     */
+    public TokenBucket(double perSecond, double burst, LongSupplier nowMillis) {
+        this.perSecond = perSecond;
+        this.burst = burst;
+        this.nowMillis = nowMillis;
+        this.tokens = burst;
+        this.filledAtMillis = nowMillis.getAsLong();
+    }
+
+    /** Takes one token if there is one. */
+    public synchronized boolean tryTake() {
+        long now = nowMillis.getAsLong();
+        tokens = Math.min(burst, tokens + (now - filledAtMillis) * perSecond / MILLIS_PER_SECOND);
+        filledAtMillis = now;
+        if (tokens < 1) {
+            return false;
+        }
+        tokens -= 1;
+        return true;
+    }
+}
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/desk/OrderDeskMain.java
@@ -0,0 +1,33 @@
+package org.amaranthlock.standin.desk;
+
+import java.util.concurrent.Callable;
+import org.amaranthlock.standin.ServeOptions;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/** Runs the order desk stand-in as a process. */
+@Command(name = "desk", mixinStandardHelpOptions = true, description = "Stand-in for an order desk.")
+public final class OrderDeskMain implements Callable<Integer> {
+    @Mixin
+    private ServeOptions serve;
+
+    @Option(names = "--delay-millis", defaultValue = "30", description = "Time between execution and answer.")
+    private long delayMillis;
+
+    @Option(names = "--fencing", description = "Refuse lower fencing numbers.")
+    private boolean fencing;
+
+    /** Runs the process. */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new OrderDeskMain()).execute(args));
+    }
+
+    @Override
+    public Integer call() throws InterruptedException {
+        OrderDeskStandin.Options options =
+                new OrderDeskStandin.Options(serve.host(), serve.port(), delayMillis, fencing);
+        return ServeOptions.serve(new OrderDeskStandin(options));
+    }
+}
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/platform/PlatformMain.java
@@ -0,0 +1,36 @@
+package org.amaranthlock.standin.platform;
+
+import java.util.concurrent.Callable;
+import org.amaranthlock.standin.ServeOptions;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/** Runs the platform stand-in as a process. */
+@Command(name = "platform", mixinStandardHelpOptions = true, description = "Stand-in for the platform.")
+public final class PlatformMain implements Callable<Integer> {
+    @Mixin
+    private ServeOptions serve;
+
+    @Option(names = "--writes-per-second", defaultValue = "300", description = "Rate of writes.")
+    private double writesPerSecond;
+
+    @Option(names = "--reads-per-second", defaultValue = "2000", description = "Rate of reads and watches.")
+    private double readsPerSecond;
+
+    @Option(names = "--host-lag-millis", defaultValue = "2000", description = "Delay of the host list.")
+    private long hostLagMillis;
+
+    /** Runs the process. */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new PlatformMain()).execute(args));
+    }
+
+    @Override
+    public Integer call() throws InterruptedException {
+        PlatformOptions options =
+                new PlatformOptions(serve.host(), serve.port(), writesPerSecond, readsPerSecond, hostLagMillis);
+        return ServeOptions.serve(new PlatformStandin(options));
+    }
+}
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/platform/PlatformStandin.java
@@ -0,0 +1,251 @@
+package org.amaranthlock.standin.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.LongSupplier;
+import org.amaranthlock.standin.Exchange;
+import org.amaranthlock.standin.HttpProblem;
+import org.amaranthlock.standin.Standin;
+import org.amaranthlock.standin.StandinServer;
+import org.amaranthlock.standin.Timing;
+import org.amaranthlock.standin.TokenBucket;
+
+/**
+ * The platform in memory, served over HTTP.
+ *
+ * <p>Rates, faults and the lag of the host list are settable. {@code POST /faults}, {@code PUT /hosts/<name>},
+ * {@code DELETE /hosts/<name>} and {@code GET /stats} belong to the test and are free of rates and faults.
+ */
+public final class PlatformStandin implements Standin {
+    /** Longest time that a watch waits, in milliseconds. */
+    private static final long MAX_WATCH_MILLIS = 60_000;
+
+    private static final String OBJECTS = "/objects/";
+    private static final String HOSTS = "/hosts/";
+
+    private final ObjectStore store = new ObjectStore();
+    private final PlatformFaults faults = new PlatformFaults();
+    private final HostList hosts;
+    private final TokenBucket writes;
+    private final TokenBucket reads;
+    private final Map<String, LongAdder> counts = new TreeMap<>();
+    private final StandinServer server;
+
+    /** Creates a platform on the real clock. */
+    public PlatformStandin(PlatformOptions options) {
+        this(options, Timing::monotonicMillis);
+    }
+
+    /**
+     * Creates a platform.
+     *
+     * @param options address, rates and lag
+     * @param nowMillis monotonic clock of rates and host list, in milliseconds
+     */
+    public PlatformStandin(PlatformOptions options, LongSupplier nowMillis) {
+        this.hosts = new HostList(nowMillis, options.hostLagMillis());
+        this.writes = new TokenBucket(options.writesPerSecond(), options.writesPerSecond(), nowMillis);
+        this.reads = new TokenBucket(options.readsPerSecond(), options.readsPerSecond(), nowMillis);
+        this.server = new StandinServer(options.host(), options.port(), this::handle);
+        for (String name : List.of("reads", "lists", "writes", "deletes", "watches", "hostLists", "rejected")) {
+            counts.put(name, new LongAdder());
+        }
+    }
+
+    @Override
+    public void start() {
+        server.start();
+    }
+
+    @Override
+    public void stop() {
+        store.interruptWatches(true);
+        server.stop();
+    }
+
+    @Override
+    public String address() {
+        return server.address();
+    }
+
+    private void handle(Exchange exchange) throws Exception {
+        String route = exchange.route();
+        if (route.equals("POST /faults")) {
+            setFaults(exchange);
+        } else if (route.equals("GET /stats")) {
+            sendStats(exchange);
+        } else if (route.startsWith("PUT " + HOSTS) || route.startsWith("DELETE " + HOSTS)) {
+            changeHost(exchange);
+        } else if (route.equals("GET /objects")) {
+            admit("lists", reads);
+            list(exchange);
+        } else if (route.startsWith("GET " + OBJECTS)) {
+            admit("reads", reads);
+            read(exchange);
+        } else if (route.startsWith("PUT " + OBJECTS)) {
+            admit("writes", writes);
+            write(exchange);
+        } else if (route.startsWith("DELETE " + OBJECTS)) {
+            admit("deletes", writes);
+            delete(exchange);
+        } else if (route.equals("GET /watch")) {
+            admit("watches", reads);
+            watch(exchange);
+        } else if (route.equals("GET /hosts")) {
+            admit("hostLists", reads);
+            exchange.sendJson(200, hosts.visible());
+        } else {
+            throw new HttpProblem(404, "not-found", "No such resource: " + route);
+        }
+    }
+
+    private void admit(String kind, TokenBucket bucket) {
+        counts.get(kind).increment();
+        Timing.delay(faults.slowMillis());
+        requireAvailable();
+        if (bucket == writes && faults.refuseWrites()) {
+            throw new HttpProblem(503, "platform-unavailable", "Writes are refused by a fault; clear refuseWrites.");
+        }
+        if (!bucket.tryTake()) {
+            counts.get("rejected").increment();
+            throw new HttpProblem(429, "over-rate", "The platform's rate is exceeded; retry later.");
+        }
+    }
+
+    private void requireAvailable() {
+        if (faults.outage()) {
+            counts.get("rejected").increment();
+            throw new HttpProblem(503, "platform-unavailable", "The platform has an outage; retry later.");
+        }
+    }
+
+    private void read(Exchange exchange) throws IOException {
+        ObjectStore.Change object = store.read(exchange.pathAfter(OBJECTS)).orElseThrow(PlatformStandin::absent);
+        exchange.respondHeader("ETag", quoted(object.version())).respondHeader("Platform-Revision", object.revision());
+        exchange.send(200, "application/octet-stream", object.value());
+    }
+
+    private void list(Exchange exchange) throws IOException {
+        int limit = (int) exchange.queryNumber("limit", Integer.MAX_VALUE);
+        ObjectStore.Changes found = store.list(exchange.query("prefix", ""), limit);
+        exchange.respondHeader("Platform-Revision", found.revision());
+        exchange.sendJson(
+                200, found.changes().stream().map(PlatformStandin::json).toList());
+    }
+
+    private void write(Exchange exchange) throws IOException {
+        byte[] value = exchange.body();
+        answerWrite(exchange, store.put(exchange.pathAfter(OBJECTS), value, condition(exchange)));
+    }
+
+    private void delete(Exchange exchange) throws IOException {
+        String key = exchange.pathAfter(OBJECTS);
+        Optional<ObjectStore.Change> change = store.delete(key, condition(exchange));
+        if (change.isEmpty() && store.read(key).isEmpty()) {
+            throw absent();
+        }
+        answerWrite(exchange, change);
+    }
+
+    private void answerWrite(Exchange exchange, Optional<ObjectStore.Change> written) throws IOException {
+        ObjectStore.Change change = written.orElseThrow(
+                () -> new HttpProblem(412, "version-conflict", "The object has another version; read it again."));
+        if (faults.takeLostAnswer()) {
+            exchange.dropConnection();
+        }
+        exchange.respondHeader("ETag", quoted(change.version())).respondHeader("Platform-Revision", change.revision());
+        exchange.sendJson(200, Map.of("version", change.version(), "revision", change.revision()));
+    }
+
+    private void watch(Exchange exchange) throws IOException, InterruptedException {
+        long timeout = Math.min(exchange.queryNumber("timeoutMs", MAX_WATCH_MILLIS), MAX_WATCH_MILLIS);
+        ObjectStore.Changes found =
+                store.awaitChanges(exchange.query("prefix", ""), exchange.queryNumber("after", 0), timeout);
+        requireAvailable();
+        List<Object> changed = new ArrayList<>();
+        List<Object> deleted = new ArrayList<>();
+        for (ObjectStore.Change change : found.changes()) {
+            if (change.deleted()) {
+                deleted.add(Map.of("key", change.key(), "revision", change.revision()));
+            } else {
+                changed.add(json(change));
+            }
+        }
+        exchange.respondHeader("Platform-Revision", found.revision());
+        Map<String, Object> answer = new LinkedHashMap<>();
+        answer.put("revision", found.revision());
+        answer.put("changed", changed);
+        answer.put("deleted", deleted);
+        exchange.sendJson(200, answer);
+    }
+
+    private void changeHost(Exchange exchange) throws IOException {
+        String name = exchange.pathAfter(HOSTS);
+        if (exchange.method().equals("DELETE")) {
+            hosts.remove(name);
+        } else {
+            JsonNode row = exchange.json();
+            hosts.put(new HostList.Row(
+                    name,
+                    row.path("role").asText(),
+                    row.path("address").asText(),
+                    row.path("region").asText(),
+                    row.path("failureDomain").asText(),
+                    row.path("leaving").asBoolean()));
+        }
+        exchange.sendJson(200, Map.of("name", name));
+    }
+
+    private void setFaults(Exchange exchange) throws IOException {
+        faults.apply(exchange.json());
+        store.interruptWatches(faults.outage());
+        exchange.sendJson(200, Map.of("outage", faults.outage()));
+    }
+
+    private void sendStats(Exchange exchange) throws IOException {
+        Map<String, Long> stats = new TreeMap<>();
+        counts.forEach((name, count) -> stats.put(name, count.sum()));
+        stats.put("revision", store.revision());
+        exchange.sendJson(200, stats);
+    }
+
+    private static ObjectStore.Condition condition(Exchange exchange) {
+        if ("*".equals(exchange.header("If-None-Match"))) {
+            return new ObjectStore.Condition.Absent();
+        }
+        String expected = exchange.header("If-Match");
+        if (expected == null) {
+            return new ObjectStore.Condition.Any();
+        }
+        try {
+            return new ObjectStore.Condition.Version(Long.parseLong(expected.replace("\"", "")));
+        } catch (NumberFormatException e) {
+            throw new HttpProblem(400, "invalid-request", "If-Match must be a quoted version: " + expected);
+        }
+    }
+
+    private static Map<String, Object> json(ObjectStore.Change change) {
+        Map<String, Object> json = new LinkedHashMap<>();
+        json.put("key", change.key());
+        json.put("version", change.version());
+        json.put("revision", change.revision());
+        json.put("value", Base64.getEncoder().encodeToString(change.value()));
+        return json;
+    }
+
+    private static String quoted(long version) {
+        return "\"" + version + "\"";
+    }
+
+    private static HttpProblem absent() {
+        return new HttpProblem(404, "not-found", "There is no such object.");
+    }
+}
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/weights/WeightStoreMain.java
@@ -0,0 +1,36 @@
+package org.amaranthlock.standin.weights;
+
+import java.util.concurrent.Callable;
+import org.amaranthlock.standin.ServeOptions;
+import org.amaranthlock.standin.Timing;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/** Runs the weight store stand-in as a process. */
+@Command(name = "weights", mixinStandardHelpOptions = true, description = "Stand-in for the weight store.")
+public final class WeightStoreMain implements Callable<Integer> {
+    @Mixin
+    private ServeOptions serve;
+
+    @Option(names = "--loads-per-second", defaultValue = "1", description = "Rate of loads.")
+    private double loadsPerSecond;
+
+    @Option(names = "--burst", defaultValue = "4", description = "Loads that are possible at once.")
+    private double burst;
+
+    @Option(names = "--size-bytes", defaultValue = "65536", description = "Size of every answer.")
+    private int sizeBytes;
+
+    /** Runs the process. */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new WeightStoreMain()).execute(args));
+    }
+
+    @Override
+    public Integer call() throws InterruptedException {
+        return ServeOptions.serve(new WeightStoreStandin(
+                serve.host(), serve.port(), loadsPerSecond, burst, sizeBytes, Timing::monotonicMillis));
+    }
+}
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/weights/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for the weight store. */
+package org.amaranthlock.standin.weights;
