--- /dev/null
+++ b/amaranthlock-standins/src/test/java/org/amaranthlock/standin/engine/EngineStandinTest.java
@@ -0,0 +1,173 @@
+package org.amaranthlock.standin.engine;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthlock.standin.EventStream;
+import org.amaranthlock.standin.EventStream.ServerSentEvent;
+import org.amaranthlock.standin.HttpCaller;
+import org.amaranthlock.standin.Json;
+import org.amaranthlock.standin.TestCaller;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class EngineStandinTest {
+    private static final int ALL = Integer.MAX_VALUE;
+    private static final long SEED = 42;
+
+    private final CompletableFuture<String> crash = new CompletableFuture<>();
+    private EngineStandin engine;
+    private TestCaller caller;
+
+    @AfterEach
+    void stop() {
+        caller.close();
+        engine.stop();
+    }
+
+    // Guards against a resumed answer whose tokens can't be told from those of a second generation.
+    @Test
+    void aResumedStreamGoesOnWithTheNonceOfItsPrefixAndAFreshOneTakesAnother() throws IOException {
+        start(EngineOptions.defaults());
+        List<String> first = tokens(generate("r1", 1, 10, List.of(), 0));
+        List<String> resumed = tokens(generate("r1", 2, 10, first.subList(0, 4), 0));
+        assertThat(resumed).isEqualTo(first.subList(4, 10));
+        List<String> fresh = tokens(generate("r1", 3, 10, List.of(), 0));
+        assertThat(nonce(fresh.getFirst())).isNotEqualTo(nonce(first.getFirst()));
+        assertThat(TokenText.parse(first.get(3)).orElseThrow().belongsTo(SEED)).isTrue();
+        assertThat(TokenText.parse(first.get(3)).orElseThrow().belongsTo(SEED + 1))
+                .isFalse();
+    }
+
+    // Guards against events without index or an end event without count.
+    @Test
+    void eventsHaveTheFormOfTheDesignPage() throws IOException {
+        start(EngineOptions.defaults());
+        List<ServerSentEvent> events = generate("r1", 1, 2, List.of(), 0);
+        assertThat(events.get(1).id()).isEqualTo("1");
+        assertThat(Json.parseLeniently(events.get(1).data()).path("i").asInt()).isEqualTo(1);
+        assertThat(events.get(2).name()).isEqualTo("done");
+        assertThat(events.get(2).data()).isEqualTo("{\"reason\":\"length\",\"count\":2}");
+    }
+
+    // Guards against a stream that ends with its connection, and against a wrong position after attaching.
+    @Test
+    void aStreamGoesOnWithoutConnectionAndIsAttachedToAtAnyPosition() throws IOException {
+        start(EngineOptions.defaults());
+        List<String> seen;
+        try (EventStream stream = caller.open("POST", "/v1/streams", body("r1", 1, 50, List.of(), 0))) {
+            seen = new ArrayList<>(tokens(TestCaller.read(stream, 3)));
+        }
+        assertThat(TestCaller.holdsInTime(() -> stat("generatedTokens") == 50)).isTrue();
+        try (EventStream stream = caller.open("GET", "/v1/streams/r1/1?from=3", "")) {
+            seen.addAll(tokens(TestCaller.read(stream, ALL)));
+        }
+        assertThat(seen).hasSize(50);
+        assertThat(seen.stream().map(EngineStandinTest::nonce).distinct().count())
+                .isEqualTo(1);
+        assertThat(caller.call("GET", "/v1/streams/r1/2?from=0", "").status()).isEqualTo(404);
+    }
+
+    // Guards against cancelled streams that go on using the engine.
+    @Test
+    void aCancelledStreamStopsGenerating() throws IOException {
+        start(EngineOptions.defaults());
+        try (EventStream stream = caller.open("POST", "/v1/streams", body("r1", 1, 100_000, List.of(), 0))) {
+            TestCaller.read(stream, 2);
+            caller.call("DELETE", "/v1/streams/r1/1", "");
+            ServerSentEvent last = TestCaller.read(stream, ALL).getLast();
+            assertThat(last.data()).contains("cancelled");
+        }
+        assertThat(stat("running")).isEqualTo(0);
+    }
+
+    // Guards against a queue that ignores priorities, which would delay resumed streams.
+    @Test
+    void aWaitingStreamOfHigherPriorityRunsFirst() throws Exception {
+        start(EngineOptions.defaults().withSlots(1));
+        try (EventStream running = caller.open("POST", "/v1/streams", body("r1", 1, 100_000, List.of(), 0));
+                EventStream low = caller.open("POST", "/v1/streams", body("r2", 1, 100_000, List.of(), 0));
+                EventStream high = caller.open("POST", "/v1/streams", body("r3", 1, 5, List.of(), 9))) {
+            assertThat(TestCaller.holdsInTime(() -> stat("queued") == 2)).isTrue();
+            caller.call("DELETE", "/v1/streams/r1/1", "");
+            assertThat(TestCaller.read(high, ALL)).hasSize(6);
+            assertThat(TestCaller.read(low, 1)).hasSize(1);
+            assertThat(running.status()).isEqualTo(200);
+        }
+    }
+
+    // Guards against two holders of the engine lease that are both obeyed.
+    @Test
+    void ordersWithAnOldFenceAreRefusedUnlessTheEngineIgnoresThem() throws IOException {
+        start(EngineOptions.defaults());
+        assertThat(order(5)).isEqualTo(200);
+        assertThat(order(4)).isEqualTo(409);
+        stop();
+        start(EngineOptions.defaults().withFencing(false));
+        assertThat(order(5)).isEqualTo(200);
+        assertThat(order(4)).isEqualTo(200);
+    }
+
+    // Guards against a draining engine that accepts work and against a crash fault without effect.
+    @Test
+    void drainRefusesNewStreamsAndAPromptCanCrashTheEngine() throws Exception {
+        start(EngineOptions.defaults());
+        caller.call("POST", "/faults", "{\"crashOnPrompt\":\"words\"}");
+        try (EventStream stream = caller.open("POST", "/v1/streams", body("r1", 1, 5, List.of(), 0))) {
+            assertThat(stream.status()).isEqualTo(200);
+            assertThat(TestCaller.await(crash)).isEqualTo("crashed");
+        }
+        caller.call("POST", "/faults", "{\"drain\":true}");
+        HttpCaller.Answer refused = caller.call("POST", "/v1/streams", body("r2", 1, 5, List.of(), 0));
+        assertThat(refused.status()).isEqualTo(503);
+        assertThat(refused.text()).contains("\"code\":\"draining\"");
+    }
+
+    private void start(EngineOptions options) {
+        engine = new EngineStandin(options, () -> crash.complete("crashed"));
+        engine.start();
+        caller = new TestCaller(engine);
+    }
+
+    private List<ServerSentEvent> generate(String request, int attempt, int max, List<String> prefix, int priority)
+            throws IOException {
+        try (EventStream stream = caller.open("POST", "/v1/streams", body(request, attempt, max, prefix, priority))) {
+            assertThat(stream.status()).isEqualTo(200);
+            return TestCaller.read(stream, ALL);
+        }
+    }
+
+    private int order(long fence) throws IOException {
+        String order = "{\"kind\":\"set-role\",\"argument\":\"prefill\",\"fence\":" + fence + "}";
+        return caller.call("POST", "/v1/orders", order).status();
+    }
+
+    private long stat(String name) {
+        try {
+            JsonNode stats = caller.json("GET", "/v1/stats", "");
+            return stats.path(name).asLong();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static String body(String request, int attempt, int max, List<String> prefix, int priority) {
+        return Json.text(new StreamRequest(request, attempt, "m1", "1", "some words", max, SEED, prefix, priority));
+    }
+
+    private static List<String> tokens(List<ServerSentEvent> events) {
+        return events.stream()
+                .filter(event -> event.name().isEmpty())
+                .map(event -> Json.parseLeniently(event.data()).path("t").asText())
+                .toList();
+    }
+
+    private static String nonce(String token) {
+        return TokenText.parse(token).orElseThrow().nonce();
+    }
+}
