Add the control loop, HTTP front and settings of the router

The router module had a build file only. It now has the control thread with its queue, clock and dispatcher, the ServiceTalk front for callers and operators, settings from TOML, metrics, logs and the timeline.

--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/CoreFactory.java
@@ -0,0 +1,18 @@
+package org.amaranthlock.router;
+
+import org.amaranthlock.model.HostId;
+import org.amaranthlock.router.settings.RouterSettings;
+
+/** Builds the decision core of a router process. */
+@FunctionalInterface
+public interface CoreFactory {
+    /**
+     * Builds the core.
+     *
+     * @param self id of the process
+     * @param settings its settings
+     * @param peerAddress IP number and port of its started peer transport
+     * @param startMillis start of the process on the router's clock, in milliseconds
+     */
+    CoreParts create(HostId self, RouterSettings settings, String peerAddress, long startMillis);
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/Transports.java
@@ -0,0 +1,15 @@
+package org.amaranthlock.router;
+
+import java.util.Objects;
+import org.amaranthlock.transport.PeerTransport;
+import org.amaranthlock.transport.PlatformTransport;
+import org.amaranthlock.transport.TargetTransport;
+
+/** The transports of one router process. */
+public record Transports(PlatformTransport platform, TargetTransport targets, PeerTransport peers) {
+    public Transports {
+        Objects.requireNonNull(platform, "platform");
+        Objects.requireNonNull(targets, "targets");
+        Objects.requireNonNull(peers, "peers");
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line for running and operating routers. */
+package org.amaranthlock.router.cli;
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/AnswerWriter.java
@@ -0,0 +1,33 @@
+package org.amaranthlock.router.http;
+
+import java.util.List;
+import org.amaranthlock.model.OutcomeRecord;
+import org.amaranthlock.model.Refusal;
+
+/** Writes a generated answer in the form that the caller asked for. */
+interface AnswerWriter {
+    /**
+     * Adds tokens.
+     *
+     * @return false if the answer can't go on; {@link #problem()} tells why
+     */
+    boolean deliver(int firstIndex, List<String> tokens);
+
+    /** Returns why {@link #deliver} failed. */
+    String problem();
+
+    /** Ends the answer. */
+    void complete(String reason, OutcomeRecord outcome);
+
+    /** Ends an answer that has started with an error. */
+    void fail(Refusal refusal);
+
+    /** Breaks the connection off. */
+    void abort();
+
+    /** Tells whether a part of the answer, or its head, was sent. */
+    boolean started();
+
+    /** Returns the number of tokens added. */
+    int tokens();
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/ByteQueue.java
@@ -0,0 +1,191 @@
+package org.amaranthlock.router.http;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.api.ReadOnlyBufferAllocators;
+import io.servicetalk.concurrent.PublisherSource.Subscriber;
+import io.servicetalk.concurrent.PublisherSource.Subscription;
+import io.servicetalk.concurrent.api.Publisher;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.jboss.logging.Logger;
+
+/**
+ * Response body that one thread fills and the network drains at the reader's pace, with a bound on the waiting bytes.
+ *
+ * <p>Allows one subscriber. {@link #offer}, {@link #complete} and {@link #abort} may be called from any thread; signals
+ * to the subscriber never overlap.
+ */
+final class ByteQueue extends Publisher<Buffer> {
+    private static final Logger LOG = Logger.getLogger(ByteQueue.class);
+
+    private final int limitBytes;
+    private final Runnable onCancel;
+    private final Queue<byte[]> waiting = new ArrayDeque<>();
+    private final AtomicInteger pendingDrains = new AtomicInteger();
+    private Subscriber<? super Buffer> subscriber;
+    private long demand;
+    private int waitingBytes;
+    private boolean completed;
+    private Throwable failure;
+    private boolean terminated;
+
+    /**
+     * Creates an empty body.
+     *
+     * @param limitBytes bound on the waiting bytes
+     * @param onCancel called at most once when the reader goes away before the end
+     */
+    ByteQueue(int limitBytes, Runnable onCancel) {
+        this.limitBytes = limitBytes;
+        this.onCancel = onCancel;
+    }
+
+    /**
+     * Adds bytes to the body.
+     *
+     * @return false if they exceed the bound; nothing was added then
+     */
+    boolean offer(byte[] bytes) {
+        synchronized (this) {
+            if (terminated || completed) {
+                return true;
+            }
+            if (waitingBytes + bytes.length > limitBytes) {
+                return false;
+            }
+            waiting.add(bytes);
+            waitingBytes += bytes.length;
+        }
+        drain();
+        return true;
+    }
+
+    /** Ends the body after the waiting bytes. */
+    void complete() {
+        synchronized (this) {
+            completed = true;
+        }
+        drain();
+    }
+
+    /** Breaks the connection off, so that the reader sees an incomplete body. */
+    void abort(Throwable cause) {
+        synchronized (this) {
+            failure = cause;
+        }
+        drain();
+    }
+
+    @Override
+    protected void handleSubscribe(Subscriber<? super Buffer> newSubscriber) {
+        boolean first;
+        synchronized (this) {
+            first = subscriber == null;
+        }
+        if (!first) {
+            newSubscriber.onSubscribe(new Ignored());
+            newSubscriber.onError(new IllegalStateException("A response body allows one subscriber only."));
+            return;
+        }
+        newSubscriber.onSubscribe(new Demand());
+        synchronized (this) {
+            subscriber = newSubscriber;
+        }
+        drain();
+    }
+
+    private void drain() {
+        if (pendingDrains.getAndIncrement() != 0) {
+            return;
+        }
+        int seen = 1;
+        do {
+            try {
+                while (emitNext()) {
+                    // Each call emits one item; the loop ends when demand or items run out.
+                }
+            } catch (RuntimeException e) {
+                LOG.debug("The connection refused a part of the body.", e);
+                cancelled();
+            }
+            seen = pendingDrains.addAndGet(-seen);
+        } while (seen != 0);
+    }
+
+    private boolean emitNext() {
+        Subscriber<? super Buffer> target;
+        byte[] next;
+        Throwable error;
+        synchronized (this) {
+            if (subscriber == null || terminated) {
+                return false;
+            }
+            target = subscriber;
+            error = failure;
+            next = error == null && demand > 0 ? waiting.poll() : null;
+            if (next != null) {
+                demand--;
+                waitingBytes -= next.length;
+            } else if (error != null || completed && waiting.isEmpty()) {
+                terminated = true;
+                waiting.clear();
+            } else {
+                return false;
+            }
+        }
+        if (next != null) {
+            target.onNext(ReadOnlyBufferAllocators.DEFAULT_RO_ALLOCATOR.wrap(next));
+            return true;
+        }
+        if (error != null) {
+            target.onError(error);
+        } else {
+            target.onComplete();
+        }
+        return false;
+    }
+
+    private void cancelled() {
+        synchronized (this) {
+            if (terminated) {
+                return;
+            }
+            terminated = true;
+            waiting.clear();
+            waitingBytes = 0;
+        }
+        onCancel.run();
+    }
+
+    private final class Demand implements Subscription {
+        @Override
+        public void request(long count) {
+            synchronized (ByteQueue.this) {
+                if (count <= 0) {
+                    failure = new IllegalArgumentException("Demand must be positive: " + count);
+                } else {
+                    demand = demand + count < 0 ? Long.MAX_VALUE : demand + count;
+                }
+            }
+            drain();
+        }
+
+        @Override
+        public void cancel() {
+            cancelled();
+        }
+    }
+
+    private static final class Ignored implements Subscription {
+        @Override
+        public void request(long count) {
+            // The subscriber is refused at once, so its demand has no effect.
+        }
+
+        @Override
+        public void cancel() {
+            // Nothing was started for the refused subscriber.
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/CallReader.java
@@ -0,0 +1,140 @@
+package org.amaranthlock.router.http;
+
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.model.ErrorCode;
+import org.amaranthlock.model.IdempotencyKey;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.Work;
+import org.amaranthlock.router.http.PendingCall.Content;
+
+/** Reads callers' requests; every error is an {@link AmaranthlockException} that names the remedy. */
+final class CallReader {
+    static final String CHAT_PATH = "/v1/chat/completions";
+    static final String TEXT_PATH = "/v1/completions";
+    static final String SERVICES_PREFIX = "/services/";
+
+    private static final int MAX_IDEMPOTENCY_KEY_CHARACTERS = 255;
+    private static final long MAX_DEADLINE_MILLIS = 24L * 60 * 60 * 1_000;
+    private static final int FIRST_PREFIX_CHARACTERS = 256;
+    private static final HashFunction HASH = Hashing.murmur3_128();
+
+    private CallReader() {}
+
+    static boolean accepts(String path) {
+        return path.equals(CHAT_PATH) || path.equals(TEXT_PATH) || path.startsWith(SERVICES_PREFIX);
+    }
+
+    static PendingCall read(InboundRequest request) {
+        String key = request.bearerKey()
+                .orElseThrow(() -> new AmaranthlockException(
+                        ErrorCode.UNAUTHENTICATED, "Send the header 'Authorization: Bearer <account key>'."));
+        Content content = content(request);
+        Optional<ResumePoint> resume = request.header("last-event-id").map(ResumePoint::parse);
+        if (resume.isPresent()) {
+            checkResumable(content);
+        }
+        return new PendingCall(
+                Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString(),
+                request.header("idempotency-key").map(CallReader::idempotencyKey),
+                deadline(request),
+                resume,
+                fingerprint(request),
+                content);
+    }
+
+    /** Returns the hashes of the prompt's prefixes of 256, 512, 1024, ... characters, shortest first. */
+    static List<Long> prefixHashes(String prompt) {
+        List<Long> hashes = new ArrayList<>();
+        for (long length = FIRST_PREFIX_CHARACTERS; length <= prompt.length(); length *= 2) {
+            hashes.add(
+                    HASH.hashUnencodedChars(prompt.subSequence(0, (int) length)).asLong());
+        }
+        return hashes;
+    }
+
+    private static Content content(InboundRequest request) {
+        if (request.path().startsWith(SERVICES_PREFIX)) {
+            return serviceCall(request);
+        }
+        if (!request.method().equals("POST")) {
+            throw invalid("The path " + request.path() + " accepts POST only.");
+        }
+        return new Content.Completion(CompletionParser.parse(request.path().equals(CHAT_PATH), request.body()));
+    }
+
+    private static Content serviceCall(InboundRequest request) {
+        String rest = request.target().substring(SERVICES_PREFIX.length());
+        int slash = rest.indexOf('/');
+        if (slash <= 0) {
+            throw invalid("The path must be /services/<service>/<path>.");
+        }
+        return new Content.Call(
+                new ServiceName(rest.substring(0, slash)),
+                new Work.ServiceCall(
+                        request.method(),
+                        rest.substring(slash),
+                        ServiceReplies.forwardedHeaders(request.headers()),
+                        request.body()));
+    }
+
+    private static void checkResumable(Content content) {
+        boolean streamed = switch (content) {
+            case Content.Completion(var call) -> call.stream();
+            case Content.Call _ -> false;
+        };
+        if (!streamed) {
+            throw invalid("Last-Event-ID is valid for completions with \"stream\": true only; leave it out.");
+        }
+    }
+
+    private static IdempotencyKey idempotencyKey(String value) {
+        if (value.length() > MAX_IDEMPOTENCY_KEY_CHARACTERS) {
+            throw invalid("The header Idempotency-Key is longer than " + MAX_IDEMPOTENCY_KEY_CHARACTERS
+                    + " characters; send a shorter key.");
+        }
+        return new IdempotencyKey(value);
+    }
+
+    private static OptionalLong deadline(InboundRequest request) {
+        Optional<String> header = request.header("amaranthlock-deadline-ms");
+        if (header.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        try {
+            long millis = Long.parseLong(header.get());
+            if (millis >= 1 && millis <= MAX_DEADLINE_MILLIS) {
+                return OptionalLong.of(millis);
+            }
+        } catch (NumberFormatException e) {
+            throw invalidDeadline();
+        }
+        throw invalidDeadline();
+    }
+
+    private static AmaranthlockException invalidDeadline() {
+        return invalid("The header Amaranthlock-Deadline-Ms must be a whole number from 1 to " + MAX_DEADLINE_MILLIS
+                + " (milliseconds).");
+    }
+
+    private static long fingerprint(InboundRequest request) {
+        return HASH.newHasher()
+                .putString(request.method(), StandardCharsets.UTF_8)
+                .putByte((byte) 0)
+                .putString(request.target(), StandardCharsets.UTF_8)
+                .putByte((byte) 0)
+                .putBytes(request.body())
+                .hash()
+                .asLong();
+    }
+
+    private static AmaranthlockException invalid(String message) {
+        return new AmaranthlockException(ErrorCode.INVALID_REQUEST, message);
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/HttpFrontFactory.java
@@ -0,0 +1,49 @@
+package org.amaranthlock.router.http;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.amaranthlock.coordination.configuration.ConfigurationView;
+import org.amaranthlock.model.HostId;
+import org.amaranthlock.router.control.ControlQueue;
+import org.amaranthlock.router.control.Timeline;
+import org.amaranthlock.router.metrics.RouterMetrics;
+
+/**
+ * Builds the HTTP front of a router.
+ *
+ * @param self this process
+ * @param address address to listen on
+ * @param operatorHashes SHA-256 hashes of the operators' keys in hexadecimal, by operator name
+ * @param queue queue of the control thread
+ * @param exchanges open requests of callers
+ * @param operatorCalls open calls of operators
+ * @param timeline timeline of this process
+ * @param metrics metrics of this process
+ * @param status state of the router, read from any thread
+ */
+public record HttpFrontFactory(
+        HostId self,
+        InetSocketAddress address,
+        Map<String, String> operatorHashes,
+        ControlQueue queue,
+        ExchangeRegistry exchanges,
+        OperatorCalls operatorCalls,
+        Timeline timeline,
+        RouterMetrics metrics,
+        Supplier<RouterStatus> status) {
+    private static final int ID_RADIX = 36;
+
+    /** Returns a front that resolves accounts and services by a view that is read on the control thread only. */
+    public HttpFront create(ConfigurationView configuration) {
+        AtomicLong lastRequest = new AtomicLong();
+        ArrivalResolver resolver = new ArrivalResolver(
+                configuration, () -> self + "-" + Long.toString(lastRequest.incrementAndGet(), ID_RADIX));
+        return new HttpFront(
+                address,
+                new CallerFront(queue, resolver, exchanges),
+                new OperatorFront(
+                        new OperatorAuthentication(operatorHashes), operatorCalls, timeline, metrics, status));
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/OpenAiFormat.java
@@ -0,0 +1,80 @@
+package org.amaranthlock.router.http;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import org.amaranthlock.model.RequestId;
+
+/** OpenAI objects of one answer. */
+final class OpenAiFormat {
+    /** The router has no tokenizer; four characters per token is the usual estimate for prompts. */
+    private static final int CHARACTERS_PER_PROMPT_TOKEN = 4;
+
+    private final RequestId id;
+    private final CompletionCall call;
+    private final long createdSeconds;
+
+    OpenAiFormat(RequestId id, CompletionCall call, long createdSeconds) {
+        this.id = id;
+        this.call = call;
+        this.createdSeconds = createdSeconds;
+    }
+
+    /** Returns one chunk of a stream. */
+    ObjectNode chunk(String content, boolean withRole, Optional<String> finishReason) {
+        ObjectNode chunk = head(call.chat() ? "chat.completion.chunk" : "text_completion");
+        ObjectNode choice = chunk.putArray("choices").addObject();
+        choice.put("index", 0);
+        if (call.chat()) {
+            ObjectNode delta = choice.putObject("delta");
+            if (withRole) {
+                delta.put("role", "assistant");
+            }
+            if (finishReason.isEmpty()) {
+                delta.put("content", content);
+            }
+        } else {
+            choice.put("text", content);
+        }
+        choice.put("finish_reason", finishReason.orElse(null));
+        return chunk;
+    }
+
+    /** Returns the last chunk of a stream whose caller asked for token counts. */
+    ObjectNode usageChunk(int completionTokens) {
+        ObjectNode chunk = head(call.chat() ? "chat.completion.chunk" : "text_completion");
+        chunk.putArray("choices");
+        putUsage(chunk, completionTokens);
+        return chunk;
+    }
+
+    /** Returns the answer as one object. */
+    ObjectNode whole(String content, String finishReason, int completionTokens) {
+        ObjectNode answer = head(call.chat() ? "chat.completion" : "text_completion");
+        ObjectNode choice = answer.putArray("choices").addObject();
+        choice.put("index", 0);
+        if (call.chat()) {
+            choice.putObject("message").put("role", "assistant").put("content", content);
+        } else {
+            choice.put("text", content);
+        }
+        choice.put("finish_reason", finishReason);
+        putUsage(answer, completionTokens);
+        return answer;
+    }
+
+    private ObjectNode head(String kind) {
+        return Json.object()
+                .put("id", id.value())
+                .put("object", kind)
+                .put("created", createdSeconds)
+                .put("model", call.model());
+    }
+
+    private void putUsage(ObjectNode object, int completionTokens) {
+        int promptTokens = Math.ceilDiv(call.prompt().length(), CHARACTERS_PER_PROMPT_TOKEN);
+        object.putObject("usage")
+                .put("prompt_tokens", promptTokens)
+                .put("completion_tokens", completionTokens)
+                .put("total_tokens", promptTokens + completionTokens);
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/OperatorAuthentication.java
@@ -0,0 +1,32 @@
+package org.amaranthlock.router.http;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.Optional;
+
+/** Checks operators' keys against the SHA-256 hashes in the settings. */
+final class OperatorAuthentication {
+    private final Map<String, byte[]> hashesByName = new HashMap<>();
+
+    /** Takes the hashes in hexadecimal, by operator name. */
+    OperatorAuthentication(Map<String, String> operators) {
+        operators.forEach((name, hash) -> hashesByName.put(name, HexFormat.of().parseHex(hash)));
+    }
+
+    /** Returns the operator's name; takes the same time for every wrong key. */
+    Optional<String> operator(InboundRequest request) {
+        String key = request.bearerKey().orElse("");
+        byte[] hash = Hashing.sha256().hashString(key, StandardCharsets.UTF_8).asBytes();
+        String found = null;
+        for (Map.Entry<String, byte[]> entry : hashesByName.entrySet()) {
+            if (MessageDigest.isEqual(entry.getValue(), hash)) {
+                found = entry.getKey();
+            }
+        }
+        return key.isEmpty() ? Optional.empty() : Optional.ofNullable(found);
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/Problems.java
@@ -0,0 +1,77 @@
+package org.amaranthlock.router.http;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.model.ErrorCode;
+import org.amaranthlock.model.Fate;
+import org.amaranthlock.model.Refusal;
+import org.amaranthlock.model.RequestId;
+
+/** Error answers in the form {@code application/problem+json}. */
+final class Problems {
+    static final String CONTENT_TYPE = "application/problem+json";
+    static final String REQUEST_ID_HEADER = "amaranthlock-request-id";
+    static final String FATE_HEADER = "amaranthlock-fate";
+
+    private static final String TYPE_PREFIX = "urn:amaranthlock:error:";
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private Problems() {}
+
+    /** Returns the problem as a JSON object. */
+    static ObjectNode json(Refusal refusal, Optional<RequestId> request) {
+        String code = refusal.code().code();
+        ObjectNode node = Json.object();
+        node.put("type", TYPE_PREFIX + code);
+        node.put("title", title(code));
+        node.put("status", refusal.code().status());
+        node.put("detail", refusal.detail());
+        node.put("code", code);
+        node.put("ran", text(refusal.fate()));
+        request.ifPresent(id -> node.put("requestId", id.value()));
+        refusal.retryAfterMillis().ifPresent(millis -> node.put("retryAfterMs", millis));
+        return node;
+    }
+
+    static Reply reply(Refusal refusal, Optional<RequestId> request) {
+        Reply reply = Reply.of(refusal.code().status(), CONTENT_TYPE, Json.bytes(json(refusal, request)))
+                .with(FATE_HEADER, text(refusal.fate()));
+        if (request.isPresent()) {
+            reply = reply.with(REQUEST_ID_HEADER, request.get().value());
+        }
+        if (refusal.code() == ErrorCode.UNAUTHENTICATED) {
+            reply = reply.with("www-authenticate", "Bearer");
+        }
+        if (refusal.retryAfterMillis().isPresent()) {
+            long millis = refusal.retryAfterMillis().getAsLong();
+            reply = reply.with("retry-after", Long.toString(Math.ceilDiv(millis, MILLIS_PER_SECOND)))
+                    .with("retry-after-ms", Long.toString(millis));
+        }
+        return reply;
+    }
+
+    /** Returns the answer to a request that was turned down before anything was executed. */
+    static Reply notRun(ErrorCode code, String detail) {
+        return reply(notRunRefusal(code, detail), Optional.empty());
+    }
+
+    static Refusal notRunRefusal(ErrorCode code, String detail) {
+        return new Refusal(code, Fate.NOT_RUN, detail, OptionalLong.empty());
+    }
+
+    static Reply notRun(AmaranthlockException error) {
+        return notRun(error.code(), error.getMessage());
+    }
+
+    static String text(Fate fate) {
+        return fate.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    private static String title(String code) {
+        String words = code.replace('-', ' ');
+        return Character.toUpperCase(words.charAt(0)) + words.substring(1);
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/ProxiedAnswer.java
@@ -0,0 +1,58 @@
+package org.amaranthlock.router.http;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthlock.model.ErrorCode;
+import org.amaranthlock.model.Fate;
+import org.amaranthlock.model.OutcomeRecord;
+import org.amaranthlock.model.Refusal;
+
+/** Answer of a plain service, which has no tokens. */
+final class ProxiedAnswer implements AnswerWriter {
+    private final CompletableFuture<Reply> reply;
+
+    ProxiedAnswer(CompletableFuture<Reply> reply) {
+        this.reply = reply;
+    }
+
+    @Override
+    public boolean deliver(int firstIndex, List<String> tokens) {
+        return false;
+    }
+
+    @Override
+    public String problem() {
+        return "tokens were to be sent for a call of a plain service";
+    }
+
+    @Override
+    public void complete(String reason, OutcomeRecord outcome) {
+        abort();
+    }
+
+    @Override
+    public void fail(Refusal refusal) {
+        reply.complete(Problems.reply(refusal, Optional.empty()));
+    }
+
+    @Override
+    public void abort() {
+        fail(new Refusal(
+                ErrorCode.INTERNAL,
+                Fate.UNKNOWN,
+                "The router has no answer of the service; read the outcome by the request id.",
+                OptionalLong.empty()));
+    }
+
+    @Override
+    public boolean started() {
+        return false;
+    }
+
+    @Override
+    public int tokens() {
+        return 0;
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/Reply.java
@@ -0,0 +1,50 @@
+package org.amaranthlock.router.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * HTTP response.
+ *
+ * @param status HTTP status
+ * @param headers headers with lower-case names
+ * @param body the body
+ */
+record Reply(int status, Map<String, String> headers, Body body) {
+    static final String JSON = "application/json";
+    static final String TEXT = "text/plain; charset=utf-8";
+
+    Reply {
+        headers = Map.copyOf(headers);
+        Objects.requireNonNull(body, "body");
+    }
+
+    /** Body of a response. */
+    sealed interface Body {
+        /** Body that is known whole. */
+        record Whole(byte[] bytes) implements Body {}
+
+        /** Body that is written while it comes into being. */
+        record Streamed(ByteQueue bytes) implements Body {}
+    }
+
+    static Reply of(int status, String contentType, byte[] bytes) {
+        return new Reply(status, Map.of("content-type", contentType), new Body.Whole(bytes));
+    }
+
+    static Reply text(int status, String text) {
+        return of(status, TEXT, (text + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    static Reply json(int status, Object value) {
+        return of(status, JSON, Json.bytes(value));
+    }
+
+    Reply with(String header, String value) {
+        Map<String, String> more = new LinkedHashMap<>(headers);
+        more.put(header, value);
+        return new Reply(status, more, body);
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/RequestReader.java
@@ -0,0 +1,115 @@
+package org.amaranthlock.router.http;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import java.io.ByteArrayOutputStream;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.model.ErrorCode;
+
+/** Reads a request whole, within the limits of size and time. */
+final class RequestReader {
+    static final int MAX_BODY_BYTES = 1 << 20;
+    static final int MAX_HEADER_BYTES = 16 << 10;
+
+    /**
+     * Bytes that are read and dropped from a body without a declared length, so that the sender can read the refusal;
+     * a longer body ends with the connection.
+     */
+    private static final int MAX_DROPPED_BYTES = 8 << 20;
+
+    private static final long READ_TIMEOUT_SECONDS = 10;
+    private static final int HEADER_SEPARATOR_BYTES = 4;
+
+    private RequestReader() {}
+
+    /** Returns the whole request; fails with an {@link AmaranthlockException} if it exceeds a limit. */
+    static CompletableFuture<InboundRequest> read(StreamingHttpRequest request) {
+        Map<String, String> headers;
+        try {
+            headers = headers(request);
+            checkDeclaredLength(headers);
+        } catch (AmaranthlockException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+        // The copy keeps a timeout from cancelling the body, which would close the connection before the answer.
+        return request.payloadBody()
+                .collect(Body::new, Body::add)
+                .toCompletionStage()
+                .toCompletableFuture()
+                .copy()
+                .orTimeout(READ_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                .thenApply(body -> new InboundRequest(
+                        request.method().name(),
+                        request.rawPath(),
+                        request.rawQuery() == null ? "" : request.rawQuery(),
+                        headers,
+                        body.bytes()));
+    }
+
+    private static Map<String, String> headers(StreamingHttpRequest request) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        int bytes = 0;
+        for (Map.Entry<CharSequence, CharSequence> header : request.headers()) {
+            String name = header.getKey().toString().toLowerCase(Locale.ROOT);
+            String value = header.getValue().toString();
+            bytes += name.length() + value.length() + HEADER_SEPARATOR_BYTES;
+            headers.merge(name, value, (first, second) -> first + ", " + second);
+        }
+        if (bytes > MAX_HEADER_BYTES) {
+            throw new AmaranthlockException(
+                    ErrorCode.PAYLOAD_TOO_LARGE,
+                    "The headers are longer than " + MAX_HEADER_BYTES + " bytes; send fewer or shorter ones.");
+        }
+        return headers;
+    }
+
+    private static void checkDeclaredLength(Map<String, String> headers) {
+        String length = headers.get("content-length");
+        if (length == null) {
+            return;
+        }
+        try {
+            if (Long.parseLong(length.strip()) > MAX_BODY_BYTES) {
+                throw tooLarge();
+            }
+        } catch (NumberFormatException e) {
+            throw new AmaranthlockException(ErrorCode.INVALID_REQUEST, "The header Content-Length is not a number.", e);
+        }
+    }
+
+    private static AmaranthlockException tooLarge() {
+        return new AmaranthlockException(
+                ErrorCode.PAYLOAD_TOO_LARGE,
+                "The body is longer than " + MAX_BODY_BYTES + " bytes; send a shorter request.");
+    }
+
+    private static final class Body {
+        private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
+        private long received;
+
+        Body add(Buffer buffer) {
+            int length = buffer.readableBytes();
+            received += length;
+            if (received <= MAX_BODY_BYTES) {
+                byte[] bytes = new byte[length];
+                buffer.readBytes(bytes);
+                kept.writeBytes(bytes);
+            } else if (received > MAX_BODY_BYTES + MAX_DROPPED_BYTES) {
+                throw tooLarge();
+            }
+            return this;
+        }
+
+        byte[] bytes() {
+            if (received > MAX_BODY_BYTES) {
+                throw tooLarge();
+            }
+            return kept.toByteArray();
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/StreamedAnswer.java
@@ -0,0 +1,127 @@
+package org.amaranthlock.router.http;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
+import org.amaranthlock.model.Fate;
+import org.amaranthlock.model.OutcomeRecord;
+import org.amaranthlock.model.Refusal;
+import org.amaranthlock.model.RequestId;
+
+/** Answer as server-sent events; the head is sent with the first token, so that a refusal before it has a status. */
+final class StreamedAnswer implements AnswerWriter {
+    private static final String DONE = "data: [DONE]\n\n";
+
+    private final RequestId id;
+    private final OpenAiFormat format;
+    private final boolean includeUsage;
+    private final boolean resumed;
+    private final CompletableFuture<Reply> reply;
+    private final ByteQueue body;
+    private int nextIndex;
+    private int tokens;
+    private boolean started;
+    private String problem = "";
+
+    StreamedAnswer(
+            RequestId id,
+            OpenAiFormat format,
+            OptionalInt resumeAt,
+            boolean includeUsage,
+            CompletableFuture<Reply> reply,
+            Runnable onGone) {
+        this.id = id;
+        this.format = format;
+        this.includeUsage = includeUsage;
+        this.resumed = resumeAt.isPresent();
+        this.nextIndex = resumeAt.orElse(0);
+        this.reply = reply;
+        this.body = new ByteQueue(AnswerForm.BUFFER_LIMIT_BYTES, onGone);
+    }
+
+    @Override
+    public boolean deliver(int firstIndex, List<String> newTokens) {
+        if (firstIndex != nextIndex) {
+            problem = "tokens from position " + firstIndex + " were to be sent, but position " + nextIndex + " is next";
+            return false;
+        }
+        boolean withRole = tokens == 0 && !resumed;
+        nextIndex += newTokens.size();
+        tokens += newTokens.size();
+        ObjectNode chunk = format.chunk(String.join("", newTokens), withRole, Optional.empty());
+        return send("id: " + id + ":" + (nextIndex - 1) + "\n" + data(chunk));
+    }
+
+    @Override
+    public String problem() {
+        return problem;
+    }
+
+    @Override
+    public void complete(String reason, OutcomeRecord outcome) {
+        StringBuilder end = new StringBuilder(data(format.chunk("", false, Optional.of(reason))));
+        if (includeUsage) {
+            end.append(data(format.usageChunk(nextIndex)));
+        }
+        finish(end.append(DONE).toString());
+    }
+
+    @Override
+    public void fail(Refusal refusal) {
+        finish("event: error\n" + data(Problems.json(refusal, Optional.of(id))));
+    }
+
+    @Override
+    public void abort() {
+        body.abort(new IllegalStateException("The answer was broken off."));
+    }
+
+    @Override
+    public boolean started() {
+        return started;
+    }
+
+    @Override
+    public int tokens() {
+        return tokens;
+    }
+
+    private void finish(String lastEvents) {
+        if (send(lastEvents)) {
+            body.complete();
+        } else {
+            abort();
+        }
+    }
+
+    private boolean send(String events) {
+        if (!body.offer(events.getBytes(StandardCharsets.UTF_8))) {
+            problem = "the caller reads too slowly, more than " + AnswerForm.BUFFER_LIMIT_BYTES + " bytes wait";
+            return false;
+        }
+        if (!started) {
+            started = true;
+            reply.complete(new Reply(
+                    200,
+                    Map.of(
+                            "content-type",
+                            "text/event-stream",
+                            "cache-control",
+                            "no-cache",
+                            Problems.REQUEST_ID_HEADER,
+                            id.value(),
+                            Problems.FATE_HEADER,
+                            Problems.text(Fate.RAN)),
+                    new Reply.Body.Streamed(body)));
+        }
+        return true;
+    }
+
+    private static String data(ObjectNode json) {
+        return "data: " + json + "\n\n";
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP front for callers and operators. */
+package org.amaranthlock.router.http;
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/log/LogSetup.java
@@ -0,0 +1,40 @@
+package org.amaranthlock.router.log;
+
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import org.jboss.logmanager.LogContext;
+import org.jboss.logmanager.formatters.JsonFormatter;
+import org.jboss.logmanager.formatters.PatternFormatter;
+import org.jboss.logmanager.handlers.ConsoleHandler;
+
+/** Sends all logs to standard error, as text or as JSON lines. */
+public final class LogSetup {
+    private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5p [%c{1}] %s%e%n";
+
+    private LogSetup() {}
+
+    /**
+     * Selects JBoss LogManager; effective only before the first logger is used.
+     */
+    public static void selectManager() {
+        System.setProperty("java.util.logging.manager", "org.jboss.logmanager.LogManager");
+        System.setProperty("org.jboss.logging.provider", "jboss");
+    }
+
+    /**
+     * Replaces the handlers of the root logger.
+     *
+     * @param json whether to write JSON lines
+     * @param level lowest level that is written, a name of JBoss LogManager such as {@code INFO}
+     */
+    public static void configure(boolean json, String level) {
+        ConsoleHandler handler = new ConsoleHandler(
+                ConsoleHandler.Target.SYSTEM_ERR, json ? new JsonFormatter() : new PatternFormatter(PATTERN));
+        handler.setAutoFlush(true);
+        Level parsed = LogContext.getLogContext().getLevelForName(level);
+        handler.setLevel(parsed);
+        org.jboss.logmanager.Logger root = LogContext.getLogContext().getLogger("");
+        root.setHandlers(new Handler[] {handler});
+        root.setLevel(parsed);
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/log/package-info.java
@@ -0,0 +1,2 @@
+/** Set-up of the log output. */
+package org.amaranthlock.router.log;
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Prometheus metrics of a router process. */
+package org.amaranthlock.router.metrics;
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/settings/AddressParser.java
@@ -0,0 +1,34 @@
+package org.amaranthlock.router.settings;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+
+/** Reads addresses that consist of an IP number and a port, without name resolution. */
+public final class AddressParser {
+    private AddressParser() {}
+
+    /**
+     * Returns the address.
+     *
+     * @param text IP number and port, for example {@code 10.0.0.1:7400} or {@code [::1]:7400}
+     * @param listening whether port 0, which stands for any free port, is allowed
+     */
+    public static Optional<InetSocketAddress> parse(String text, boolean listening) {
+        try {
+            HostAndPort parts = HostAndPort.fromString(text);
+            if (!parts.hasPort() || parts.getPort() == 0 && !listening) {
+                return Optional.empty();
+            }
+            return Optional.of(new InetSocketAddress(InetAddresses.forString(parts.getHost()), parts.getPort()));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Returns the text form of an address. */
+    public static String text(InetSocketAddress address) {
+        return InetAddresses.toUriString(address.getAddress()) + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/settings/SettingsException.java
@@ -0,0 +1,24 @@
+package org.amaranthlock.router.settings;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.model.ErrorCode;
+
+/** Reports all errors of a settings file at once. */
+public final class SettingsException extends AmaranthlockException {
+    private final transient List<SettingsProblem> problems;
+
+    /** Creates an exception whose message lists the problems, one per line. */
+    public SettingsException(List<SettingsProblem> problems) {
+        super(
+                ErrorCode.INVALID_SETTINGS,
+                problems.stream().map(SettingsProblem::toString).collect(Collectors.joining("\n")));
+        this.problems = List.copyOf(problems);
+    }
+
+    /** Returns the errors, in the order in which they were found. */
+    public List<SettingsProblem> problems() {
+        return problems;
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/settings/SettingsReader.java
@@ -0,0 +1,278 @@
+package org.amaranthlock.router.settings;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.model.Region;
+import org.amaranthlock.router.settings.RouterSettings.Host;
+import org.amaranthlock.router.settings.RouterSettings.Log;
+import org.amaranthlock.router.settings.RouterSettings.Peer;
+import org.amaranthlock.router.settings.RouterSettings.Seed;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlTable;
+
+/** Reads settings from TOML and validates them as a whole. */
+public final class SettingsReader {
+    private static final Set<String> KEYS = Set.of(
+            "host.name",
+            "host.region",
+            "host.failure-domain",
+            "http.address",
+            "peer.address",
+            "peer.advertised",
+            "peer.seeds",
+            "peer.cluster-key",
+            "platform.address",
+            "log.format",
+            "log.level",
+            "random.seed");
+    private static final String OPERATORS = "admin.operators";
+    private static final Set<String> TABLES =
+            Set.of("host", "http", "peer", "platform", "admin", OPERATORS, "log", "random");
+    private static final Set<String> LEVELS = Set.of("TRACE", "DEBUG", "INFO", "WARN", "ERROR");
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
+    private static final Pattern SHA_256 = Pattern.compile("[0-9a-f]{64}");
+    // The key authenticates peers by HMAC; shorter secrets could be guessed from one recorded handshake.
+    private static final int MIN_CLUSTER_KEY_CHARACTERS = 16;
+
+    private final String file;
+    private final TomlParseResult toml;
+    private final List<SettingsProblem> problems = new ArrayList<>();
+
+    private SettingsReader(String file, TomlParseResult toml) {
+        this.file = file;
+        this.toml = toml;
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @throws SettingsException with all errors of the file
+     */
+    public static RouterSettings read(Path path) {
+        String text;
+        try {
+            text = Files.readString(path);
+        } catch (IOException e) {
+            throw new SettingsException(List.of(new SettingsProblem(
+                    path.toString(),
+                    OptionalInt.empty(),
+                    "",
+                    "the file can't be read (" + e.getClass().getSimpleName() + "); check its path and its rights")));
+        }
+        return parse(path.toString(), text);
+    }
+
+    /**
+     * Reads a text.
+     *
+     * @param file name of the file for messages
+     * @param text TOML
+     * @throws SettingsException with all errors of the text
+     */
+    public static RouterSettings parse(String file, String text) {
+        SettingsReader reader = new SettingsReader(file, Toml.parse(text));
+        return reader.settings();
+    }
+
+    private RouterSettings settings() {
+        toml.errors()
+                .forEach(error -> problems.add(new SettingsProblem(
+                        file, OptionalInt.of(error.position().line()), "", "not valid TOML: " + error.getMessage())));
+        if (!problems.isEmpty()) {
+            throw new SettingsException(problems);
+        }
+        checkKeys();
+        Host host = new Host(
+                name("host.name"), new Region(name("host.region")), new FailureDomain(name("host.failure-domain")));
+        InetSocketAddress http = address("http.address", true);
+        Peer peer = peer();
+        InetSocketAddress platform = address("platform.address", false);
+        Map<String, String> operators = operators();
+        Log log = log();
+        OptionalLong seed = seed();
+        if (!problems.isEmpty()) {
+            throw new SettingsException(problems);
+        }
+        return new RouterSettings(host, http, peer, platform, operators, log, seed);
+    }
+
+    private void checkKeys() {
+        for (Map.Entry<String, Object> entry : toml.dottedEntrySet(true)) {
+            String key = entry.getKey();
+            boolean table = entry.getValue() instanceof TomlTable;
+            boolean known = table ? TABLES.contains(key) : KEYS.contains(key) || key.startsWith(OPERATORS + ".");
+            if (!known) {
+                problem(key, "unknown key; remove it or correct its spelling");
+            }
+        }
+    }
+
+    private Peer peer() {
+        InetSocketAddress address = address("peer.address", true);
+        Optional<String> advertised = Optional.empty();
+        if (toml.contains("peer.advertised")) {
+            advertised = Optional.of(AddressParser.text(address("peer.advertised", false)));
+        }
+        String clusterKey = required("peer.cluster-key");
+        if (!clusterKey.isEmpty() && clusterKey.length() < MIN_CLUSTER_KEY_CHARACTERS) {
+            problem(
+                    "peer.cluster-key",
+                    "shorter than " + MIN_CLUSTER_KEY_CHARACTERS
+                            + " characters; use a random secret, the same on all routers");
+        }
+        return new Peer(address, advertised, seeds(), clusterKey);
+    }
+
+    private List<Seed> seeds() {
+        List<Seed> seeds = new ArrayList<>();
+        Object value = value("peer.seeds");
+        if (value == null) {
+            return seeds;
+        }
+        if (!(value instanceof TomlArray array)) {
+            problem("peer.seeds", "must be a list such as [\"router-2@10.0.0.2:7400\"]");
+            return seeds;
+        }
+        for (Object item : array.toList()) {
+            String text = item.toString();
+            int at = text.indexOf('@');
+            Optional<InetSocketAddress> address = AddressParser.parse(text.substring(at + 1), false);
+            if (at < 1 || !NAME.matcher(text.substring(0, at)).matches() || address.isEmpty()) {
+                problem("peer.seeds", "'" + text + "' is not '<name>@<IP number>:<port>'");
+            } else {
+                seeds.add(new Seed(text.substring(0, at), AddressParser.text(address.get())));
+            }
+        }
+        return seeds;
+    }
+
+    private Map<String, String> operators() {
+        Map<String, String> operators = new LinkedHashMap<>();
+        Object value = value(OPERATORS);
+        if (!(value instanceof TomlTable table)) {
+            problem(OPERATORS, "must be a table of operator names and the SHA-256 of their keys");
+            return operators;
+        }
+        for (Map.Entry<String, Object> entry : table.entrySet()) {
+            String hash = entry.getValue().toString();
+            if (SHA_256.matcher(hash).matches()) {
+                operators.put(entry.getKey(), hash);
+            } else {
+                problem(
+                        OPERATORS + "." + entry.getKey(),
+                        "must be the SHA-256 of the key, 64 digits 0-9 a-f; 'printf %s KEY | sha256sum' shows it");
+            }
+        }
+        if (table.isEmpty()) {
+            problem(OPERATORS, "is empty, so nobody could operate this router; add an operator");
+        }
+        return operators;
+    }
+
+    private Log log() {
+        String format = optional("log.format").orElse("text");
+        if (!format.equals("text") && !format.equals("json")) {
+            problem("log.format", "'" + format + "' is not known; use \"text\" or \"json\"");
+        }
+        String level = optional("log.level").orElse("INFO");
+        if (!LEVELS.contains(level)) {
+            problem("log.level", "'" + level + "' is not known; use TRACE, DEBUG, INFO, WARN or ERROR");
+        }
+        return new Log(format.equals("json"), level);
+    }
+
+    private OptionalLong seed() {
+        Object value = value("random.seed");
+        if (value == null) {
+            return OptionalLong.empty();
+        }
+        if (value instanceof Long seed) {
+            return OptionalLong.of(seed);
+        }
+        problem("random.seed", "must be a whole number");
+        return OptionalLong.empty();
+    }
+
+    /** Returns a checked name, or a placeholder when a problem was noted. */
+    private String name(String key) {
+        String text = required(key);
+        if (!text.isEmpty() && !NAME.matcher(text).matches()) {
+            problem(key, "'" + text + "' must consist of 1 to 64 of A-Z a-z 0-9 . _ -");
+        }
+        return text.isBlank() ? "missing" : text;
+    }
+
+    private InetSocketAddress address(String key, boolean listening) {
+        String text = required(key);
+        if (text.isEmpty()) {
+            return new InetSocketAddress(0);
+        }
+        return AddressParser.parse(text, listening).orElseGet(() -> {
+            problem(
+                    key,
+                    "'" + text + "' is not an IP number and a port, for example \"10.0.0.1:7400\"; host names are not "
+                            + "resolved");
+            return new InetSocketAddress(0);
+        });
+    }
+
+    private String required(String key) {
+        Optional<String> text = optional(key);
+        if (text.isEmpty() && value(key) == null) {
+            problem(key, "is missing; add it");
+        }
+        return text.orElse("");
+    }
+
+    private Optional<String> optional(String key) {
+        Object value = value(key);
+        if (value == null) {
+            return Optional.empty();
+        }
+        if (value instanceof String text && !text.isBlank()) {
+            return Optional.of(text);
+        }
+        problem(key, "must be a non-empty text in quotation marks");
+        return Optional.empty();
+    }
+
+    /** Returns a value; null if it is absent or if a part of its key is no table. */
+    private Object value(String key) {
+        TomlTable table = toml;
+        String[] parts = key.split("\\.");
+        for (int i = 0; i < parts.length - 1; i++) {
+            if (!(table.get(List.of(parts[i])) instanceof TomlTable inner)) {
+                return null;
+            }
+            table = inner;
+        }
+        return table.get(List.of(parts[parts.length - 1]));
+    }
+
+    private void problem(String key, String remedy) {
+        problems.add(new SettingsProblem(file, line(key), key, remedy));
+    }
+
+    private OptionalInt line(String key) {
+        try {
+            var position = toml.inputPositionOf(key);
+            return position == null ? OptionalInt.empty() : OptionalInt.of(position.line());
+        } catch (IllegalArgumentException e) {
+            return OptionalInt.empty();
+        }
+    }
+}
