Add the command line of the router

Operators had no tool. The program runs a router, checks settings, reads and changes the configuration conditionally, and shows targets, outcome records and the merged timeline.

--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/cli/AdminClient.java
@@ -0,0 +1,150 @@
+package org.amaranthlock.router.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.amaranthlock.model.ErrorCode;
+
+/** Calls the operator interface of the first router that can be reached. */
+final class AdminClient {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(3);
+    // Longer than the router's own limit of 15 s for an answer of its core.
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(20);
+    private static final int STATUS_CONFLICT = 409;
+    private static final int FIRST_ERROR_STATUS = 400;
+
+    private final HttpClient http = HttpClient.newBuilder()
+            .connectTimeout(CONNECT_TIMEOUT)
+            .version(HttpClient.Version.HTTP_1_1)
+            .build();
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final List<String> routers;
+    private final String operatorKey;
+
+    AdminClient(List<String> routers, String operatorKey) {
+        this.routers = List.copyOf(routers);
+        this.operatorKey = operatorKey;
+    }
+
+    /** Returns the JSON of a path. */
+    JsonNode get(String path) {
+        return call("GET", path, Optional.empty(), 0);
+    }
+
+    /** Returns the JSON of a path; empty if there is no such thing. */
+    Optional<JsonNode> find(String path) {
+        HttpResponse<String> response = send("GET", path, Optional.empty(), 0);
+        return response.statusCode() == ErrorCode.UNKNOWN_REQUEST.status()
+                ? Optional.empty()
+                : Optional.of(checked(response));
+    }
+
+    /** Starts something. */
+    JsonNode post(String path) {
+        return call("POST", path, Optional.empty(), 0);
+    }
+
+    /** Writes an entry that has a revision, or that must not exist if the revision is 0. */
+    JsonNode put(String path, String text, long expectedRevision) {
+        return call("PUT", path, Optional.of(text), expectedRevision);
+    }
+
+    /** Deletes an entry that has a revision. */
+    JsonNode delete(String path, long expectedRevision) {
+        return call("DELETE", path, Optional.empty(), expectedRevision);
+    }
+
+    private JsonNode call(String method, String path, Optional<String> body, long expectedRevision) {
+        return checked(send(method, path, body, expectedRevision));
+    }
+
+    private HttpResponse<String> send(String method, String path, Optional<String> body, long expectedRevision) {
+        for (String router : routers) {
+            try {
+                return http.send(request(router, method, path, body, expectedRevision), BodyHandlers.ofString());
+            } catch (ConnectException | HttpConnectTimeoutException e) {
+                // Nothing was sent, so the next router may be asked without repeating a change.
+                continue;
+            } catch (IOException e) {
+                throw new CommandFailure(
+                        ExitCodes.UNREACHABLE,
+                        ErrorCode.INTERNAL,
+                        "The connection to " + router + " was lost"
+                                + (method.equals("GET")
+                                        ? "; try again."
+                                        : " and it is unknown whether the change took effect; read the entry before repeating it."));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new CommandFailure(ExitCodes.FAILED, ErrorCode.INTERNAL, "Interrupted.");
+            }
+        }
+        throw new CommandFailure(
+                ExitCodes.UNREACHABLE,
+                ErrorCode.INTERNAL,
+                "None of the routers can be reached: " + String.join(", ", routers)
+                        + ". Check --router and whether they run.");
+    }
+
+    private HttpRequest request(
+            String router, String method, String path, Optional<String> body, long expectedRevision) {
+        HttpRequest.Builder request;
+        try {
+            request = HttpRequest.newBuilder(URI.create("http://" + router + path));
+        } catch (IllegalArgumentException e) {
+            throw new CommandFailure(
+                    ExitCodes.USAGE,
+                    ErrorCode.INVALID_REQUEST,
+                    "'" + router + path + "' is not an address and a path; check --router and the arguments.");
+        }
+        if (method.equals("PUT") || method.equals("DELETE")) {
+            if (expectedRevision == 0) {
+                request.header("If-None-Match", "*");
+            } else {
+                request.header("If-Match", "\"" + expectedRevision + "\"");
+            }
+        }
+        return request.timeout(CALL_TIMEOUT)
+                .header("Authorization", "Bearer " + operatorKey)
+                .method(method, body.map(BodyPublishers::ofString).orElseGet(BodyPublishers::noBody))
+                .build();
+    }
+
+    private JsonNode checked(HttpResponse<String> response) {
+        JsonNode json;
+        try {
+            json = mapper.readTree(response.body());
+        } catch (JsonProcessingException e) {
+            throw new CommandFailure(
+                    ExitCodes.FAILED,
+                    ErrorCode.INTERNAL,
+                    "The answer is not from a router (status " + response.statusCode() + "); check --router.");
+        }
+        if (response.statusCode() < FIRST_ERROR_STATUS) {
+            return json;
+        }
+        boolean conflict = response.statusCode() == STATUS_CONFLICT;
+        String message =
+                json.path("code").asText("error") + ": " + json.path("detail").asText("no detail");
+        if (conflict && json.has("present")) {
+            JsonNode present = json.get("present");
+            message += "\nThe present revision is " + present.path("revision").asLong() + " by "
+                    + present.path("author").asText() + ".";
+        }
+        throw new CommandFailure(
+                conflict ? ExitCodes.CONFLICT : ExitCodes.FAILED,
+                conflict ? ErrorCode.VERSION_CONFLICT : ErrorCode.INTERNAL,
+                message);
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/cli/AdminOptions.java
@@ -0,0 +1,52 @@
+package org.amaranthlock.router.cli;
+
+import java.util.List;
+import org.amaranthlock.model.ErrorCode;
+import picocli.CommandLine.Option;
+
+/** Options of all commands that call a router. */
+final class AdminOptions {
+    static final String KEY_VARIABLE = "AMARANTHLOCK_OPERATOR_KEY";
+
+    @Option(
+            names = "--router",
+            paramLabel = "ADDRESS",
+            required = true,
+            description = "IP number and port of a router's HTTP front; repeat it for more routers.")
+    private List<String> routers;
+
+    @Option(
+            names = "--operator-key",
+            paramLabel = "KEY",
+            defaultValue = "${env:" + KEY_VARIABLE + "}",
+            description = "Operator key; default: environment variable " + KEY_VARIABLE + ".")
+    private String operatorKey;
+
+    /** Returns a client that asks the routers one after another. */
+    AdminClient client() {
+        return new AdminClient(routers, key());
+    }
+
+    /** Returns one client per router. */
+    List<AdminClient> clients() {
+        String key = key();
+        return routers.stream()
+                .map(router -> new AdminClient(List.of(router), key))
+                .toList();
+    }
+
+    /** Returns the addresses of the routers. */
+    List<String> routers() {
+        return routers;
+    }
+
+    private String key() {
+        if (operatorKey == null || operatorKey.isBlank()) {
+            throw new CommandFailure(
+                    ExitCodes.USAGE,
+                    ErrorCode.UNAUTHENTICATED,
+                    "No operator key; give --operator-key or set " + KEY_VARIABLE + ".");
+        }
+        return operatorKey;
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/cli/CommandFailure.java
@@ -0,0 +1,18 @@
+package org.amaranthlock.router.cli;
+
+import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.model.ErrorCode;
+
+/** Failure of a command, with its exit code. */
+final class CommandFailure extends AmaranthlockException {
+    private final int exitCode;
+
+    CommandFailure(int exitCode, ErrorCode code, String message) {
+        super(code, message);
+        this.exitCode = exitCode;
+    }
+
+    int exitCode() {
+        return exitCode;
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/cli/EntryFile.java
@@ -0,0 +1,92 @@
+package org.amaranthlock.router.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.amaranthlock.model.ErrorCode;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlTable;
+
+/** File of configuration entries: one TOML table per entry, named {@code kind.name}. */
+final class EntryFile {
+    /** Kinds in the order in which they are applied: what others refer to comes first. */
+    static final List<String> KINDS = List.of("profile", "model", "routing", "service", "account", "target");
+
+    private EntryFile() {}
+
+    /** Entry of a file; the text is TOML. */
+    record Entry(String kind, String name, String text) {
+        String path() {
+            return "/admin/config/" + kind + "/" + name;
+        }
+
+        String label() {
+            return kind + "/" + name;
+        }
+    }
+
+    /**
+     * Reads the entries of a file in the order in which they are applied.
+     *
+     * @throws CommandFailure listing all errors of the file
+     */
+    static List<Entry> read(Path file) {
+        String text = text(file);
+        TomlParseResult toml = Toml.parse(text);
+        List<String> errors = new ArrayList<>();
+        toml.errors().forEach(error -> errors.add(file + ":" + error.position().line() + ": " + error.getMessage()));
+        List<Entry> entries = new ArrayList<>();
+        if (errors.isEmpty()) {
+            for (String kind : toml.keySet()) {
+                if (!KINDS.contains(kind)) {
+                    errors.add(file + ": unknown kind '" + kind + "'; use one of " + String.join(", ", KINDS));
+                }
+            }
+            KINDS.forEach(kind -> collect(file, kind, toml.get(List.of(kind)), entries, errors));
+        }
+        if (!errors.isEmpty()) {
+            throw new CommandFailure(ExitCodes.INVALID_INPUT, ErrorCode.INVALID_SETTINGS, String.join("\n", errors));
+        }
+        return entries;
+    }
+
+    /** Returns the content of a text file. */
+    static String text(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw new CommandFailure(
+                    ExitCodes.INVALID_INPUT,
+                    ErrorCode.INVALID_SETTINGS,
+                    file + ": the file can't be read; check its path and its rights.");
+        }
+    }
+
+    /** Tells whether two texts hold the same TOML, whatever their layout. */
+    static boolean sameValue(String first, String second) {
+        TomlParseResult left = Toml.parse(first);
+        TomlParseResult right = Toml.parse(second);
+        return !left.hasErrors() && !right.hasErrors() && Toml.equals(left, right);
+    }
+
+    private static void collect(Path file, String kind, Object value, List<Entry> entries, List<String> errors) {
+        if (value == null) {
+            return;
+        }
+        if (!(value instanceof TomlTable table)) {
+            errors.add(file + ": " + kind + " must hold tables such as [" + kind + ".name]");
+            return;
+        }
+        for (var entry : table.entrySet()) {
+            if (entry.getValue() instanceof TomlTable fields) {
+                entries.add(new Entry(kind, entry.getKey(), fields.toToml()));
+            } else {
+                errors.add(file + ": " + kind + "." + entry.getKey() + " must be a table [" + kind + "."
+                        + entry.getKey() + "]");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/cli/OperateCommands.java
@@ -0,0 +1,147 @@
+package org.amaranthlock.router.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintWriter;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.amaranthlock.model.ErrorCode;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Commands that look at running routers or drain them. */
+final class OperateCommands {
+    private static final int HYBRID_COUNTER_BITS = 16;
+
+    private OperateCommands() {}
+
+    /** Lists the targets of a router. */
+    @Command(name = "targets", description = "Lists the targets that a router deals with.")
+    static final class Targets implements Runnable {
+        @Spec
+        private CommandSpec spec;
+
+        @Mixin
+        private AdminOptions options;
+
+        @Override
+        public void run() {
+            PrintWriter out = spec.commandLine().getOut();
+            for (JsonNode target : options.client().get("/admin/targets")) {
+                String state = target.path("available").asBoolean()
+                        ? "available"
+                        : "unavailable (" + target.path("reason").asText() + ")";
+                out.printf(
+                        "%s service=%s address=%s domain=%s model=%s version=%s in-flight=%d/%d %s%n",
+                        target.path("id").asText(),
+                        target.path("service").asText(),
+                        target.path("address").asText(),
+                        target.path("failureDomain").asText(),
+                        target.path("model").asText(),
+                        target.path("version").asText(),
+                        target.path("inFlight").asInt(),
+                        target.path("slots").asInt(),
+                        state);
+            }
+        }
+    }
+
+    /** Shows the outcome record of a request. */
+    @Command(name = "account", description = "Shows how requests ended.")
+    static final class Account {
+        @Spec
+        private CommandSpec spec;
+
+        @Command(name = "show", description = "Shows the outcome record of a request.")
+        int show(@Mixin AdminOptions options, @Parameters(paramLabel = "REQUEST-ID") String request) {
+            JsonNode outcome = options.client()
+                    .find("/admin/accounts/" + request)
+                    .orElseThrow(() -> new CommandFailure(
+                            ExitCodes.FAILED,
+                            ErrorCode.UNKNOWN_REQUEST,
+                            "There is no outcome record of " + request
+                                    + "; if the request ended a moment ago, ask again in a few seconds."));
+            spec.commandLine().getOut().println(outcome.toPrettyString());
+            return ExitCodes.OK;
+        }
+    }
+
+    /** Shows the events of several routers in causal order. */
+    @Command(name = "timeline", description = "Shows the events of all given routers in causal order.")
+    static final class TimelineCommand implements Runnable {
+        @Spec
+        private CommandSpec spec;
+
+        @Mixin
+        private AdminOptions options;
+
+        @Override
+        public void run() {
+            List<JsonNode> events = new ArrayList<>();
+            List<String> missing = new ArrayList<>();
+            List<AdminClient> clients = options.clients();
+            for (int i = 0; i < clients.size(); i++) {
+                try {
+                    clients.get(i).get("/admin/timeline").forEach(events::add);
+                } catch (CommandFailure e) {
+                    if (e.exitCode() != ExitCodes.UNREACHABLE) {
+                        throw e;
+                    }
+                    missing.add(options.routers().get(i));
+                }
+            }
+            events.sort(Comparator.<JsonNode>comparingLong(
+                            event -> event.path("hybridTime").asLong())
+                    .thenComparing(event -> event.path("host").asText()));
+            events.forEach(this::print);
+            if (!missing.isEmpty()) {
+                throw new CommandFailure(
+                        ExitCodes.UNREACHABLE,
+                        ErrorCode.INTERNAL,
+                        "The events of these routers are missing, because they can't be reached: "
+                                + String.join(", ", missing));
+            }
+        }
+
+        private void print(JsonNode event) {
+            Instant time = Instant.ofEpochMilli(event.path("hybridTime").asLong() >> HYBRID_COUNTER_BITS);
+            spec.commandLine()
+                    .getOut()
+                    .printf(
+                            "%s %s %s %s %s%n",
+                            time,
+                            event.path("host").asText(),
+                            event.path("kind").asText(),
+                            event.path("subject").asText(),
+                            event.path("text").asText());
+        }
+    }
+
+    /** Starts the graceful shutdown of the given routers. */
+    @Command(name = "drain", description = "Starts the graceful shutdown of every given router.")
+    static final class Drain implements Runnable {
+        @Spec
+        private CommandSpec spec;
+
+        @Mixin
+        private AdminOptions options;
+
+        @Override
+        public void run() {
+            List<AdminClient> clients = options.clients();
+            for (int i = 0; i < clients.size(); i++) {
+                JsonNode answer = clients.get(i).post("/admin/drain");
+                spec.commandLine()
+                        .getOut()
+                        .printf(
+                                "%s drains, %d requests are open%n",
+                                options.routers().get(i),
+                                answer.path("openRequests").asInt());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/cli/RouterCommand.java
@@ -0,0 +1,62 @@
+package org.amaranthlock.router.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.amaranthlock.router.RouterAssembly;
+import org.amaranthlock.router.RouterProcess;
+import org.amaranthlock.router.log.LogSetup;
+import org.amaranthlock.router.settings.RouterSettings;
+import org.amaranthlock.router.settings.SettingsReader;
+import org.jboss.logging.Logger;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs a router until it is drained. */
+@Command(name = "router", description = "Runs a router until it is drained; SIGTERM starts the graceful shutdown.")
+final class RouterCommand implements Callable<Integer> {
+    /** The drain deadline of the design page is 120 s; the rest is for the handover and the last records. */
+    private static final long SHUTDOWN_SECONDS = 150;
+
+    private final Supplier<RouterAssembly> assembly;
+
+    @Option(names = "--settings", required = true, paramLabel = "FILE", description = "Settings as TOML.")
+    private Path settingsFile;
+
+    RouterCommand(Supplier<RouterAssembly> assembly) {
+        this.assembly = assembly;
+    }
+
+    @Override
+    public Integer call() throws InterruptedException {
+        RouterSettings settings = SettingsReader.read(settingsFile);
+        LogSetup.configure(settings.log().json(), settings.log().level());
+        RouterProcess process =
+                assembly.get().process(settings, () -> Runtime.getRuntime().halt(ExitCodes.INTERNAL));
+        CountDownLatch stopped = new CountDownLatch(1);
+        process.start();
+        Thread hook = Thread.ofPlatform().name("amaranthlock-shutdown").unstarted(() -> drain(process, stopped));
+        Runtime.getRuntime().addShutdownHook(hook);
+        process.awaitDrained();
+        process.stop();
+        stopped.countDown();
+        return ExitCodes.OK;
+    }
+
+    private static void drain(RouterProcess process, CountDownLatch stopped) {
+        if (stopped.getCount() == 0) {
+            return;
+        }
+        process.drain();
+        try {
+            if (!stopped.await(SHUTDOWN_SECONDS, TimeUnit.SECONDS)) {
+                Logger.getLogger(RouterCommand.class)
+                        .errorf("The graceful shutdown took more than %d s; the process ends.", SHUTDOWN_SECONDS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
