Add membership, target directory and configuration to the core

Cause: routing, the ledger and the request life cycle need a view of routers, targets and configuration. Change: SWIM-style membership with introduction of new routers, rendezvous order, target directory with subsets and leaving marks, configuration parser, distribution and conditional writes. Test harness in virtual time. Directory and configuration have no tests yet.

--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/configuration/ConfigurationParser.java
@@ -0,0 +1,171 @@
+package org.amaranthlock.coordination.configuration;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.amaranthlock.coordination.configuration.ParsedEntry.AccountValue;
+import org.amaranthlock.coordination.configuration.ParsedEntry.OtherValue;
+import org.amaranthlock.coordination.configuration.ParsedEntry.ProfileValue;
+import org.amaranthlock.coordination.configuration.ParsedEntry.ServiceValue;
+import org.amaranthlock.coordination.configuration.ParsedEntry.TargetValue;
+import org.amaranthlock.model.AccountId;
+import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.model.Capability;
+import org.amaranthlock.model.ErrorCode;
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.model.Profile;
+import org.amaranthlock.model.ProfileKind;
+import org.amaranthlock.model.Region;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.model.TargetId;
+
+/** Checks the text of configuration entries. */
+public final class ConfigurationParser {
+    /** Kinds of entries. */
+    public static final List<String> KINDS = List.of("profile", "service", "account", "target", "model", "routing");
+
+    /** Longest text of an entry in characters; 11 versions of it stay far below the 1 MB of a platform object. */
+    public static final int MAX_TEXT_LENGTH = 16_384;
+
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._:-]{0,127}");
+    private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
+    private static final Pattern ADDRESS = Pattern.compile("(\\S+):([0-9]{1,5})");
+    private static final int MAX_PORT = 65_535;
+    private static final int MAX_ATTEMPTS = 100;
+    private static final int MAX_PRIORITY = 1_000;
+    private static final long MAX_DEADLINE_MILLIS = 86_400_000;
+    private static final int MAX_SLOTS = 100_000;
+
+    private ConfigurationParser() {}
+
+    /**
+     * Parses an entry.
+     *
+     * @throws AmaranthlockException with {@link ErrorCode#INVALID_REQUEST}; the message lists all errors of the text,
+     *     with key and remedy
+     */
+    public static ParsedEntry parse(String kind, String name, String text) {
+        requireName(kind, name);
+        if (text.length() > MAX_TEXT_LENGTH) {
+            throw invalid(
+                    kind, name, List.of("the text is longer than " + MAX_TEXT_LENGTH + " characters; shorten it"));
+        }
+        EntryReader reader = new EntryReader(text);
+        if (!reader.syntaxErrors().isEmpty()) {
+            throw invalid(kind, name, reader.syntaxErrors());
+        }
+        ParsedEntry entry = switch (kind) {
+            case "profile" -> profile(name, reader);
+            case "service" -> service(name, reader);
+            case "account" -> account(name, reader);
+            case "target" -> target(name, reader);
+            default -> new OtherValue(text);
+        };
+        List<String> errors = entry instanceof OtherValue ? reader.syntaxErrors() : reader.errors();
+        if (!errors.isEmpty()) {
+            throw invalid(kind, name, errors);
+        }
+        return entry;
+    }
+
+    /**
+     * Checks kind and name of an entry.
+     *
+     * @throws AmaranthlockException with {@link ErrorCode#INVALID_REQUEST}
+     */
+    public static void requireName(String kind, String name) {
+        if (!KINDS.contains(kind)) {
+            throw invalid(kind, name, List.of("the kind is unknown; use one of " + KINDS));
+        }
+        if (!NAME.matcher(name).matches()) {
+            throw invalid(
+                    kind,
+                    name,
+                    List.of("the name is not allowed; use up to 128 letters, digits and the signs . _ : -"));
+        }
+    }
+
+    private static ParsedEntry profile(String name, EntryReader reader) {
+        ProfileKind kind = constant(ProfileKind.class, "kind", reader.text("kind"), reader, ProfileKind.RETRIABLE);
+        int attempts = (int) reader.number("max-attempts", 1, MAX_ATTEMPTS);
+        int priority = (int) reader.number("priority", 0, MAX_PRIORITY);
+        long deadline = reader.number("deadline-ms", 1, MAX_DEADLINE_MILLIS);
+        return new ProfileValue(new Profile(name, kind, attempts, priority, deadline));
+    }
+
+    private static ParsedEntry service(String name, EntryReader reader) {
+        return new ServiceValue(new ServiceName(name), reader.text("profile"), reader.flag("generation"));
+    }
+
+    private static ParsedEntry account(String name, EntryReader reader) {
+        String key = reader.text("key-sha256");
+        if (!SHA256.matcher(key).matches()) {
+            reader.error("key-sha256", "set it to the SHA-256 of the key, 64 lower-case hexadecimal digits");
+        }
+        double weight = reader.positive("weight");
+        OptionalDouble limit = reader.has("tokens-per-second")
+                ? OptionalDouble.of(reader.positive("tokens-per-second"))
+                : OptionalDouble.empty();
+        return new AccountValue(new AccountSettings(new AccountId(name), key, weight, limit));
+    }
+
+    private static ParsedEntry target(String name, EntryReader reader) {
+        String service = reader.text("service");
+        String address = reader.text("address");
+        checkAddress(address, reader);
+        String region = reader.text("region");
+        String domain = reader.text("failure-domain");
+        String model = reader.optionalText("model");
+        String version = reader.optionalText("version");
+        int slots = (int) reader.number("slots", 1, MAX_SLOTS);
+        Set<Capability> capabilities = EnumSet.noneOf(Capability.class);
+        for (String text : reader.texts("capabilities")) {
+            capabilities.add(constant(Capability.class, "capabilities", text, reader, Capability.ATTACH));
+        }
+        return new TargetValue(new Target(
+                new TargetId(name),
+                new ServiceName(service),
+                address,
+                new Region(region),
+                new FailureDomain(domain),
+                model,
+                version,
+                slots,
+                capabilities));
+    }
+
+    private static void checkAddress(String address, EntryReader reader) {
+        var matcher = ADDRESS.matcher(address);
+        if (!matcher.matches() || Integer.parseInt(matcher.group(2)) > MAX_PORT) {
+            reader.error("address", "set it to an IP number and a port, for example \"10.0.0.1:8000\"");
+        }
+    }
+
+    private static <E extends Enum<E>> E constant(
+            Class<E> type, String key, String text, EntryReader reader, E substitute) {
+        for (E constant : type.getEnumConstants()) {
+            if (spelling(constant).equals(text)) {
+                return constant;
+            }
+        }
+        List<String> allowed = List.of(type.getEnumConstants()).stream()
+                .map(ConfigurationParser::spelling)
+                .toList();
+        reader.error(key, "the value \"" + text + "\" is unknown; use one of " + allowed);
+        return substitute;
+    }
+
+    private static String spelling(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    private static AmaranthlockException invalid(String kind, String name, List<String> errors) {
+        return new AmaranthlockException(
+                ErrorCode.INVALID_REQUEST,
+                "configuration entry " + kind + "/" + name + " is not valid: " + String.join("; ", errors));
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/configuration/ConfigurationTable.java
@@ -0,0 +1,168 @@
+package org.amaranthlock.coordination.configuration;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.amaranthlock.coordination.configuration.ParsedEntry.AccountValue;
+import org.amaranthlock.coordination.configuration.ParsedEntry.ProfileValue;
+import org.amaranthlock.coordination.configuration.ParsedEntry.ServiceValue;
+import org.amaranthlock.coordination.configuration.ParsedEntry.TargetValue;
+import org.amaranthlock.model.AccountId;
+import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.model.Profile;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationEntry;
+
+/** The entries that this router holds; the revision of an entry only grows. */
+final class ConfigurationTable {
+    private final Map<String, ConfigurationEntry> entries = new TreeMap<>();
+    private final Map<String, ParsedEntry> values = new TreeMap<>();
+    private final Map<ServiceName, ServiceSettings> services = new TreeMap<>();
+    private final Map<AccountId, AccountSettings> accounts = new TreeMap<>();
+    private final Map<String, AccountSettings> accountsByKey = new HashMap<>();
+    private List<Target> targets = List.of();
+    private boolean stale;
+    private long highestRevision;
+    private long completeUpTo;
+    private long highestCompleteRevision;
+    private boolean complete;
+
+    /**
+     * Takes an entry over if it is newer than the held one.
+     *
+     * @return why its text can't be used, if it can't; the entry then has no value in force
+     */
+    Optional<String> adopt(ConfigurationEntry entry) {
+        ConfigurationEntry held = entries.get(entry.objectKey());
+        if (held != null && entry.revision() <= held.revision()) {
+            return Optional.empty();
+        }
+        entries.put(entry.objectKey(), entry);
+        highestRevision = Math.max(highestRevision, entry.revision());
+        stale = true;
+        values.remove(entry.objectKey());
+        if (entry.version().text().isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            String text = entry.version().text().get();
+            values.put(entry.objectKey(), ConfigurationParser.parse(entry.kind(), entry.name(), text));
+            return Optional.empty();
+        } catch (AmaranthlockException invalid) {
+            return Optional.of(invalid.getMessage());
+        }
+    }
+
+    /** Notes that all entries up to a revision were adopted. */
+    void completeUpTo(long revision) {
+        complete = true;
+        completeUpTo = Math.max(completeUpTo, revision);
+        for (ConfigurationEntry entry : entries.values()) {
+            if (entry.revision() <= completeUpTo) {
+                highestCompleteRevision = Math.max(highestCompleteRevision, entry.revision());
+            }
+        }
+    }
+
+    boolean complete() {
+        return complete;
+    }
+
+    /** Returns the platform revision up to which no entry is missing. */
+    long completeUpTo() {
+        return completeUpTo;
+    }
+
+    /** Returns the highest revision of an entry up to which no entry is missing. */
+    long highestCompleteRevision() {
+        return highestCompleteRevision;
+    }
+
+    /** Returns the highest revision of an entry. */
+    long highestRevision() {
+        return highestRevision;
+    }
+
+    Optional<ConfigurationEntry> entry(String kind, String name) {
+        return Optional.ofNullable(entries.get("config/" + kind + "/" + name));
+    }
+
+    Collection<ConfigurationEntry> entries() {
+        return entries.values();
+    }
+
+    /** Returns the entries after a revision, oldest first. */
+    List<ConfigurationEntry> entriesAfter(long revision) {
+        List<ConfigurationEntry> newer = new ArrayList<>(entries.values());
+        newer.removeIf(entry -> entry.revision() <= revision);
+        newer.sort(Comparator.comparingLong(ConfigurationEntry::revision));
+        return newer;
+    }
+
+    Collection<ParsedEntry> values() {
+        return values.values();
+    }
+
+    Optional<ParsedEntry> value(String kind, String name) {
+        return Optional.ofNullable(values.get("config/" + kind + "/" + name));
+    }
+
+    Map<ServiceName, ServiceSettings> services() {
+        rebuild();
+        return services;
+    }
+
+    Map<AccountId, AccountSettings> accounts() {
+        rebuild();
+        return accounts;
+    }
+
+    Map<String, AccountSettings> accountsByKey() {
+        rebuild();
+        return accountsByKey;
+    }
+
+    /** Returns the targets; the same list as long as no entry changes. */
+    List<Target> targets() {
+        rebuild();
+        return targets;
+    }
+
+    private void rebuild() {
+        if (!stale) {
+            return;
+        }
+        stale = false;
+        services.clear();
+        accounts.clear();
+        accountsByKey.clear();
+        List<Target> found = new ArrayList<>();
+        for (ParsedEntry value : values.values()) {
+            switch (value) {
+                case ServiceValue service ->
+                    profile(service.profile())
+                            .ifPresent(profile -> services.put(
+                                    service.name(),
+                                    new ServiceSettings(service.name(), profile, service.generation())));
+                case AccountValue account -> {
+                    accounts.put(account.account().id(), account.account());
+                    accountsByKey.putIfAbsent(account.account().keySha256(), account.account());
+                }
+                case TargetValue target -> found.add(target.target());
+                default -> {}
+            }
+        }
+        found.sort(Comparator.comparing(Target::id));
+        targets = List.copyOf(found);
+    }
+
+    private Optional<Profile> profile(String name) {
+        return value("profile", name).map(value -> value instanceof ProfileValue profile ? profile.profile() : null);
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/configuration/DefaultConfiguration.java
@@ -0,0 +1,152 @@
+package org.amaranthlock.coordination.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.Component;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.OperationNumbers;
+import org.amaranthlock.coordination.OperatorCommand;
+import org.amaranthlock.coordination.OperatorEvent;
+import org.amaranthlock.coordination.PlatformEvent;
+import org.amaranthlock.coordination.membership.MembershipView;
+import org.amaranthlock.model.AccountId;
+import org.amaranthlock.model.HostId;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.protocol.peer.PeerMessage;
+import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationEntry;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** The router's copy of the configuration; it stays in force while the platform is down and never goes back. */
+public final class DefaultConfiguration implements ConfigurationView, Component {
+    private final ConfigurationTable table = new ConfigurationTable();
+    private final ConfigurationDistribution distribution;
+    private final ConfigurationWriter writer;
+    private final List<ConfigurationEntry> written = new ArrayList<>();
+    private boolean ready;
+
+    /**
+     * Creates an empty configuration.
+     *
+     * @param membership the routers, of which the relays watch the platform
+     * @param random source of randomness
+     * @param numbers source of operation numbers
+     */
+    public DefaultConfiguration(MembershipView membership, UniformRandomProvider random, OperationNumbers numbers) {
+        Objects.requireNonNull(membership, "membership");
+        Objects.requireNonNull(random, "random");
+        Objects.requireNonNull(numbers, "numbers");
+        this.distribution = new ConfigurationDistribution(membership, table, random, numbers);
+        this.writer = new ConfigurationWriter(table, numbers, written::add);
+    }
+
+    @Override
+    public Optional<ServiceSettings> service(ServiceName name) {
+        return Optional.ofNullable(table.services().get(name));
+    }
+
+    @Override
+    public List<ServiceSettings> services() {
+        return List.copyOf(table.services().values());
+    }
+
+    @Override
+    public Optional<AccountSettings> account(AccountId id) {
+        return Optional.ofNullable(table.accounts().get(id));
+    }
+
+    @Override
+    public Optional<AccountSettings> accountByKey(String keySha256) {
+        return Optional.ofNullable(table.accountsByKey().get(keySha256));
+    }
+
+    /** {@inheritDoc} The list is the same object as long as no entry changes. */
+    @Override
+    public List<Target> targets() {
+        return table.targets();
+    }
+
+    @Override
+    public long revision() {
+        return table.highestCompleteRevision();
+    }
+
+    @Override
+    public boolean ready() {
+        return ready;
+    }
+
+    /** Returns the highest revision of an entry that this router holds; this is what heartbeats advertise. */
+    public long highestRevision() {
+        return table.highestRevision();
+    }
+
+    /** Returns for how long this router has known that it lacks entries, in milliseconds; 0 if it lacks none. */
+    public long stalenessMillis(long nowMillis) {
+        return distribution.stalenessMillis(nowMillis);
+    }
+
+    /** Returns an entry, also a deleted one, with its history. */
+    public Optional<ConfigurationEntry> entry(String kind, String name) {
+        return table.entry(kind, name);
+    }
+
+    @Override
+    public List<Command> handle(Event event, long nowMillis) {
+        List<Command> commands = new ArrayList<>();
+        switch (event) {
+            case Event.Tick tick -> {
+                writer.tick(nowMillis, commands);
+                distribution.tick(nowMillis, commands);
+            }
+            case Event.PeerReceived received -> receive(received.from(), received.message(), nowMillis, commands);
+            case PlatformEvent answer -> {
+                distribution.handle(answer, nowMillis, commands);
+                writer.handle(answer, nowMillis, commands);
+                spreadWritten(commands);
+            }
+            case OperatorEvent.PutConfiguration put -> writer.start(put, nowMillis, commands);
+            case OperatorEvent.GetConfiguration get -> commands.add(show(get));
+            default -> {}
+        }
+        ready = ready || distribution.caughtUp();
+        return commands;
+    }
+
+    private void receive(HostId from, PeerMessage message, long nowMillis, List<Command> commands) {
+        switch (message) {
+            case PeerMessage.Ping ping -> distribution.heard(from, ping.news(), nowMillis, commands);
+            case PeerMessage.Ack ack -> distribution.heard(from, ack.news(), nowMillis, commands);
+            case PeerMessage.PingRequest request -> distribution.heard(from, request.news(), nowMillis, commands);
+            case PeerMessage.ConfigPull pull -> distribution.answerPull(from, pull, commands);
+            case PeerMessage.ConfigPush push -> distribution.receivePush(push, nowMillis, commands);
+            default -> {}
+        }
+    }
+
+    /** Puts accepted changes in force here and sends them out before the operator's answer leaves. */
+    private void spreadWritten(List<Command> commands) {
+        List<Command> first = new ArrayList<>();
+        for (ConfigurationEntry entry : written) {
+            distribution.adopt(List.of(entry), first);
+            distribution.pushToAll(entry, first);
+        }
+        written.clear();
+        commands.addAll(0, first);
+    }
+
+    private OperatorCommand show(OperatorEvent.GetConfiguration get) {
+        List<ConfigurationEntry> shown = new ArrayList<>();
+        for (ConfigurationEntry entry : table.entries()) {
+            boolean kind = get.kind().isEmpty() || get.kind().equals(entry.kind());
+            boolean name = get.name().isEmpty() || get.name().equals(entry.name());
+            if (kind && name && entry.version().text().isPresent()) {
+                shown.add(entry);
+            }
+        }
+        return new OperatorCommand.ConfigurationShown(get.call(), shown);
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/MemberTable.java
@@ -0,0 +1,89 @@
+package org.amaranthlock.coordination.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.amaranthlock.model.HostId;
+import org.amaranthlock.protocol.peer.MemberUpdate;
+import org.amaranthlock.protocol.peer.RouterState;
+
+/** The other routers, with the rule which update overrides which. */
+final class MemberTable {
+    /** Dead routers are kept this long, so that outdated updates do not revive them and partitions heal. */
+    static final long DEAD_RETENTION_MILLIS = 600_000;
+
+    private final Map<HostId, MemberUpdate> members = new TreeMap<>();
+    private final Map<HostId, Long> diedAt = new TreeMap<>();
+    private long version;
+
+    /** Returns a number that changes with every change of the table. */
+    long version() {
+        return version;
+    }
+
+    Optional<MemberUpdate> find(HostId host) {
+        return Optional.ofNullable(members.get(host));
+    }
+
+    /** Tells whether a router is known and not dead. */
+    boolean present(HostId host) {
+        MemberUpdate update = members.get(host);
+        return update != null && update.state() != RouterState.DEAD;
+    }
+
+    List<MemberUpdate> present() {
+        List<MemberUpdate> result = new ArrayList<>();
+        for (MemberUpdate update : members.values()) {
+            if (update.state() != RouterState.DEAD) {
+                result.add(update);
+            }
+        }
+        return result;
+    }
+
+    List<MemberUpdate> dead() {
+        List<MemberUpdate> result = new ArrayList<>();
+        for (HostId host : diedAt.keySet()) {
+            result.add(members.get(host));
+        }
+        return result;
+    }
+
+    /** Applies an update; returns whether it was newer than what was known. */
+    boolean apply(MemberUpdate update, long nowMillis) {
+        MemberUpdate known = members.get(update.host());
+        if (known == null && update.state() == RouterState.DEAD) {
+            return false;
+        }
+        if (known != null && !overrides(update, known)) {
+            return false;
+        }
+        members.put(update.host(), update);
+        if (update.state() == RouterState.DEAD) {
+            diedAt.put(update.host(), nowMillis);
+        } else {
+            diedAt.remove(update.host());
+        }
+        version++;
+        return true;
+    }
+
+    void forgetOldDead(long nowMillis) {
+        diedAt.entrySet().removeIf(entry -> {
+            boolean old = nowMillis - entry.getValue() >= DEAD_RETENTION_MILLIS;
+            if (old) {
+                members.remove(entry.getKey());
+            }
+            return old;
+        });
+    }
+
+    private static boolean overrides(MemberUpdate update, MemberUpdate known) {
+        if (update.refutation() != known.refutation()) {
+            return update.refutation() > known.refutation();
+        }
+        return update.state().compareTo(known.state()) > 0;
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/Relays.java
@@ -0,0 +1,44 @@
+package org.amaranthlock.coordination.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Chooses the routers of a failure domain that read the platform on behalf of the others. */
+public final class Relays {
+    /** Two per failure domain, so that the loss of one delays no news. */
+    public static final int PER_DOMAIN = 2;
+
+    private Relays() {}
+
+    /** Tells whether this router is a relay of its failure domain. */
+    public static boolean isRelay(MembershipView view) {
+        RouterMember self = view.self();
+        int rank = 0;
+        for (RouterMember member : view.rendezvous("relay/" + self.failureDomain())) {
+            if (!member.failureDomain().equals(self.failureDomain())) {
+                continue;
+            }
+            if (member.host().equals(self.host())) {
+                return true;
+            }
+            rank++;
+            if (rank == PER_DOMAIN) {
+                return false;
+            }
+        }
+        return false;
+    }
+
+    /** Returns the other live routers of this router's failure domain. */
+    public static List<RouterMember> domainPeers(MembershipView view) {
+        RouterMember self = view.self();
+        List<RouterMember> peers = new ArrayList<>();
+        for (RouterMember member : view.live()) {
+            if (member.failureDomain().equals(self.failureDomain())
+                    && !member.host().equals(self.host())) {
+                peers.add(member);
+            }
+        }
+        return peers;
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/TargetNews.java
@@ -0,0 +1,67 @@
+package org.amaranthlock.coordination.membership;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.IntSupplier;
+import org.amaranthlock.model.TargetId;
+import org.amaranthlock.protocol.peer.TargetUpdate;
+
+/** Which targets are leaving, as all routers together have observed it. */
+public final class TargetNews {
+    private final Map<TargetId, TargetUpdate> known = new TreeMap<>();
+    private final UpdateQueue<TargetId, TargetUpdate> queue = new UpdateQueue<>();
+    private final IntSupplier routers;
+    private long version;
+
+    /**
+     * Creates the news.
+     *
+     * @param routers number of live routers, which determines how often an update is sent
+     */
+    public TargetNews(IntSupplier routers) {
+        this.routers = routers;
+    }
+
+    /** Returns the topic by which the membership spreads the news. */
+    public GossipTopic<TargetUpdate> topic() {
+        return new GossipTopic<>(
+                (limit, now) -> queue.take(limit, routers.getAsInt()), (updates, now) -> learn(updates));
+    }
+
+    /** Tells whether a target takes no new work. */
+    boolean leaving(TargetId target) {
+        TargetUpdate update = known.get(target);
+        return update != null && update.leaving();
+    }
+
+    /** Returns the time of the last update of a target, or 0. */
+    long revision(TargetId target) {
+        TargetUpdate update = known.get(target);
+        return update == null ? 0 : update.revision();
+    }
+
+    /** Returns a number that changes with every change. */
+    long version() {
+        return version;
+    }
+
+    /** Notes an own observation; returns the update that others should learn. */
+    TargetUpdate observe(TargetId target, boolean leaving, long nowMillis) {
+        long revision = Math.max(nowMillis, revision(target) + 1);
+        TargetUpdate update = new TargetUpdate(target, leaving, revision);
+        learn(List.of(update));
+        return update;
+    }
+
+    private void learn(List<TargetUpdate> updates) {
+        for (TargetUpdate update : updates) {
+            if (update.revision() > revision(update.target())) {
+                boolean changed = update.leaving() != leaving(update.target());
+                known.put(update.target(), update);
+                queue.add(update.target(), update);
+                version += changed ? 1 : 0;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/UpdateQueue.java
@@ -0,0 +1,58 @@
+package org.amaranthlock.coordination.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Updates that are sent a limited number of times, the least sent first.
+ *
+ * @param <K> subject of an update; a newer update of a subject replaces the older one
+ * @param <V> update
+ */
+final class UpdateQueue<K, V> {
+    /** With 3 log2(n) transmissions an update reaches all routers with high probability. */
+    private static final int TRANSMISSION_FACTOR = 3;
+
+    /** Views are small while a fleet starts; a count for the small view would end the transmissions too early. */
+    private static final int MIN_ROUTERS = 64;
+
+    private final Map<K, Item<V>> items = new LinkedHashMap<>();
+
+    void add(K subject, V update) {
+        items.remove(subject);
+        items.put(subject, new Item<>(update));
+    }
+
+    List<V> take(int limit, int routers) {
+        if (items.isEmpty() || limit <= 0) {
+            return List.of();
+        }
+        int transmissions = transmissions(routers);
+        List<Item<V>> chosen = new ArrayList<>(items.values());
+        chosen.sort(Comparator.comparingInt(item -> item.sent));
+        List<V> updates = new ArrayList<>();
+        for (Item<V> item : chosen.subList(0, Math.min(limit, chosen.size()))) {
+            item.sent++;
+            updates.add(item.update);
+        }
+        items.values().removeIf(item -> item.sent >= transmissions);
+        return updates;
+    }
+
+    private static int transmissions(int routers) {
+        int log2 = Integer.SIZE - Integer.numberOfLeadingZeros(Math.max(MIN_ROUTERS, routers));
+        return TRANSMISSION_FACTOR * log2;
+    }
+
+    private static final class Item<V> {
+        private final V update;
+        private int sent;
+
+        private Item(V update) {
+            this.update = update;
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/membership/DefaultMembershipProperties.java
@@ -0,0 +1,190 @@
+package org.amaranthlock.coordination.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.amaranthlock.coordination.OperatorEvent;
+import org.amaranthlock.model.HostId;
+import org.amaranthlock.simulation.MembershipFixture;
+import org.amaranthlock.simulation.MembershipFixture.Parts;
+import org.amaranthlock.simulation.Simulation;
+
+class DefaultMembershipProperties {
+    /** Guards against a dead router that keeps its requests and partitions, and against false deaths. */
+    @Property(seed = "11", tries = 30)
+    void deathIsDetectedByAllOfNineRoutersWithinSixSeconds(@ForAll long seed, @ForAll @IntRange(max = 8) int victim) {
+        deathIsDetected(seed, 9, victim);
+    }
+
+    /** Guards against detection that slows down as the fleet grows. */
+    @Property(seed = "12", tries = 8)
+    void deathIsDetectedByAllOfSixtyRoutersWithinSixSeconds(@ForAll long seed, @ForAll @IntRange(max = 59) int victim) {
+        deathIsDetected(seed, 60, victim);
+    }
+
+    private static void deathIsDetected(long seed, int count, int victim) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = new MembershipFixture(simulation);
+        fixture.startAll(count);
+        simulation.run(10_000);
+        assertAllSee(fixture, count);
+        HostId host = fixture.get(victim).router().member().host();
+
+        fixture.get(victim).router().kill();
+        simulation.run(6_000);
+
+        for (Parts parts : fixture.running()) {
+            assertThat(parts.membership().dead(host)).isTrue();
+        }
+        assertAllSee(fixture, count - 1);
+    }
+
+    /** Guards against false deaths when messages are lost now and then, which would move partitions for nothing. */
+    @Property(seed = "13", tries = 10)
+    void routersSurviveTheLossOfSomeMessages(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = new MembershipFixture(simulation);
+        fixture.startAll(9);
+        simulation.run(10_000);
+        simulation.disturbNetwork(0.05, 0.05, 60);
+
+        for (int second = 0; second < 30; second++) {
+            simulation.run(1_000);
+            assertAllSee(fixture, 9);
+        }
+    }
+
+    /** Guards against two halves that stay apart after a network partition has healed. */
+    @Property(seed = "14", tries = 10)
+    void healedPartitionIsOneFleetAgain(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = new MembershipFixture(simulation);
+        fixture.startAll(9);
+        simulation.run(10_000);
+        simulation.connect((from, to) ->
+                from.region().value().equals("region-0") == to.region().value().equals("region-0"));
+        simulation.run(15_000);
+        assertThat(fixture.get(0).membership().live()).hasSize(3);
+        assertThat(fixture.get(1).membership().live()).hasSize(6);
+
+        simulation.connect((from, to) -> true);
+        simulation.run(15_000);
+
+        assertAllSee(fixture, 9);
+    }
+
+    /** Guards against a process pause that ends with the paused router declaring its peers dead. */
+    @Property(seed = "15", tries = 10)
+    void pausedRouterIsTakenBackAndAccusesNobody(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = new MembershipFixture(simulation);
+        fixture.startAll(9);
+        simulation.run(10_000);
+
+        fixture.get(4).router().pause(20_000);
+        simulation.run(10_000);
+        assertThat(fixture.get(0)
+                        .membership()
+                        .dead(fixture.get(4).router().member().host()))
+                .isTrue();
+        simulation.run(10_050);
+        assertThat(fixture.get(4).membership().live()).hasSize(9);
+        simulation.run(8_000);
+
+        assertAllSee(fixture, 9);
+    }
+
+    /** Guards against a restarted router that is mistaken for its predecessor, and against a leaving one in use. */
+    @Property(seed = "16", tries = 10)
+    void restartedRouterIsNewAndLeavingRouterIsNotLive(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = new MembershipFixture(simulation);
+        fixture.startAll(9);
+        simulation.run(10_000);
+        HostId before = fixture.get(3).router().member().host();
+        fixture.get(3).router().kill();
+        fixture.start(3, 1);
+        HostId leaving = fixture.get(5).router().member().host();
+        fixture.get(5).router().offer(new OperatorEvent.Drain(1));
+
+        simulation.run(6_000);
+
+        for (Parts parts : fixture.running()) {
+            MembershipView view = parts.membership();
+            assertThat(view.dead(before)).isTrue();
+            assertThat(view.member(fixture.get(3).router().member().host())).isPresent();
+            assertThat(view.member(leaving)).isPresent();
+            assertThat(view.live()).doesNotContain(fixture.get(5).router().member());
+            assertThat(view.live()).hasSize(8);
+        }
+    }
+
+    /** Guards against control traffic per router that grows with the fleet. */
+    @Property(seed = "17", tries = 3)
+    void messagesPerRouterDoNotGrowWithTheFleet(@ForAll long seed) {
+        double small = messagesPerRouterAndSecond(seed, 9);
+        double large = messagesPerRouterAndSecond(seed, 60);
+
+        assertThat(large).isAtMost(small * 1.1);
+    }
+
+    private static double messagesPerRouterAndSecond(long seed, int count) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = new MembershipFixture(simulation);
+        fixture.startAll(count);
+        simulation.run(20_000);
+        long before = sent(fixture);
+        simulation.run(20_000);
+        return (sent(fixture) - before) / (20.0 * count);
+    }
+
+    private static long sent(MembershipFixture fixture) {
+        return fixture.running().stream()
+                .mapToLong(parts -> parts.router().sent())
+                .sum();
+    }
+
+    /** Guards against routers with the same view that disagree on the owner of a key. */
+    @Property(seed = "18", tries = 5)
+    void rendezvousOrderIsTheSameEverywhereAndMovesOnlyTheKeysOfALostRouter(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = new MembershipFixture(simulation);
+        fixture.startAll(9);
+        simulation.run(10_000);
+        List<HostId> owners = new ArrayList<>();
+        for (int key = 0; key < 64; key++) {
+            List<RouterMember> order = fixture.get(0).membership().rendezvous("ledger/" + key);
+            for (Parts parts : fixture.running()) {
+                assertThat(parts.membership().rendezvous("ledger/" + key)).isEqualTo(order);
+            }
+            owners.add(order.getFirst().host());
+        }
+        HostId lost = fixture.get(2).router().member().host();
+        fixture.get(2).router().kill();
+        simulation.run(6_000);
+
+        for (int key = 0; key < 64; key++) {
+            HostId owner = fixture.get(0)
+                    .membership()
+                    .rendezvous("ledger/" + key)
+                    .getFirst()
+                    .host();
+            if (!owners.get(key).equals(lost)) {
+                assertThat(owner).isEqualTo(owners.get(key));
+            }
+        }
+    }
+
+    private static void assertAllSee(MembershipFixture fixture, int count) {
+        for (Parts parts : fixture.running()) {
+            assertWithMessage("view of %s", parts.router().member().host())
+                    .that(parts.membership().live())
+                    .hasSize(count);
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/simulation/InMemoryPlatform.java
@@ -0,0 +1,178 @@
+package org.amaranthlock.simulation;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.PlatformCommand;
+import org.amaranthlock.coordination.PlatformEvent;
+import org.amaranthlock.model.HostId;
+import org.amaranthlock.protocol.platform.HostEntry;
+import org.amaranthlock.protocol.platform.PlatformValue;
+import org.amaranthlock.protocol.platform.Versioned;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Object API with versions, watches, lost answers, delayed writes, stale lists and outages. */
+public final class InMemoryPlatform {
+    private final Simulation simulation;
+    private final UniformRandomProvider random;
+    private final TreeMap<String, Versioned> objects = new TreeMap<>();
+    private final List<Waiting> watches = new ArrayList<>();
+    private List<HostEntry> hosts = List.of();
+    private TreeMap<String, Versioned> oldObjects = new TreeMap<>();
+    private long oldRevision;
+    private Predicate<HostId> reachable = host -> true;
+    private boolean down;
+    private double lostAnswerRate;
+    private double staleListRate;
+    private long revision;
+    private long writes;
+
+    InMemoryPlatform(Simulation simulation, UniformRandomProvider random) {
+        this.simulation = simulation;
+        this.random = random;
+    }
+
+    public void down(boolean value) {
+        down = value;
+    }
+
+    public void reachableFrom(Predicate<HostId> routers) {
+        reachable = routers;
+    }
+
+    public void disturb(double lostAnswers, double staleLists) {
+        lostAnswerRate = lostAnswers;
+        staleListRate = staleLists;
+    }
+
+    public void hosts(List<HostEntry> list) {
+        hosts = list;
+    }
+
+    public Optional<Versioned> object(String key) {
+        return Optional.ofNullable(objects.get(key));
+    }
+
+    public List<Versioned> below(String prefix) {
+        return objects.values().stream()
+                .filter(object -> object.key().startsWith(prefix))
+                .toList();
+    }
+
+    public long writes() {
+        return writes;
+    }
+
+    void execute(SimulatedRouter router, PlatformCommand command) {
+        long latency = 1 + random.nextLong(8);
+        simulation.schedule(latency, () -> perform(router, command));
+    }
+
+    private void perform(SimulatedRouter router, PlatformCommand command) {
+        if (down || !reachable.test(router.member().host())) {
+            answer(router, new PlatformEvent.OperationFailed(command.operation(), "outage"));
+            return;
+        }
+        switch (command) {
+            case PlatformCommand.Read read ->
+                answer(router, new PlatformEvent.ReadDone(read.operation(), object(read.key())));
+            case PlatformCommand.ListObjects list -> list(router, list);
+            case PlatformCommand.Write write -> write(router, write);
+            case PlatformCommand.Delete delete -> {
+                objects.remove(delete.key());
+                revision++;
+                answer(router, new PlatformEvent.WriteApplied(delete.operation(), 0, revision));
+            }
+            case PlatformCommand.Watch watch -> watch(router, watch);
+            case PlatformCommand.ListHosts ignored -> answer(router, new PlatformEvent.HostsListed(hosts));
+        }
+    }
+
+    private void list(SimulatedRouter router, PlatformCommand.ListObjects list) {
+        boolean stale = random.nextDouble() < staleListRate;
+        TreeMap<String, Versioned> source = stale ? oldObjects : objects;
+        List<Versioned> found = source.values().stream()
+                .filter(object -> object.key().startsWith(list.prefix()))
+                .limit(list.limit())
+                .toList();
+        answer(router, new PlatformEvent.ListDone(list.operation(), found, stale ? oldRevision : revision));
+        if (random.nextInt(4) == 0) {
+            oldObjects = new TreeMap<>(objects);
+            oldRevision = revision;
+        }
+    }
+
+    private void write(SimulatedRouter router, PlatformCommand.Write write) {
+        if (random.nextDouble() >= lostAnswerRate) {
+            answer(router, apply(write));
+            return;
+        }
+        switch (random.nextInt(3)) {
+            case 0 -> apply(write);
+            case 1 -> simulation.schedule(random.nextLong(600), () -> apply(write));
+            default -> {}
+        }
+        answer(router, new PlatformEvent.WriteUnknown(write.operation()));
+    }
+
+    private Event apply(PlatformCommand.Write write) {
+        Versioned present = objects.get(write.key());
+        long version = present == null ? 0 : present.version();
+        if (version != write.expectedVersion()) {
+            return new PlatformEvent.WriteConflicted(write.operation());
+        }
+        put(write.key(), write.value());
+        return new PlatformEvent.WriteApplied(write.operation(), version + 1, revision);
+    }
+
+    /** Writes an object without condition. */
+    public void put(String key, PlatformValue value) {
+        revision++;
+        writes++;
+        long version = object(key).map(Versioned::version).orElse(0L) + 1;
+        objects.put(key, new Versioned(key, version, revision, value));
+        for (Waiting waiting : List.copyOf(watches)) {
+            if (key.startsWith(waiting.watch().prefix())) {
+                finish(waiting);
+            }
+        }
+    }
+
+    private void watch(SimulatedRouter router, PlatformCommand.Watch watch) {
+        Waiting waiting = new Waiting(router, watch);
+        watches.add(waiting);
+        if (!changedAfter(watch).isEmpty()) {
+            finish(waiting);
+        } else {
+            simulation.schedule(watch.timeoutMillis(), () -> finish(waiting));
+        }
+    }
+
+    private void finish(Waiting waiting) {
+        if (!watches.remove(waiting)) {
+            return;
+        }
+        PlatformCommand.Watch watch = waiting.watch();
+        boolean failed = down || !reachable.test(waiting.router().member().host());
+        Event event = failed
+                ? new PlatformEvent.OperationFailed(watch.operation(), "outage")
+                : new PlatformEvent.WatchReturned(watch.operation(), changedAfter(watch), List.of(), revision);
+        answer(waiting.router(), event);
+    }
+
+    private List<Versioned> changedAfter(PlatformCommand.Watch watch) {
+        return objects.values().stream()
+                .filter(object -> object.key().startsWith(watch.prefix()) && object.revision() > watch.afterRevision())
+                .sorted((left, right) -> Long.compare(left.revision(), right.revision()))
+                .toList();
+    }
+
+    private void answer(SimulatedRouter router, Event event) {
+        simulation.schedule(1 + random.nextLong(8), () -> router.offer(event));
+    }
+
+    private record Waiting(SimulatedRouter router, PlatformCommand.Watch watch) {}
+}
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/simulation/MembershipFixture.java
@@ -0,0 +1,72 @@
+package org.amaranthlock.simulation;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.amaranthlock.coordination.OperationNumbers;
+import org.amaranthlock.coordination.configuration.DefaultConfiguration;
+import org.amaranthlock.coordination.membership.DefaultMembership;
+import org.amaranthlock.coordination.membership.DefaultTargetDirectory;
+import org.amaranthlock.coordination.membership.GossipTopic;
+import org.amaranthlock.coordination.membership.RouterMember;
+import org.amaranthlock.coordination.membership.TargetNews;
+import org.amaranthlock.protocol.peer.PoisonMark;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Starts routers with membership, configuration and target directory. */
+public final class MembershipFixture {
+    private final Simulation simulation;
+    private final Map<Integer, Parts> parts = new LinkedHashMap<>();
+
+    public MembershipFixture(Simulation simulation) {
+        this.simulation = simulation;
+    }
+
+    /** The components of one router. */
+    public record Parts(
+            SimulatedRouter router,
+            OperationNumbers numbers,
+            DefaultMembership membership,
+            DefaultConfiguration configuration,
+            DefaultTargetDirectory directory) {}
+
+    public Parts start(int number, int incarnation) {
+        RouterMember member = simulation.member(number, incarnation);
+        SimulatedRouter router = new SimulatedRouter(simulation, member);
+        UniformRandomProvider random =
+                RandomSource.XO_RO_SHI_RO_128_PP.create(simulation.random().nextLong());
+        OperationNumbers numbers = new OperationNumbers();
+        DefaultMembership[] self = new DefaultMembership[1];
+        DefaultConfiguration[] held = new DefaultConfiguration[1];
+        TargetNews news = new TargetNews(() -> self[0].live().size());
+        GossipTopic<PoisonMark> poison = new GossipTopic<>((limit, now) -> List.of(), (marks, now) -> {});
+        List<String> seeds = List.of(
+                simulation.member(0, 0).address(), simulation.member(1, 0).address());
+        self[0] = new DefaultMembership(
+                member, seeds, news.topic(), poison, () -> held[0].highestRevision(), random, numbers);
+        held[0] = new DefaultConfiguration(self[0], random, numbers);
+        DefaultTargetDirectory directory = new DefaultTargetDirectory(self[0], held[0], news, random, numbers);
+        Parts created = new Parts(router, numbers, router.with(self[0]), router.with(held[0]), router.with(directory));
+        parts.put(number, created);
+        simulation.add(router);
+        return created;
+    }
+
+    public void startAll(int count) {
+        for (int number = 0; number < count; number++) {
+            start(number, 0);
+        }
+    }
+
+    public Parts get(int number) {
+        return parts.get(number);
+    }
+
+    public List<Parts> running() {
+        List<Parts> result = new ArrayList<>(parts.values());
+        result.removeIf(item -> !item.router().running());
+        return result;
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/simulation/SimulatedRouter.java
@@ -0,0 +1,121 @@
+package org.amaranthlock.simulation;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.Component;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.membership.RouterMember;
+
+/** One router: components that are offered every event, as in the daemon. */
+public final class SimulatedRouter {
+    private final Simulation simulation;
+    private final RouterMember member;
+    private final List<Component> components = new ArrayList<>();
+    private final List<Command> kept = new ArrayList<>();
+    private final List<Event> raised = new ArrayList<>();
+    private final Deque<Event> waiting = new ArrayDeque<>();
+    private boolean running = true;
+    private boolean paused;
+    private long sent;
+
+    public SimulatedRouter(Simulation simulation, RouterMember member) {
+        this.simulation = simulation;
+        this.member = member;
+    }
+
+    public <C extends Component> C with(C component) {
+        components.add(component);
+        return component;
+    }
+
+    public RouterMember member() {
+        return member;
+    }
+
+    public boolean running() {
+        return running;
+    }
+
+    public boolean paused() {
+        return paused;
+    }
+
+    public void kill() {
+        running = false;
+    }
+
+    /** Stops the process for a while; events wait, and ticks that were missed arrive late. */
+    public void pause(long millis) {
+        paused = true;
+        simulation.schedule(millis, () -> {
+            paused = false;
+            while (!waiting.isEmpty()) {
+                process(waiting.poll());
+            }
+        });
+    }
+
+    public void offer(Event event) {
+        if (paused) {
+            if (!(event instanceof Event.Tick)) {
+                waiting.add(event);
+            }
+        } else {
+            process(event);
+        }
+    }
+
+    private void process(Event first) {
+        Deque<Event> events = new ArrayDeque<>(List.of(first));
+        while (running && !events.isEmpty()) {
+            Event event = events.poll();
+            for (Component component : components) {
+                for (Command command : component.handle(event, simulation.now())) {
+                    if (command instanceof Command.Raise raise) {
+                        events.add(raise.event());
+                        raised.add(raise.event());
+                    } else {
+                        simulation.execute(this, command);
+                    }
+                }
+            }
+        }
+    }
+
+    /** Carries out commands that a component returned outside an event. */
+    public void run(List<Command> commands) {
+        for (Command command : commands) {
+            if (command instanceof Command.Raise raise) {
+                raised.add(raise.event());
+                simulation.schedule(0, () -> offer(raise.event()));
+            } else {
+                simulation.execute(this, command);
+            }
+        }
+    }
+
+    void count() {
+        sent++;
+    }
+
+    void keep(Command command) {
+        kept.add(command);
+    }
+
+    /** Returns the number of messages sent so far. */
+    public long sent() {
+        return sent;
+    }
+
+    /** Returns the commands that neither network nor platform carries out. */
+    public <C extends Command> List<C> commands(Class<C> type) {
+        return kept.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    public <E extends Event> List<E> raised(Class<E> type) {
+        return raised.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+}
