Test configuration and target directory under faults

Cause: both components had no tests. Change: generated fault orders for changes, races, outages, restarts and splits; convergence in 3 s; leaving targets within 5 s.

--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/configuration/DefaultConfigurationProperties.java
@@ -0,0 +1,261 @@
+package org.amaranthlock.coordination.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.amaranthlock.coordination.OperatorCommand;
+import org.amaranthlock.coordination.OperatorCommand.ConfigurationAccepted;
+import org.amaranthlock.coordination.OperatorCommand.Failed;
+import org.amaranthlock.coordination.OperatorEvent.PutConfiguration;
+import org.amaranthlock.model.ErrorCode;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationEntry;
+import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationVersion;
+import org.amaranthlock.protocol.platform.Versioned;
+import org.amaranthlock.simulation.MembershipFixture;
+import org.amaranthlock.simulation.MembershipFixture.Parts;
+import org.amaranthlock.simulation.Simulation;
+
+class DefaultConfigurationProperties {
+    private static final String PROFILE = ConfigurationParserTest.PROFILE;
+
+    /** Something that happens to the fleet between two changes. */
+    enum Disturbance {
+        CHANGE,
+        DELETE,
+        RACE,
+        OUTAGE,
+        RECOVERY,
+        RESTART,
+        SPLIT,
+        HEAL,
+        PAUSE
+    }
+
+    /** Guards against lost changes, double winners, and revisions that go back under faults of any order. */
+    @Property(seed = "21", tries = 40)
+    void acceptedChangesAreNeverLostAndRevisionsNeverGoBack(
+            @ForAll long seed, @ForAll @Size(min = 5, max = 25) List<Disturbance> disturbances) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = start(simulation, 6);
+        simulation.platform().disturb(0.2, 0.3);
+        simulation.disturbNetwork(0.05, 0.1, 80);
+        Map<String, Long> revisions = new HashMap<>();
+        long call = 0;
+        for (Disturbance disturbance : disturbances) {
+            Parts chosen = fixture.running().get(simulation.random().nextInt(6));
+            switch (disturbance) {
+                case CHANGE -> put(chosen, ++call, presentRevision(chosen), Optional.of(PROFILE));
+                case DELETE -> put(chosen, ++call, presentRevision(chosen), Optional.empty());
+                case RACE -> {
+                    Parts other = fixture.running().get(simulation.random().nextInt(6));
+                    long expected = presentRevision(chosen);
+                    put(chosen, ++call, expected, Optional.of(PROFILE));
+                    put(other, ++call, expected, Optional.of(PROFILE));
+                }
+                case OUTAGE -> simulation.platform().down(true);
+                case RECOVERY -> simulation.platform().down(false);
+                case RESTART -> restart(simulation, fixture, chosen, revisions);
+                case SPLIT -> simulation.connect((from, to) -> from.region().equals(to.region()));
+                case HEAL -> simulation.connect((from, to) -> true);
+                default -> chosen.router().pause(simulation.random().nextLong(4_000));
+            }
+            for (int step = 0; step < 10; step++) {
+                simulation.run(200);
+                assertMonotonic(fixture, revisions);
+            }
+        }
+        simulation.platform().down(false);
+        simulation.platform().disturb(0, 0);
+        simulation.connect((from, to) -> true);
+        simulation.run(30_000);
+        assertMonotonic(fixture, revisions);
+        assertEachAcceptedChangeWasWrittenOnce(simulation, fixture);
+        long last = simulation
+                .platform()
+                .object("config/profile/x")
+                .map(Versioned::revision)
+                .orElse(0L);
+        for (Parts parts : fixture.running()) {
+            assertThat(parts.configuration().ready()).isTrue();
+            assertThat(presentRevision(parts)).isEqualTo(last);
+        }
+    }
+
+    private static void restart(
+            Simulation simulation, MembershipFixture fixture, Parts chosen, Map<String, Long> revisions) {
+        int number = Integer.parseInt(chosen.router().member().host().value().substring(1, 2));
+        chosen.router().kill();
+        fixture.start(number, (int) (simulation.now() - Simulation.START));
+        revisions.keySet().removeIf(key -> key.startsWith("r" + number + "-"));
+    }
+
+    /** Checks that the accepted calls are as many as the versions that they claim, each under its own revision. */
+    private static void assertEachAcceptedChangeWasWrittenOnce(Simulation simulation, MembershipFixture fixture) {
+        Map<Long, Long> callOfRevision = new HashMap<>();
+        for (var router : fixture.allRouters()) {
+            for (ConfigurationAccepted accepted : router.commands(ConfigurationAccepted.class)) {
+                Long other = callOfRevision.put(accepted.entry().revision(), accepted.call());
+                assertWithMessage("call that won revision %s", accepted.entry().revision())
+                        .that(other)
+                        .isNull();
+            }
+        }
+        Optional<Versioned> stored = simulation.platform().object("config/profile/x");
+        List<Long> written = new ArrayList<>();
+        stored.map(Versioned::value).map(ConfigurationEntry.class::cast).ifPresent(entry -> {
+            written.add(stored.get().revision());
+            entry.history().forEach(version -> written.add(version.revision()));
+        });
+        if (written.size() <= ConfigurationWriter.HISTORY_LENGTH) {
+            assertThat(written).containsAtLeastElementsIn(callOfRevision.keySet());
+        }
+    }
+
+    /** Guards against two operators who both believe that their change won, also when answers are lost. */
+    @Property(seed = "22", tries = 100)
+    void oneOfTwoRacingOperatorsWins(@ForAll long seed, @ForAll @IntRange(max = 200) int gapMillis) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = start(simulation, 6);
+        simulation.platform().disturb(0.5, 0);
+
+        put(fixture.get(0), 1, 0, Optional.of(PROFILE));
+        simulation.run(gapMillis);
+        put(fixture.get(1), 2, 0, Optional.of(PROFILE));
+        simulation.run(11_000);
+
+        long accepted = fixture.running().stream()
+                .mapToLong(parts ->
+                        parts.router().commands(ConfigurationAccepted.class).size())
+                .sum();
+        List<Failed> failed = new ArrayList<>();
+        fixture.running().forEach(parts -> failed.addAll(parts.router().commands(Failed.class)));
+        assertThat(accepted).isEqualTo(1);
+        assertThat(failed).hasSize(1);
+        assertThat(failed.getFirst().code()).isEqualTo(ErrorCode.VERSION_CONFLICT);
+        long revision =
+                simulation.platform().object("config/profile/x").orElseThrow().revision();
+        assertThat(failed.getFirst().detail()).contains("has revision " + revision);
+    }
+
+    /** Guards against changes that take longer than 3 s to be in force everywhere while a path exists. */
+    @Property(seed = "23", tries = 40)
+    void acceptedChangeIsInForceEverywhereWithinThreeSeconds(
+            @ForAll long seed, @ForAll boolean platformDiesAtOnce, @ForAll boolean peersSplit) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = start(simulation, 9);
+        if (peersSplit && !platformDiesAtOnce) {
+            simulation.connect((from, to) -> from.region().equals(to.region()));
+        } else {
+            simulation.disturbNetwork(0.2, 0.1, 60);
+        }
+
+        Parts writer = fixture.get(simulation.random().nextInt(9));
+        put(writer, 1, 0, Optional.of(PROFILE));
+        long deadline = simulation.now() + 1_000;
+        while (writer.router().commands(ConfigurationAccepted.class).isEmpty() && simulation.now() < deadline) {
+            simulation.run(1);
+        }
+        simulation.platform().down(platformDiesAtOnce);
+        long revision = writer.router()
+                .commands(ConfigurationAccepted.class)
+                .getFirst()
+                .entry()
+                .revision();
+        simulation.run(3_000);
+
+        for (Parts parts : fixture.running()) {
+            assertThat(presentRevision(parts)).isEqualTo(revision);
+        }
+    }
+
+    /** Guards against a router that takes work before it knows the configuration that its peers have. */
+    @Property(seed = "24", tries = 20)
+    void startingRouterIsReadyOnlyWithThePeersRevisionAlsoDuringAnOutage(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = start(simulation, 6);
+        for (int i = 0; i < 1_500; i++) {
+            String name = "p" + i;
+            ConfigurationVersion version =
+                    new ConfigurationVersion(0, Optional.of(PROFILE), "operator", "change-" + i, simulation.now());
+            simulation
+                    .platform()
+                    .put("config/profile/" + name, new ConfigurationEntry("profile", name, version, List.of()));
+        }
+        simulation.run(3_000);
+        simulation.platform().down(true);
+        Parts joined = fixture.start(7, 0);
+        for (int step = 0; step < 200 && !joined.configuration().ready(); step++) {
+            simulation.run(50);
+        }
+
+        assertThat(joined.configuration().ready()).isTrue();
+        assertThat(joined.configuration().entry("profile", "p1499")).isPresent();
+        assertThat(joined.configuration().revision())
+                .isEqualTo(fixture.get(0).configuration().revision());
+    }
+
+    /** Guards against references to entries that do not exist, which would take a service out of force. */
+    @Property(seed = "25", tries = 1)
+    void danglingReferencesAreRefusedBeforeTheWrite() {
+        Simulation simulation = new Simulation(1);
+        MembershipFixture fixture = start(simulation, 3);
+        Parts parts = fixture.get(0);
+        String service = ConfigurationParserTest.SERVICE;
+
+        parts.router().offer(new PutConfiguration(1, "service", "desk", 0, Optional.of(service), "o", "c1"));
+        parts.router().offer(new PutConfiguration(2, "profile", "orders", 0, Optional.of(PROFILE), "o", "c2"));
+        simulation.run(1_000);
+        parts.router().offer(new PutConfiguration(3, "service", "desk", 0, Optional.of(service), "o", "c3"));
+        simulation.run(1_000);
+        long revision =
+                parts.configuration().entry("profile", "orders").orElseThrow().revision();
+        parts.router().offer(new PutConfiguration(4, "profile", "orders", revision, Optional.empty(), "o", "c4"));
+        simulation.run(1_000);
+
+        List<Failed> failed = parts.router().commands(Failed.class);
+        assertThat(failed.stream().map(OperatorCommand::call)).containsExactly(1L, 4L);
+        assertThat(failed.getFirst().detail()).contains("there is no profile \"orders\"");
+        assertThat(parts.configuration().service(new ServiceName("desk"))).isPresent();
+    }
+
+    private static MembershipFixture start(Simulation simulation, int count) {
+        MembershipFixture fixture = new MembershipFixture(simulation);
+        fixture.startAll(count);
+        simulation.run(5_000);
+        return fixture;
+    }
+
+    private static long presentRevision(Parts parts) {
+        return parts.configuration()
+                .entry("profile", "x")
+                .map(ConfigurationEntry::revision)
+                .orElse(0L);
+    }
+
+    private static void put(Parts parts, long call, long expected, Optional<String> text) {
+        parts.router().offer(new PutConfiguration(call, "profile", "x", expected, text, "operator", "change-" + call));
+    }
+
+    private static void assertMonotonic(MembershipFixture fixture, Map<String, Long> revisions) {
+        for (Parts parts : fixture.running()) {
+            String host = parts.router().member().host().value();
+            assertNotLower(revisions, host + "/entry", presentRevision(parts));
+            assertNotLower(revisions, host + "/view", parts.configuration().revision());
+        }
+    }
+
+    private static void assertNotLower(Map<String, Long> revisions, String key, long revision) {
+        assertThat(revision).isAtLeast(revisions.getOrDefault(key, 0L));
+        revisions.put(key, revision);
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/membership/DefaultTargetDirectoryProperties.java
@@ -0,0 +1,174 @@
+package org.amaranthlock.coordination.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.amaranthlock.coordination.TargetCommand;
+import org.amaranthlock.coordination.TargetEvent;
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.model.Region;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.model.TargetId;
+import org.amaranthlock.protocol.platform.HostEntry;
+import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationEntry;
+import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationVersion;
+import org.amaranthlock.simulation.MembershipFixture;
+import org.amaranthlock.simulation.MembershipFixture.Parts;
+import org.amaranthlock.simulation.Simulation;
+
+class DefaultTargetDirectoryProperties {
+    private static final TargetId LEAVING = new TargetId("t3");
+
+    /** Guards against new work on a leaving target, also from routers that can't read the host list themselves. */
+    @Property(seed = "31", tries = 20)
+    void leavingTargetIsUnavailableOnEveryRouterWithinFiveSeconds(
+            @ForAll long seed, @ForAll @IntRange(max = 29) int cutOff, @ForAll boolean wholeDomain) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = start(simulation, 30, 6);
+        simulation.platform().reachableFrom(host -> {
+            int number = Integer.parseInt(host.value().substring(1, host.value().indexOf('-')));
+            return wholeDomain ? number % 3 != cutOff % 3 : number != cutOff;
+        });
+
+        simulation.platform().hosts(hostList(6, true));
+        simulation.run(5_000);
+
+        for (Parts parts : fixture.running()) {
+            assertWithMessage("%s", parts.router().member().host())
+                    .that(parts.directory().unavailableReason(LEAVING))
+                    .hasValue("leaving");
+        }
+    }
+
+    /** Guards against a target's own notice of leaving that only one router acts on. */
+    @Property(seed = "32", tries = 20)
+    void ownNoticeOfATargetReachesAllRoutersWithinFiveSeconds(
+            @ForAll long seed, @ForAll @IntRange(max = 29) int observer) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = start(simulation, 30, 6);
+
+        fixture.get(observer).router().offer(new TargetEvent.Leaving(LEAVING));
+        simulation.run(5_000);
+
+        for (Parts parts : fixture.running()) {
+            assertThat(parts.directory().available(LEAVING)).isFalse();
+        }
+        simulation.run(75_000);
+        for (Parts parts : fixture.running()) {
+            assertThat(parts.directory().available(LEAVING)).isTrue();
+        }
+    }
+
+    /** Guards against a mass of leaving targets that the limited news can't carry in time. */
+    @Property(seed = "33", tries = 5)
+    void leavingRackIsUnavailableEverywhereWithinFiveSeconds(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = start(simulation, 30, 60);
+        List<HostEntry> hosts = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            hosts.add(hostEntry("t" + i, true));
+        }
+        simulation.platform().hosts(hosts);
+        simulation.run(5_000);
+
+        for (Parts parts : fixture.running()) {
+            for (int i = 0; i < 40; i++) {
+                assertThat(parts.directory().available(new TargetId("t" + i))).isFalse();
+            }
+        }
+    }
+
+    /** Guards against polls in bursts, and against an unreachable target that is asked at full pace or forgotten. */
+    @Property(seed = "34", tries = 5)
+    void targetsArePolledEveryTwoSecondsAndUnreachableOnesWithBackoff(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = start(simulation, 3, 6);
+        Parts parts = fixture.get(0);
+        simulation.run(10_000);
+        int before = polls(parts, LEAVING);
+        simulation.run(20_000);
+        assertThat(polls(parts, LEAVING) - before).isEqualTo(10);
+
+        parts.router().offer(new TargetEvent.Unreachable(LEAVING));
+        assertThat(parts.directory().available(LEAVING)).isFalse();
+        int probes = 0;
+        for (int tick = 0; tick < 400; tick++) {
+            int seen = polls(parts, LEAVING);
+            simulation.run(50);
+            if (polls(parts, LEAVING) > seen) {
+                probes++;
+                parts.router().offer(new TargetEvent.Unreachable(LEAVING));
+            }
+        }
+        assertThat(probes).isIn(List.of(7, 8, 9));
+
+        parts.router().offer(new TargetEvent.Reachable(LEAVING));
+        assertThat(parts.directory().available(LEAVING)).isTrue();
+    }
+
+    /** Guards against a full mesh between routers and targets, and against spares that are all in one region. */
+    @Property(seed = "35", tries = 5)
+    void subsetHolds24TargetsWithFourInOtherRegions(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = start(simulation, 6, 120);
+
+        for (Parts parts : fixture.running()) {
+            List<Target> subset = parts.directory().targets(new ServiceName("engines"));
+            assertThat(subset).hasSize(24);
+            long near = subset.stream()
+                    .filter(target ->
+                            target.region().equals(parts.router().member().region()))
+                    .count();
+            assertThat(near).isEqualTo(20);
+        }
+        assertThat(fixture.get(0).directory().all())
+                .isNotEqualTo(fixture.get(3).directory().all());
+    }
+
+    private static int polls(Parts parts, TargetId id) {
+        return (int) parts.router().commands(TargetCommand.Poll.class).stream()
+                .filter(poll -> poll.target().id().equals(id))
+                .count();
+    }
+
+    private static MembershipFixture start(Simulation simulation, int routers, int targets) {
+        for (int i = 0; i < targets; i++) {
+            int domain = i % 3;
+            String text = "service = \"engines\"\naddress = \"10.9.0." + i + ":8000\"\nregion = \"region-" + domain
+                    + "\"\nfailure-domain = \"domain-" + domain + "\"\nslots = 8\n";
+            write(simulation, "target", "t" + i, text);
+        }
+        simulation.platform().hosts(hostList(targets, false));
+        MembershipFixture fixture = new MembershipFixture(simulation);
+        fixture.startAll(routers);
+        simulation.run(10_000);
+        return fixture;
+    }
+
+    private static void write(Simulation simulation, String kind, String name, String text) {
+        ConfigurationVersion version =
+                new ConfigurationVersion(0, Optional.of(text), "operator", kind + name, simulation.now());
+        simulation
+                .platform()
+                .put("config/" + kind + "/" + name, new ConfigurationEntry(kind, name, version, List.of()));
+    }
+
+    private static List<HostEntry> hostList(int targets, boolean leaving) {
+        List<HostEntry> hosts = new ArrayList<>();
+        for (int i = 0; i < targets; i++) {
+            hosts.add(hostEntry("t" + i, leaving && i == 3));
+        }
+        return hosts;
+    }
+
+    private static HostEntry hostEntry(String name, boolean leaving) {
+        return new HostEntry(name, "target", "10.9.0.1:8000", new Region("r"), new FailureDomain("d"), leaving);
+    }
+}
--- a/amaranthlock-core/src/test/java/org/amaranthlock/simulation/MembershipFixture.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/simulation/MembershipFixture.java
@@ -18,6 +18,7 @@
 /** Starts routers with membership, configuration and target directory. */
 public final class MembershipFixture {
     private final Simulation simulation;
+    private final List<SimulatedRouter> all = new ArrayList<>();
     private final Map<Integer, Parts> parts = new LinkedHashMap<>();
 
     public MembershipFixture(Simulation simulation) {
@@ -50,6 +51,7 @@
         DefaultTargetDirectory directory = new DefaultTargetDirectory(self[0], held[0], news, random, numbers);
         Parts created = new Parts(router, numbers, router.with(self[0]), router.with(held[0]), router.with(directory));
         parts.put(number, created);
+        all.add(router);
         simulation.add(router);
         return created;
     }
@@ -64,6 +66,11 @@
         return parts.get(number);
     }
 
+    /** Returns all routers, also those that no longer run. */
+    public List<SimulatedRouter> allRouters() {
+        return List.copyOf(all);
+    }
+
     public List<Parts> running() {
         List<Parts> result = new ArrayList<>(parts.values());
         result.removeIf(item -> !item.router().running());
