--- /dev/null
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/transport/peer/PeerAddresses.java
@@ -0,0 +1,20 @@
+package org.amaranthlock.transport.peer;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import java.net.InetSocketAddress;
+
+/** Reads and writes addresses made of an IP number and a port; names are never looked up. */
+final class PeerAddresses {
+    private PeerAddresses() {}
+
+    static InetSocketAddress parse(String address) {
+        HostAndPort parts = HostAndPort.fromString(address);
+        return new InetSocketAddress(InetAddresses.forString(parts.getHost()), parts.getPort());
+    }
+
+    static String format(InetSocketAddress address) {
+        return HostAndPort.fromParts(address.getAddress().getHostAddress(), address.getPort())
+                .toString();
+    }
+}
--- /dev/null
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/transport/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between routers over TCP. */
+package org.amaranthlock.transport.peer;
