Add the demo driver, its checker and bin/demo

Cause: the invariants must be shown on separate processes while engines and routers fail. Change: callers that resume with Last-Event-ID, a checker of tokens, executions and records, and a script that starts 13 processes, injects the faults and stops them by process id. A connection that a fault drops is now closed before its handler ends, because ServiceTalk else answers 500 if it is faster.

--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/EventWriter.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/EventWriter.java
@@ -17,26 +17,27 @@
 
     /** Writes an event with an id. */
     public void event(long id, Object data) throws IOException {
-        write("id: " + id + "\ndata: " + Json.text(data) + "\n\n");
+        raw("id: " + id + "\ndata: " + Json.text(data) + "\n\n");
     }
 
     /** Writes an event with a name. */
     public void named(String name, Object data) throws IOException {
-        write("event: " + name + "\ndata: " + Json.text(data) + "\n\n");
+        raw("event: " + name + "\ndata: " + Json.text(data) + "\n\n");
     }
 
     /** Writes a comment, which fails if the reader has left. */
     public void comment() throws IOException {
-        write(":\n\n");
+        raw(":\n\n");
+    }
+
+    /** Writes text as it is. */
+    public void raw(String text) throws IOException {
+        writer.write(allocator.fromUtf8(text));
+        writer.flush();
     }
 
     @Override
     public void close() throws IOException {
         writer.close();
     }
-
-    private void write(String text) throws IOException {
-        writer.write(allocator.fromUtf8(text));
-        writer.flush();
-    }
 }
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/Exchange.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/Exchange.java
@@ -12,12 +12,17 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /** One HTTP request and the means to answer it. */
 public final class Exchange {
     /** Size up to which a request body is read, in bytes; 1 MiB as for callers of the routers. */
     public static final int MAX_BODY_BYTES = 1 << 20;
 
+    private static final long CLOSE_SECONDS = 5;
+
     private final HttpServiceContext context;
     private final BlockingStreamingHttpRequest request;
     private final BlockingStreamingHttpServerResponse response;
@@ -152,10 +157,20 @@
                 response.sendMetaData(), context.executionContext().bufferAllocator());
     }
 
-    /** Closes the connection without an answer. */
+    /**
+     * Closes the connection without an answer.
+     *
+     * <p>Waits until it is closed, because the server answers the exception that ends the handler if it still can.
+     */
     public void dropConnection() {
         answered = true;
-        context.closeAsync().subscribe();
+        try {
+            context.closeAsync().toFuture().get(CLOSE_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IllegalStateException("The connection could not be closed.", e);
+        }
         throw new DroppedConnection();
     }
 
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/demo/Accounts.java
@@ -0,0 +1,81 @@
+package org.amaranthlock.standin.demo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.amaranthlock.standin.HttpCaller;
+import org.amaranthlock.standin.Json;
+import org.amaranthlock.standin.Timing;
+
+/** Reads outcome records, the time line and the desks' executions. */
+final class Accounts {
+    /** Time in which a record must become readable, in milliseconds; the design page says within seconds. */
+    private static final long RECORD_MILLIS = 8_000;
+
+    private static final long POLL_MILLIS = 200;
+
+    private final RouterPool routers;
+    private final Map<String, String> headers;
+
+    Accounts(RouterPool routers, String operatorKey) {
+        this.routers = routers;
+        this.headers = Map.of("Authorization", "Bearer " + operatorKey);
+    }
+
+    /** Reads the record of a request from any live router; a missing node if there is none in time. */
+    JsonNode record(String requestId) {
+        long deadline = Timing.monotonicMillis() + RECORD_MILLIS;
+        do {
+            for (int router = 0; router < routers.size(); router++) {
+                JsonNode record = fetch(router, "/admin/accounts/" + requestId);
+                if (!record.isMissingNode()) {
+                    return record;
+                }
+            }
+            Timing.delay(POLL_MILLIS);
+        } while (Timing.monotonicMillis() < deadline);
+        return MissingNode.getInstance();
+    }
+
+    /** Merges the time lines of all live routers in the order of their hybrid clocks. */
+    List<JsonNode> timeline() {
+        List<JsonNode> events = new ArrayList<>();
+        for (int router = 0; router < routers.size(); router++) {
+            fetch(router, "/admin/timeline").forEach(events::add);
+        }
+        events.sort(Comparator.comparingLong(event -> event.path("hybridTime").asLong()));
+        return events;
+    }
+
+    /** Adds up the executions per key over all desks. */
+    static Map<String, Integer> executions(RouterPool desks) throws IOException {
+        Map<String, Integer> executions = new HashMap<>();
+        for (int desk = 0; desk < desks.size(); desk++) {
+            HttpCaller.Answer answer = desks.caller(desk).call("GET", "/executions", Map.of(), new byte[0]);
+            Json.parse(answer.body())
+                    .properties()
+                    .forEach(entry -> executions.merge(
+                            withoutAccount(entry.getKey()), entry.getValue().asInt(), Integer::sum));
+        }
+        return executions;
+    }
+
+    private JsonNode fetch(int router, String target) {
+        try {
+            HttpCaller.Answer answer = routers.caller(router).call("GET", target, headers, new byte[0]);
+            return answer.status() == 200 ? Json.parse(answer.body()) : MissingNode.getInstance();
+        } catch (IOException e) {
+            return MissingNode.getInstance();
+        }
+    }
+
+    /** Routers may send the ledger key {@code account/key} in place of the caller's key. */
+    private static String withoutAccount(String key) {
+        return key.substring(key.lastIndexOf('/') + 1);
+    }
+}
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/demo/DemoDriver.java
@@ -0,0 +1,85 @@
+package org.amaranthlock.standin.demo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Sends generations and orders to routers while a script injects faults, and checks every answer and record. */
+@Command(name = "demo-driver", mixinStandardHelpOptions = true, description = "Load driver and checker of the demo.")
+public final class DemoDriver implements Callable<Integer> {
+    @Option(names = "--routers", split = ",", required = true, description = "Addresses of the routers.")
+    private List<String> routerAddresses;
+
+    @Option(names = "--desks", split = ",", required = true, description = "Addresses of the order desks.")
+    private List<String> deskAddresses;
+
+    @Option(names = "--account-key", required = true, description = "Key of the client account.")
+    private String accountKey;
+
+    @Option(names = "--operator-key", required = true, description = "Key of an operator.")
+    private String operatorKey;
+
+    @Option(names = "--orders", defaultValue = "60", description = "Number of orders.")
+    private int orders;
+
+    @Option(names = "--long-answers", defaultValue = "9", description = "Number of long generations.")
+    private int longAnswers;
+
+    @Option(names = "--long-tokens", defaultValue = "600", description = "Tokens of a long generation.")
+    private int longTokens;
+
+    @Option(names = "--short-answers", defaultValue = "30", description = "Number of short generations.")
+    private int shortAnswers;
+
+    @Option(names = "--short-tokens", defaultValue = "20", description = "Tokens of a short generation.")
+    private int shortTokens;
+
+    @Option(names = "--spacing-millis", defaultValue = "100", description = "Time between two orders.")
+    private long spacingMillis;
+
+    /** Runs the driver; the exit status is 0 only if nothing was wrong. */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new DemoDriver()).execute(args));
+    }
+
+    @Override
+    public Integer call() throws InterruptedException, ExecutionException, IOException {
+        try (RouterPool routers = new RouterPool(routerAddresses);
+                RouterPool desks = new RouterPool(deskAddresses)) {
+            String runId = Integer.toString(ThreadLocalRandom.current().nextInt(1 << 20), 36);
+            DemoLoad.Sizes sizes = new DemoLoad.Sizes(
+                    longAnswers, longTokens, shortAnswers, shortTokens, orders, spacingMillis, runId);
+            List<RequestResult> results = new DemoLoad(routers, sizes, accountKey, System.out).run();
+            return judge(results, new Accounts(routers, operatorKey), Accounts.executions(desks));
+        }
+    }
+
+    private int judge(List<RequestResult> results, Accounts accounts, Map<String, Integer> executions) {
+        Summary summary = new Summary();
+        Report report = new Report(System.out);
+        report.printHeader();
+        for (RequestResult result : results) {
+            List<JsonNode> records = new ArrayList<>();
+            for (String requestId : result.requestIds()) {
+                JsonNode record = accounts.record(requestId);
+                if (!record.isMissingNode()) {
+                    records.add(record);
+                }
+                report.printRecord(result.label(), requestId, record);
+            }
+            summary.add(result, records, executions.getOrDefault(result.label(), 0));
+        }
+        report.printTimeline(accounts.timeline());
+        summary.faults().forEach(fault -> System.out.println("fault: " + fault));
+        System.out.println(summary.line());
+        return summary.passed() ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/demo/GenerationCaller.java
@@ -0,0 +1,124 @@
+package org.amaranthlock.standin.demo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.amaranthlock.standin.EventStream;
+import org.amaranthlock.standin.EventStream.ServerSentEvent;
+import org.amaranthlock.standin.HttpCaller;
+import org.amaranthlock.standin.Json;
+import org.amaranthlock.standin.demo.RequestResult.Ending;
+
+/** Caller of a streamed generation that resumes at the last event it got. */
+final class GenerationCaller extends AbstractCaller {
+    /** Silence after which the caller takes its connection for lost, in milliseconds. */
+    private static final long IDLE_MILLIS = 8_000;
+
+    private final AnswerChecker checker;
+    private final byte[] body;
+    private String lastEventId = "";
+    private volatile int position;
+
+    /**
+     * Creates a caller.
+     *
+     * @param routers the routers
+     * @param accountKey key of the client account
+     * @param label name of the request
+     * @param firstRouter index of the first router
+     * @param service service, the field {@code model} of the body
+     * @param tokens length of the answer
+     * @param seed seed of the sampling
+     */
+    GenerationCaller(
+            RouterPool routers,
+            String accountKey,
+            String label,
+            int firstRouter,
+            String service,
+            int tokens,
+            long seed) {
+        super(routers, accountKey, label, firstRouter);
+        this.checker = new AnswerChecker(seed, tokens);
+        Map<String, Object> request = new LinkedHashMap<>();
+        request.put("model", service);
+        request.put("messages", List.of(Map.of("role", "user", "content", "Demo request " + label)));
+        request.put("max_tokens", tokens);
+        request.put("seed", seed);
+        request.put("stream", true);
+        this.body = Json.text(request).getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Returns the number of tokens received so far; may be called by any thread. */
+    int position() {
+        return position;
+    }
+
+    @Override
+    Optional<Problem> attempt(HttpCaller caller, Map<String, String> headers) throws IOException {
+        if (!lastEventId.isEmpty()) {
+            headers.put("Last-Event-ID", lastEventId);
+        }
+        try (EventStream stream = caller.open("POST", "/v1/chat/completions", headers, body)) {
+            noteRequestId(stream.headers().value("Amaranthlock-Request-Id"));
+            if (stream.status() != 200) {
+                return Optional.of(
+                        Problem.of(new HttpCaller.Answer(stream.status(), stream.headers(), stream.readAll())));
+            }
+            return receive(stream);
+        }
+    }
+
+    @Override
+    boolean started() {
+        return position > 0;
+    }
+
+    @Override
+    Ending lostConnection() {
+        return Ending.INCOMPLETE;
+    }
+
+    @Override
+    RequestResult result(Ending ending, String detail) {
+        if (ending == Ending.COMPLETE) {
+            checker.finish();
+        }
+        return new RequestResult(
+                label(),
+                false,
+                ending,
+                requestIds(),
+                reconnects(),
+                checker.missing(),
+                checker.repeated(),
+                checker.mixed(),
+                detail);
+    }
+
+    private Optional<Problem> receive(EventStream stream) throws IOException {
+        while (true) {
+            ServerSentEvent event =
+                    stream.next(IDLE_MILLIS).orElseThrow(() -> new IOException("the stream ended without [DONE]"));
+            if (event.data().equals("[DONE]")) {
+                return Optional.empty();
+            }
+            JsonNode data = Json.parseLeniently(event.data());
+            if (data.has("code")) {
+                return Optional.of(Problem.of(data.path("status").asInt(500), data, null));
+            }
+            String content =
+                    data.path("choices").path(0).path("delta").path("content").asText("");
+            checker.accept(content);
+            position = checker.position();
+            if (!event.id().isEmpty()) {
+                lastEventId = event.id();
+                noteRequestId(event.id().substring(0, Math.max(0, event.id().lastIndexOf(':'))));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/demo/Report.java
@@ -0,0 +1,88 @@
+package org.amaranthlock.standin.demo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintStream;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Prints the table of outcome records and the time line. */
+final class Report {
+    /** Lines of the time line, so that it fits on a page. */
+    private static final int TIMELINE_LINES = 50;
+
+    /** Bits of the counter of a hybrid time; the rest is milliseconds since the epoch. */
+    private static final int COUNTER_BITS = 16;
+
+    private static final DateTimeFormatter TIME =
+            DateTimeFormatter.ofPattern("HH:mm:ss.SSS").withZone(ZoneOffset.UTC);
+    private static final String ROW = "%-12s %-34s %-10s %-11s %-8s %-8s %8s %7s %10s%n";
+
+    private final PrintStream out;
+
+    Report(PrintStream out) {
+        this.out = out;
+    }
+
+    void printHeader() {
+        out.printf(ROW, "request", "id", "service", "outcome", "fate", "router", "attempts", "tokens", "recomputed");
+    }
+
+    void printRecord(String label, String requestId, JsonNode record) {
+        Map<String, String> columns = Summary.columns(record);
+        out.printf(
+                ROW,
+                label,
+                requestId,
+                columns.get("service"),
+                columns.get("outcome"),
+                columns.get("fate"),
+                columns.get("router"),
+                columns.get("attempts"),
+                columns.get("tokens"),
+                columns.get("recomputed"));
+    }
+
+    void printTimeline(List<JsonNode> events) {
+        List<JsonNode> page = page(events, TIMELINE_LINES);
+        out.printf("%ntime line (%d of %d events, rare kinds first chosen)%n", page.size(), events.size());
+        for (JsonNode event : page) {
+            Instant time = Instant.ofEpochMilli(event.path("hybridTime").asLong() >> COUNTER_BITS);
+            out.printf(
+                    "%s %-8s %-20s %-34s %s%n",
+                    TIME.format(time),
+                    Summary.text(event, "host"),
+                    Summary.text(event, "kind"),
+                    Summary.text(event, "subject"),
+                    Summary.text(event, "text"));
+        }
+    }
+
+    /** Returns at most a number of events in their order, preferring kinds that are rare, because these tell of faults. */
+    static List<JsonNode> page(List<JsonNode> events, int lines) {
+        Map<String, Integer> frequency = new HashMap<>();
+        events.forEach(event -> frequency.merge(event.path("kind").asText(), 1, Integer::sum));
+        List<Integer> order = new ArrayList<>();
+        for (int i = 0; i < events.size(); i++) {
+            order.add(i);
+        }
+        order.sort(Comparator.comparingInt(
+                        (Integer i) -> frequency.get(events.get(i).path("kind").asText()))
+                .thenComparing(Comparator.naturalOrder()));
+        Set<Integer> chosen = new HashSet<>(order.subList(0, Math.min(lines, order.size())));
+        List<JsonNode> page = new ArrayList<>();
+        for (int i = 0; i < events.size(); i++) {
+            if (chosen.contains(i)) {
+                page.add(events.get(i));
+            }
+        }
+        return page;
+    }
+}
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/demo/package-info.java
@@ -0,0 +1,2 @@
+/** Load driver and checker of the demo. */
+package org.amaranthlock.standin.demo;
--- /dev/null
+++ b/amaranthlock-standins/src/test/java/org/amaranthlock/standin/demo/CallerTest.java
@@ -0,0 +1,103 @@
+package org.amaranthlock.standin.demo;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import org.amaranthlock.standin.EventWriter;
+import org.amaranthlock.standin.Exchange;
+import org.amaranthlock.standin.HttpProblem;
+import org.amaranthlock.standin.Json;
+import org.amaranthlock.standin.StandinServer;
+import org.amaranthlock.standin.demo.RequestResult.Ending;
+import org.amaranthlock.standin.engine.TokenText;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class CallerTest {
+    private static final int TOKENS = 6;
+    private static final long SEED = 3;
+
+    private final List<String> lastEventIds = Collections.synchronizedList(new ArrayList<>());
+    private final List<String> bodies = Collections.synchronizedList(new ArrayList<>());
+    private final StandinServer failing = new StandinServer("127.0.0.1", 0, this::answerHalf);
+    private final StandinServer working = new StandinServer("127.0.0.1", 0, this::answerRest);
+    private RouterPool routers;
+
+    @BeforeEach
+    void start() {
+        failing.start();
+        working.start();
+        routers = new RouterPool(List.of(failing.address(), working.address()));
+    }
+
+    @AfterEach
+    void stop() {
+        routers.close();
+        failing.stop();
+        working.stop();
+    }
+
+    // Guards against a caller that doesn't resume behind the last event it got, or changes its request.
+    @Test
+    void aGenerationIsResumedAtAnotherRouterWithItsLastEventId() {
+        RequestResult result = new GenerationCaller(routers, "key", "draft-1", 0, "drafts", TOKENS, SEED).call();
+        assertThat(result.ending()).isEqualTo(Ending.COMPLETE);
+        assertThat(result.reconnects()).isEqualTo(1);
+        assertThat(result.missing() + result.repeated() + result.mixed()).isEqualTo(0);
+        assertThat(result.requestIds()).containsExactly("00a");
+        assertThat(lastEventIds).containsExactly("null", "00a:2");
+        assertThat(bodies.get(0)).isEqualTo(bodies.get(1));
+    }
+
+    // Guards against a caller that gives up after one refusal, or returns under another key.
+    @Test
+    void anOrderIsSentAgainUnderItsKeyAfterARefusalThatNamesATime() {
+        RequestResult result = new OrderCaller(routers, "key", "order-1", 0).call();
+        assertThat(result.ending()).isEqualTo(Ending.COMPLETE);
+        assertThat(result.mixed()).isEqualTo(0);
+    }
+
+    private void answerHalf(Exchange exchange) throws IOException {
+        if (exchange.path().startsWith("/services/")) {
+            exchange.respondHeader("Retry-After", "0.05");
+            throw new HttpProblem(503, "overloaded", "Return later.");
+        }
+        note(exchange);
+        try (EventWriter events = exchange.sendEvents()) {
+            // The stream ends without [DONE], as after the loss of a router.
+            writeTokens(events, 0, 3);
+        }
+    }
+
+    private void answerRest(Exchange exchange) throws IOException {
+        if (exchange.path().startsWith("/services/")) {
+            assertThat(exchange.header("Idempotency-Key")).isEqualTo("order-1");
+            exchange.sendJson(201, Map.of("accepted", Map.of("order", "order-1")));
+            return;
+        }
+        note(exchange);
+        try (EventWriter events = exchange.sendEvents()) {
+            writeTokens(events, 3, TOKENS);
+            events.raw("data: [DONE]\n\n");
+        }
+    }
+
+    private void note(Exchange exchange) {
+        lastEventIds.add(String.valueOf(exchange.header("Last-Event-ID")));
+        bodies.add(new String(exchange.body(), StandardCharsets.UTF_8));
+    }
+
+    private static void writeTokens(EventWriter events, int from, int to) throws IOException {
+        for (int i = from; i < to; i++) {
+            String token = TokenText.of(SEED, i, "a").text();
+            Object chunk = Map.of("choices", List.of(Map.of("delta", Map.of("content", token))));
+            events.raw("id: 00a:" + i + "\ndata: " + Json.text(chunk) + "\n\n");
+        }
+    }
+}
