Test the front, the settings and the command line, and release vanished callers

A caller that closed its side before the first token left its exchange pending, so its connection stayed half open and a stop waited 5 s for it. The exchange now ends its answer when the caller is gone.

--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/Exchange.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/Exchange.java
@@ -127,8 +127,17 @@
 
     /** Reports once that the caller left before the end of its answer; may be called from any thread. */
     void callerGone() {
-        if (end()) {
-            registry.callerGone(this);
+        if (!end()) {
+            return;
+        }
+        registry.callerGone(this);
+        // The connection may be closed in one direction only; ending the answer releases it.
+        if (writer.started()) {
+            writer.abort();
+        } else {
+            Refusal refusal = new Refusal(
+                    ErrorCode.INTERNAL, Fate.UNKNOWN, "The caller closed the connection.", OptionalLong.empty());
+            reply.complete(Problems.reply(refusal, Optional.of(id)).with("connection", "close"));
         }
     }
 
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/StreamedAnswer.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/StreamedAnswer.java
@@ -24,7 +24,7 @@
     private final ByteQueue body;
     private int nextIndex;
     private int tokens;
-    private boolean started;
+    private volatile boolean started;
     private String problem = "";
 
     StreamedAnswer(
--- /dev/null
+++ b/amaranthlock-router/src/test/java/org/amaranthlock/router/ScriptedCore.java
@@ -0,0 +1,62 @@
+package org.amaranthlock.router;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.NodeCore;
+
+/** Core whose commands come from the test: as answers to events, or at the next tick. */
+public final class ScriptedCore implements NodeCore {
+    private static final long WAIT_SECONDS = 10;
+
+    private final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final ConcurrentLinkedQueue<Command> commands = new ConcurrentLinkedQueue<>();
+    private volatile Function<Event, List<Command>> script = event -> List.of();
+
+    @Override
+    public List<Command> handle(Event event, long nowMillis) {
+        if (event instanceof Event.Tick) {
+            List<Command> due = new ArrayList<>();
+            for (Command next = commands.poll(); next != null; next = commands.poll()) {
+                due.add(next);
+            }
+            return due;
+        }
+        events.add(event);
+        return script.apply(event);
+    }
+
+    /** Sets the answers to events. */
+    public void onEvent(Function<Event, List<Command>> newScript) {
+        script = newScript;
+    }
+
+    /** Returns commands at the next tick. */
+    public void issue(Command... next) {
+        commands.addAll(List.of(next));
+    }
+
+    /** Waits for the next event of a type and drops others. */
+    public <T extends Event> T await(Class<T> type) throws InterruptedException {
+        while (true) {
+            Event event = events.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            if (event == null) {
+                throw new AssertionError("No " + type.getSimpleName() + " within " + WAIT_SECONDS + " s");
+            }
+            if (type.isInstance(event)) {
+                return type.cast(event);
+            }
+        }
+    }
+
+    /** Returns an event of a type that has arrived already. */
+    public <T extends Event> Optional<T> seen(Class<T> type) {
+        return events.stream().filter(type::isInstance).map(type::cast).findFirst();
+    }
+}
--- /dev/null
+++ b/amaranthlock-router/src/test/java/org/amaranthlock/router/cli/MainTest.java
@@ -0,0 +1,182 @@
+package org.amaranthlock.router.cli;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.OperatorCommand.ConfigurationAccepted;
+import org.amaranthlock.coordination.OperatorCommand.ConfigurationShown;
+import org.amaranthlock.coordination.OperatorCommand.Failed;
+import org.amaranthlock.coordination.OperatorEvent.GetConfiguration;
+import org.amaranthlock.coordination.OperatorEvent.PutConfiguration;
+import org.amaranthlock.model.ErrorCode;
+import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationEntry;
+import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationVersion;
+import org.amaranthlock.router.RouterAssembly;
+import org.amaranthlock.router.RouterFixture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+
+@Timeout(60)
+class MainTest {
+    private static final String ENTRIES = """
+            [service.drafts]
+            profile = "drafting"
+            generation = true
+            [profile.drafting]
+            kind = "kept-alive"
+            max-attempts = 3
+            priority = 1
+            deadline-ms = 60000
+            """;
+
+    @TempDir
+    private Path directory;
+
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
+
+    // Guards against scripts that can't tell a valid file from an invalid one.
+    @Test
+    void checkConfigTellsByItsExitCodeWhetherAFileIsValid() throws Exception {
+        assertThat(run("check-config", file(RouterFixture.settingsText()))).isEqualTo(ExitCodes.OK);
+        assertThat(run("check-config", file("[host]\nname = 1\n"))).isEqualTo(ExitCodes.INVALID_INPUT);
+        assertThat(err.toString()).contains(":2: host.name: ");
+        assertThat(err.toString()).contains("platform.address: is missing");
+        assertThat(run("check-config", directory.resolve("absent").toString())).isEqualTo(ExitCodes.INVALID_INPUT);
+        assertThat(run("check-config")).isEqualTo(ExitCodes.USAGE);
+        assertThat(run()).isEqualTo(ExitCodes.USAGE);
+    }
+
+    // Guards against changes without a key, and against a fault report for a router that is down.
+    @Test
+    void missingKeysAndRoutersHaveTheirOwnExitCodes() throws Exception {
+        assertThat(run("targets", "--router", "127.0.0.1:1", "--operator-key", " "))
+                .isEqualTo(ExitCodes.USAGE);
+        assertThat(run("targets", "--router", "127.0.0.1:1", "--operator-key", "k"))
+                .isEqualTo(ExitCodes.UNREACHABLE);
+        try (RouterFixture router = new RouterFixture()) {
+            assertThat(run("config", "get", "--router", router.address(), "--operator-key", "wrong"))
+                    .isEqualTo(ExitCodes.FAILED);
+            assertThat(err.toString()).contains("unauthenticated");
+        }
+    }
+
+    // Guards against writes that change nothing, against a wrong order, and against entries that are left out.
+    @Test
+    void applyWritesOnlyTheEntriesThatDiffer() throws Exception {
+        try (RouterFixture router = new RouterFixture()) {
+            MemoryConfiguration configuration = new MemoryConfiguration();
+            router.core.onEvent(configuration);
+            assertThat(operate(router, "config", "apply", file(ENTRIES))).isEqualTo(ExitCodes.OK);
+            assertThat(configuration.writes)
+                    .containsExactly("profile/drafting@0", "service/drafts@0")
+                    .inOrder();
+            assertThat(operate(router, "config", "apply", file(ENTRIES))).isEqualTo(ExitCodes.OK);
+            assertThat(configuration.writes).hasSize(2);
+            String changed = ENTRIES.replace("max-attempts = 3", "max-attempts = 4");
+            assertThat(operate(router, "config", "diff", file(changed))).isEqualTo(ExitCodes.OK);
+            assertThat(out.toString()).contains("change profile/drafting");
+            assertThat(operate(router, "config", "apply", file(changed))).isEqualTo(ExitCodes.OK);
+            assertThat(configuration.writes).contains("profile/drafting@1");
+            assertThat(operate(router, "config", "get", "profile", "drafting")).isEqualTo(ExitCodes.OK);
+            assertThat(out.toString()).contains("# profile/drafting revision 3 by anna");
+        }
+    }
+
+    // Guards against an operator's change that overwrites another one unseen.
+    @Test
+    void aLostRaceHasItsOwnExitCode() throws Exception {
+        try (RouterFixture router = new RouterFixture()) {
+            router.core.onEvent(new MemoryConfiguration());
+            operate(router, "config", "apply", file(ENTRIES));
+            int exit = operate(router, "config", "put", "profile", "drafting", file("priority = 1"), "--revision", "9");
+            assertThat(exit).isEqualTo(ExitCodes.CONFLICT);
+            assertThat(err.toString()).contains("The present revision is 1 by anna");
+        }
+    }
+
+    // Guards against half of an invalid file being applied.
+    @Test
+    void anInvalidFileIsRefusedBeforeAnythingIsWritten() throws Exception {
+        try (RouterFixture router = new RouterFixture()) {
+            MemoryConfiguration configuration = new MemoryConfiguration();
+            router.core.onEvent(configuration);
+            assertThat(operate(router, "config", "apply", file(ENTRIES + "[ledger.x]\na = 1\n")))
+                    .isEqualTo(ExitCodes.INVALID_INPUT);
+            assertThat(err.toString()).contains("unknown kind 'ledger'");
+            assertThat(configuration.writes).isEmpty();
+        }
+    }
+
+    private int operate(RouterFixture router, String... command) {
+        List<String> arguments = new ArrayList<>(List.of(command));
+        arguments.addAll(List.of("--router", router.address(), "--operator-key", RouterFixture.OPERATOR_KEY));
+        return run(arguments.toArray(String[]::new));
+    }
+
+    private int run(String... arguments) {
+        CommandLine line = Main.commandLine(RouterAssembly::standard);
+        line.setOut(new PrintWriter(out, true));
+        line.setErr(new PrintWriter(err, true));
+        return line.execute(arguments);
+    }
+
+    private String file(String text) throws Exception {
+        return Files.writeString(Files.createTempFile(directory, "file", ".toml"), text)
+                .toString();
+    }
+
+    /** Configuration with conditional writes, kept in memory. */
+    private static final class MemoryConfiguration implements Function<Event, List<Command>> {
+        private final Map<String, ConfigurationEntry> entries = new LinkedHashMap<>();
+        private final List<String> writes = new ArrayList<>();
+        private long revision;
+
+        @Override
+        public List<Command> apply(Event event) {
+            return switch (event) {
+                case GetConfiguration get ->
+                    List.of(new ConfigurationShown(
+                            get.call(),
+                            entries.values().stream()
+                                    .filter(entry -> get.name().isEmpty()
+                                            || entry.objectKey().equals("config/" + get.kind() + "/" + get.name()))
+                                    .toList()));
+                case PutConfiguration put -> List.of(write(put));
+                default -> List.of();
+            };
+        }
+
+        private Command write(PutConfiguration put) {
+            String key = put.kind() + "/" + put.name();
+            long present = Optional.ofNullable(entries.get(key))
+                    .map(ConfigurationEntry::revision)
+                    .orElse(0L);
+            if (present != put.expectedRevision()) {
+                return new Failed(put.call(), ErrorCode.VERSION_CONFLICT, "Read the entry again.");
+            }
+            writes.add(key + "@" + put.expectedRevision());
+            revision++;
+            ConfigurationEntry entry = new ConfigurationEntry(
+                    put.kind(),
+                    put.name(),
+                    new ConfigurationVersion(revision, put.text(), put.author(), put.changeId(), 0),
+                    List.of());
+            entries.put(key, entry);
+            return new ConfigurationAccepted(put.call(), entry);
+        }
+    }
+}
