Report malformed addresses and test reused connections

A mistyped address of a target raised an exception on the calling control thread, and one of a peer left its link connecting for ever. Two new tests check that NOT_SENT stays true on reused connections that the target closes.

--- a/amaranthlock-net/src/main/java/org/amaranthlock/transport/peer/PeerLink.java
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/transport/peer/PeerLink.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import org.amaranthlock.coordination.Event.PeerUnreachable;
 import org.amaranthlock.model.HostId;
@@ -169,7 +170,16 @@
         if (state != State.CONNECTING || channel != null) {
             return;
         }
-        ChannelFuture connecting = bootstrap.clone(loop).connect(PeerAddresses.parse(address));
+        InetSocketAddress parsed;
+        try {
+            parsed = PeerAddresses.parse(address);
+        } catch (IllegalArgumentException e) {
+            LOG.warnf("Can't connect to %s; correct its address: %s", host, e.getMessage());
+            state = State.IDLE;
+            connectFailed();
+            return;
+        }
+        ChannelFuture connecting = bootstrap.clone(loop).connect(parsed);
         channel = connecting.channel();
         connecting.addListener(done -> {
             if (!done.isSuccess()) {
--- a/amaranthlock-net/src/test/java/org/amaranthlock/transport/RawServer.java
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/transport/RawServer.java
@@ -13,7 +13,7 @@
 
 /** HTTP server on a raw socket that can break connections at a chosen byte. */
 public final class RawServer implements AutoCloseable {
-    /** Answers one request; the connection is closed afterwards. */
+    /** Answers one request; an exception closes the connection. */
     @FunctionalInterface
     public interface Script {
         /** Writes the answer. */
@@ -22,12 +22,19 @@
 
     private final ServerSocket socket;
     private final Script script;
+    private final boolean keepAlive;
     private final BlockingQueue<String> heads = new LinkedBlockingQueue<>();
     private final BlockingQueue<Exception> failures = new LinkedBlockingQueue<>();
 
-    /** Starts a server. */
+    /** Starts a server that closes each connection after one request. */
     public RawServer(Script script) throws IOException {
+        this(script, false);
+    }
+
+    /** Starts a server. */
+    public RawServer(Script script, boolean keepAlive) throws IOException {
         this.script = script;
+        this.keepAlive = keepAlive;
         socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         Thread.ofVirtual().start(this::accept);
     }
@@ -74,9 +81,10 @@
         try (connection) {
             InputStream in = new BufferedInputStream(connection.getInputStream());
             String head = head(in);
-            if (!head.isEmpty()) {
+            while (!head.isEmpty()) {
                 heads.add(head);
                 script.answer(head, connection.getOutputStream());
+                head = keepAlive ? head(in) : "";
             }
         } catch (IOException | InterruptedException e) {
             failures.add(e);
@@ -92,7 +100,16 @@
             }
             text.append((char) value);
         }
-        return text.toString();
+        String head = text.toString();
+        in.skipNBytes(contentLength(head));
+        return head;
+    }
+
+    private static int contentLength(String head) {
+        return head.lines()
+                .filter(line -> line.startsWith("content-length: "))
+                .mapToInt(line -> Integer.parseInt(line.substring("content-length: ".length())))
+                .sum();
     }
 
     /** Writes text. */
--- a/amaranthlock-net/src/test/java/org/amaranthlock/transport/peer/NettyPeerTransportTest.java
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/transport/peer/NettyPeerTransportTest.java
@@ -93,6 +93,8 @@
         NettyPeerTransport a = start(A, KEY, eventsOfA, clockOfB);
         a.send(B, RawServer.unusedAddress(), new PeerMessage.ConfigPull(1));
         assertThat(eventsOfA.next(Event.PeerUnreachable.class).host()).isEqualTo(B);
+        a.send(B, "mistyped", new PeerMessage.ConfigPull(1));
+        assertThat(eventsOfA.next(Event.PeerUnreachable.class).host()).isEqualTo(B);
 
         NettyPeerTransport b = start(B, KEY, eventsOfB, clockOfB);
         a.send(B, b.localAddress(), new PeerMessage.ConfigPull(2));
--- /dev/null
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/transport/target/HttpTargetTransportTest.java
@@ -0,0 +1,398 @@
+package org.amaranthlock.transport.target;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.RequestCommand;
+import org.amaranthlock.coordination.RequestEvent.AttemptFailed;
+import org.amaranthlock.coordination.RequestEvent.FailureKind;
+import org.amaranthlock.coordination.RequestEvent.Reconciled;
+import org.amaranthlock.coordination.RequestEvent.ServiceAnswered;
+import org.amaranthlock.coordination.RequestEvent.StreamEnded;
+import org.amaranthlock.coordination.RequestEvent.TokensReceived;
+import org.amaranthlock.coordination.TargetCommand;
+import org.amaranthlock.coordination.TargetEvent;
+import org.amaranthlock.model.AccountId;
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.model.IdempotencyKey;
+import org.amaranthlock.model.Profile;
+import org.amaranthlock.model.ProfileKind;
+import org.amaranthlock.model.Region;
+import org.amaranthlock.model.RequestId;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.model.TargetId;
+import org.amaranthlock.model.Work;
+import org.amaranthlock.transport.EventQueue;
+import org.amaranthlock.transport.RawServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class HttpTargetTransportTest {
+    private static final String STREAM_HEAD =
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    private static final AttemptId ATTEMPT = new AttemptId(new RequestId("01-a"), 2);
+
+    private final EventQueue events = new EventQueue();
+    private final HttpTargetTransport transport = new HttpTargetTransport(events);
+
+    @AfterEach
+    void stop() {
+        transport.stop();
+    }
+
+    /** Guards against tokens that are damaged at chunk borders and against one event per token. */
+    @Test
+    void streamIsReadAcrossChunkBorders() throws Exception {
+        byte[] first = token(3, "漢");
+        byte[] both = concat(token(4, "a"), token(5, "b"));
+        try (RawServer server = new RawServer((head, out) -> {
+            RawServer.write(out, STREAM_HEAD);
+            chunk(out, first, 0, 22);
+            chunk(out, first, 22, first.length);
+            chunk(out, both, 0, both.length);
+            byte[] end = "event: done\ndata: {\"reason\":\"stop\",\"count\":6}\n\n".getBytes(StandardCharsets.UTF_8);
+            chunk(out, end, 0, end.length);
+            RawServer.write(out, "0\r\n\r\n");
+        })) {
+            transport.execute(open(server.address()));
+
+            assertThat(events.next(TokensReceived.class)).isEqualTo(new TokensReceived(ATTEMPT, 3, List.of("漢")));
+            TokensReceived next = events.next(TokensReceived.class);
+            if (next.tokens().size() == 1) {
+                events.next(TokensReceived.class);
+            }
+            assertThat(events.next(StreamEnded.class)).isEqualTo(new StreamEnded(ATTEMPT, "stop", 6));
+        }
+    }
+
+    /** Guards against a cut character that reaches the answer, and against a silent loss of a target. */
+    @Test
+    void streamCutInsideACharacterIsLost() throws Exception {
+        byte[] whole = token(0, "a");
+        byte[] cut = token(1, "漢");
+        try (RawServer server = new RawServer((head, out) -> {
+            RawServer.write(out, STREAM_HEAD);
+            byte[] all = concat(whole, cut);
+            chunk(out, all, 0, whole.length + 23);
+        })) {
+            transport.execute(open(server.address()));
+
+            assertThat(events.next(TokensReceived.class).tokens()).containsExactly("a");
+            assertThat(events.next(AttemptFailed.class).kind()).isEqualTo(FailureKind.LOST);
+            assertThat(events.next(TargetEvent.Reachable.class).target()).isEqualTo(new TargetId("t1"));
+        }
+    }
+
+    /** Guards against a dead target that still counts as reachable after a lost stream. */
+    @Test
+    void lostStreamOfADeadTargetReportsItUnreachable() throws Exception {
+        CountDownLatch closed = new CountDownLatch(1);
+        RawServer server = new RawServer((head, out) -> {
+            RawServer.write(out, STREAM_HEAD);
+            closed.await(10, TimeUnit.SECONDS);
+        });
+        transport.execute(open(server.address()));
+        assertThat(server.heads().poll(10, TimeUnit.SECONDS)).startsWith("POST /v1/streams ");
+        server.close();
+        closed.countDown();
+
+        assertThat(events.next(AttemptFailed.class).kind()).isEqualTo(FailureKind.LOST);
+        events.next(TargetEvent.Unreachable.class);
+    }
+
+    /** Guards against a refused connection that counts as a possible execution. */
+    @Test
+    void refusedConnectionIsNotSent() throws Exception {
+        transport.execute(call(RawServer.unusedAddress(), ProfileKind.AT_MOST_ONCE, 2_000));
+
+        assertThat(events.next(AttemptFailed.class).kind()).isEqualTo(FailureKind.NOT_SENT);
+        events.next(TargetEvent.Unreachable.class);
+    }
+
+    /** Guards against a lost answer of an order that is reported as not run. */
+    @Test
+    void callWithoutAnswerIsLost() throws Exception {
+        try (RawServer server = new RawServer((head, out) -> {})) {
+            transport.execute(call(server.address(), ProfileKind.AT_MOST_ONCE, 2_000));
+
+            assertThat(events.next(AttemptFailed.class).kind()).isEqualTo(FailureKind.LOST);
+        }
+    }
+
+    /** Guards against an order on a reused connection that was read by the target and is reported as not sent. */
+    @Test
+    void callWithoutAnswerOnAReusedConnectionIsLost() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        try (RawServer server = new RawServer(
+                (head, out) -> {
+                    if (requests.incrementAndGet() % 2 == 0) {
+                        throw new IOException("closes the connection without an answer");
+                    }
+                    ok(out, "");
+                },
+                true)) {
+            for (int round = 0; round < 50; round++) {
+                transport.execute(call(server.address(), ProfileKind.AT_MOST_ONCE, 2_000));
+                events.next(ServiceAnswered.class);
+                transport.execute(call(server.address(), ProfileKind.AT_MOST_ONCE, 2_000));
+                assertThat(events.next(AttemptFailed.class).kind()).isEqualTo(FailureKind.LOST);
+                events.next(TargetEvent.Reachable.class);
+            }
+            assertThat(requests.get()).isEqualTo(100);
+        }
+    }
+
+    /** Guards against an order that is reported as not sent although the target read it while it closed. */
+    @Test
+    void notSentIsTrueWhenTheTargetClosesIdleConnections() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        try (RawServer server = new RawServer((head, out) -> {
+            requests.incrementAndGet();
+            ok(out, "");
+        })) {
+            for (int round = 0; round < 200; round++) {
+                int before = requests.get();
+                transport.execute(call(server.address(), ProfileKind.AT_MOST_ONCE, 2_000));
+                Event event = events.next(Event.class);
+                if (event instanceof AttemptFailed failed && failed.kind() == FailureKind.NOT_SENT) {
+                    assertThat(requests.get()).isEqualTo(before);
+                } else if (event instanceof AttemptFailed) {
+                    events.next(TargetEvent.Reachable.class);
+                }
+            }
+        }
+    }
+
+    /** Guards against a mistyped address that ends the control thread. */
+    @Test
+    void malformedAddressFailsTheAttempt() throws Exception {
+        transport.execute(call("no-address", ProfileKind.RETRIABLE, 2_000));
+        assertThat(events.next(AttemptFailed.class).kind()).isEqualTo(FailureKind.INVALID);
+        transport.execute(new TargetCommand.Poll(target("no-address")));
+        events.next(TargetEvent.Unreachable.class);
+    }
+
+    /** Guards against a late answer of an order that is reported as not run or as lost. */
+    @Test
+    void lateAnswerTimesOut() throws Exception {
+        CountDownLatch end = new CountDownLatch(1);
+        try (RawServer server = new RawServer((head, out) -> end.await(10, TimeUnit.SECONDS))) {
+            transport.execute(call(server.address(), ProfileKind.AT_MOST_ONCE, 100));
+
+            assertThat(events.next(AttemptFailed.class).kind()).isEqualTo(FailureKind.TIMED_OUT);
+            end.countDown();
+        }
+    }
+
+    /** Guards against late tokens of a cancelled attempt and against engines that go on with it. */
+    @Test
+    void cancelSilencesTheAttempt() throws Exception {
+        CountDownLatch cancelled = new CountDownLatch(1);
+        CountDownLatch written = new CountDownLatch(1);
+        try (RawServer server = new RawServer((head, out) -> {
+            if (head.startsWith("DELETE")) {
+                RawServer.write(out, "HTTP/1.1 204 No Content\r\n\r\n");
+                return;
+            }
+            RawServer.write(out, STREAM_HEAD);
+            chunk(out, token(0, "a"), 0, token(0, "a").length);
+            cancelled.await(10, TimeUnit.SECONDS);
+            try {
+                chunk(out, token(1, "b"), 0, token(1, "b").length);
+            } finally {
+                written.countDown();
+            }
+        })) {
+            RequestCommand.OpenStream open = open(server.address());
+            transport.execute(open);
+            events.next(TokensReceived.class);
+            transport.execute(new RequestCommand.CancelAttempt(ATTEMPT, open.target()));
+            cancelled.countDown();
+
+            assertThat(written.await(10, TimeUnit.SECONDS)).isTrue();
+            server.heads().poll(10, TimeUnit.SECONDS);
+            assertThat(server.heads().poll(10, TimeUnit.SECONDS)).startsWith("DELETE /v1/streams/01-a/2 ");
+            assertThat(events.isEmpty()).isTrue();
+        }
+    }
+
+    /** Guards against refusals of engines that are read with a wrong meaning. */
+    @Test
+    void refusalsKeepTheirMeaning() throws Exception {
+        assertThat(refusal(503, "draining", "").kind()).isEqualTo(FailureKind.DRAINING);
+        AttemptFailed busy = refusal(503, "busy", "retry-after: 3\r\n");
+        assertThat(busy.kind()).isEqualTo(FailureKind.BUSY);
+        assertThat(busy.retryAfterMillis()).isEqualTo(OptionalLong.of(3_000));
+        assertThat(refusal(429, "", "").kind()).isEqualTo(FailureKind.BUSY);
+        assertThat(refusal(409, "fenced", "").kind()).isEqualTo(FailureKind.FENCED);
+        assertThat(refusal(422, "", "").kind()).isEqualTo(FailureKind.INVALID);
+    }
+
+    /** Guards against a search for a stream that ends as a broken engine. */
+    @Test
+    void unknownStreamIsGone() throws Exception {
+        try (RawServer server = new RawServer((head, out) -> problem(out, 404, "", ""))) {
+            transport.execute(new RequestCommand.AttachStream(ATTEMPT, target(server.address()), 7));
+
+            assertThat(events.next(AttemptFailed.class).kind()).isEqualTo(FailureKind.STREAM_GONE);
+            assertThat(server.heads().poll()).startsWith("GET /v1/streams/01-a/2?from=7 ");
+        }
+    }
+
+    /** Guards against orders without key and fence, and against a bare 503 that counts as not run. */
+    @Test
+    void orderCarriesKeyAndFence() throws Exception {
+        try (RawServer server = new RawServer((head, out) -> problem(out, 503, "", ""))) {
+            transport.execute(call(server.address(), ProfileKind.AT_MOST_ONCE, 2_000));
+
+            assertThat(events.next(ServiceAnswered.class).response().status()).isEqualTo(503);
+            String head = server.heads().poll();
+            assertThat(head).startsWith("POST /orders?x=1 ");
+            assertThat(head).contains("idempotency-key: k/1\r\n");
+            assertThat(head).contains("amaranthlock-fence: 9\r\n");
+            assertThat(head).contains("accept: text/plain\r\n");
+        }
+    }
+
+    /** Guards against a reconciliation that takes an executed order for a new one. */
+    @Test
+    void reconciliationReadsTheStoredAnswer() throws Exception {
+        String body = "{\"executed\":true,\"status\":201,\"body\":\"done\"}";
+        try (RawServer server = new RawServer((head, out) -> ok(out, body))) {
+            RequestCommand.CallService call = call(server.address(), ProfileKind.AT_MOST_ONCE, 2_000);
+            transport.execute(new RequestCommand.Reconcile(ATTEMPT, call.target(), call.spec(), OptionalLong.of(9)));
+
+            Reconciled event = events.next(Reconciled.class);
+            assertThat(event.response().orElseThrow().status()).isEqualTo(201);
+            assertThat(new String(event.response().orElseThrow().body(), StandardCharsets.UTF_8))
+                    .isEqualTo("done");
+            assertThat(server.heads().poll()).startsWith("GET /orders/k%2F1 ");
+        }
+    }
+
+    /** Guards against load and cache reports that are lost or read twice. */
+    @Test
+    void pollReadsLoadAndNewCacheEvents() throws Exception {
+        try (RawServer server = new RawServer((head, out) -> {
+            if (head.startsWith("GET /v1/load")) {
+                ok(out, "{\"running\":3,\"queued\":1,\"ageMillis\":2000}");
+            } else {
+                ok(out, "{\"events\":[{\"seq\":4,\"added\":[11],\"evicted\":[12]}]}");
+            }
+        })) {
+            Target target = target(server.address());
+            transport.execute(new TargetCommand.Poll(target));
+            List<TargetEvent> received = List.of(events.next(TargetEvent.class), events.next(TargetEvent.class));
+
+            assertThat(received)
+                    .containsExactly(
+                            new TargetEvent.LoadReported(target.id(), 3, 1, 2_000),
+                            new TargetEvent.CacheChanged(target.id(), List.of(11L), List.of(12L)));
+        }
+    }
+
+    /** Guards against a refused fencing number that counts as an accepted order. */
+    @Test
+    void fencedOrderIsNotAccepted() throws Exception {
+        try (RawServer server = new RawServer((head, out) -> problem(out, 409, "fenced", ""))) {
+            transport.execute(new TargetCommand.GiveOrder(target(server.address()), 5, "load-model", "m", 7));
+
+            TargetEvent.OrderAnswered event = events.next(TargetEvent.OrderAnswered.class);
+            assertThat(event.order()).isEqualTo(5);
+            assertThat(event.accepted()).isFalse();
+        }
+    }
+
+    private AttemptFailed refusal(int status, String code, String headers) throws Exception {
+        try (RawServer server = new RawServer((head, out) -> problem(out, status, code, headers))) {
+            transport.execute(open(server.address()));
+            if (code.equals("draining")) {
+                events.next(TargetEvent.Leaving.class);
+            }
+            return events.next(AttemptFailed.class);
+        }
+    }
+
+    private static RequestCommand.OpenStream open(String address) {
+        Work work = new Work.Generation("m", "", "prompt", List.of(), 10, 1);
+        return new RequestCommand.OpenStream(
+                ATTEMPT, target(address), spec(work, ProfileKind.KEPT_ALIVE), List.of("x"), 1);
+    }
+
+    private static RequestCommand.CallService call(String address, ProfileKind kind, long timeoutMillis) {
+        Work work = new Work.ServiceCall(
+                "POST", "/orders?x=1", Map.of("accept", "text/plain"), "b".getBytes(StandardCharsets.UTF_8));
+        return new RequestCommand.CallService(
+                ATTEMPT, target(address), spec(work, kind), OptionalLong.of(9), timeoutMillis);
+    }
+
+    private static RequestSpec spec(Work work, ProfileKind kind) {
+        return new RequestSpec(
+                ATTEMPT.request(),
+                new AccountId("acc"),
+                new ServiceName("s"),
+                new Profile("p", kind, 3, 0, 1_000),
+                Optional.of(new IdempotencyKey("k/1")),
+                1,
+                0,
+                1_000,
+                work);
+    }
+
+    private static Target target(String address) {
+        return new Target(
+                new TargetId("t1"),
+                new ServiceName("s"),
+                address,
+                new Region("eu"),
+                new FailureDomain("a"),
+                "m",
+                "v1",
+                4,
+                Set.of());
+    }
+
+    private static byte[] token(int index, String text) {
+        return ("id: " + index + "\ndata: {\"i\":" + index + ",\"t\":\"" + text + "\"}\n\n")
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static byte[] concat(byte[] first, byte[] second) {
+        byte[] all = Arrays.copyOf(first, first.length + second.length);
+        System.arraycopy(second, 0, all, first.length, second.length);
+        return all;
+    }
+
+    private static void chunk(OutputStream out, byte[] bytes, int from, int to) throws IOException {
+        RawServer.write(out, Integer.toHexString(to - from) + "\r\n");
+        out.write(bytes, from, to - from);
+        RawServer.write(out, "\r\n");
+    }
+
+    private static void ok(OutputStream out, String body) throws IOException {
+        RawServer.write(out, "HTTP/1.1 200 OK\r\ncontent-length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    private static void problem(OutputStream out, int status, String code, String headers) throws IOException {
+        String body = "{\"code\":\"" + code + "\"}";
+        RawServer.write(
+                out,
+                "HTTP/1.1 " + status + " status\r\n" + headers + "content-length: " + body.length() + "\r\n\r\n"
+                        + body);
+    }
+}
