Bound the demo's callers by time and let only kept-alive answers resume

Cause: trial runs against a scratch router showed callers that used up their tries within a second of refused connections, a wait of 8 s for every missing record, and the shell's and the HTTP library's notes in the output.

--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/ServeOptions.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/ServeOptions.java
@@ -23,6 +23,7 @@
 
     /** Starts a stand-in, prints its address and waits until the process is ended. */
     public static int serve(Standin standin) throws InterruptedException {
+        ProcessLogs.quietLibraries();
         standin.start();
         System.out.println("listening " + standin.address());
         System.out.flush();
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/demo/AnswerChecker.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/demo/AnswerChecker.java
@@ -38,6 +38,12 @@
         missing += Math.max(0, expectedTokens - next);
     }
 
+    /** Starts over for a new generation; the counts go on. */
+    void restart() {
+        next = 0;
+        nonce = null;
+    }
+
     /** Returns the number of tokens up to the last delivered one. */
     int position() {
         return next;
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/demo/DemoDriver.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/demo/DemoDriver.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
+import org.amaranthlock.standin.ProcessLogs;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -52,20 +53,21 @@
 
     @Override
     public Integer call() throws InterruptedException, ExecutionException, IOException {
+        ProcessLogs.quietLibraries();
         try (RouterPool routers = new RouterPool(routerAddresses);
                 RouterPool desks = new RouterPool(deskAddresses)) {
             String runId = Integer.toString(ThreadLocalRandom.current().nextInt(1 << 20), 36);
             DemoLoad.Sizes sizes = new DemoLoad.Sizes(
                     longAnswers, longTokens, shortAnswers, shortTokens, orders, spacingMillis, runId);
             List<RequestResult> results = new DemoLoad(routers, sizes, accountKey, System.out).run();
-            return judge(results, new Accounts(routers, operatorKey), Accounts.executions(desks));
+            return judge(results, new Accounts(routers, operatorKey), desks);
         }
     }
 
-    private int judge(List<RequestResult> results, Accounts accounts, Map<String, Integer> executions) {
-        Summary summary = new Summary();
+    private static int judge(List<RequestResult> results, Accounts accounts, RouterPool desks) throws IOException {
         Report report = new Report(System.out);
         report.printHeader();
+        List<List<JsonNode>> recordsOfResults = new ArrayList<>();
         for (RequestResult result : results) {
             List<JsonNode> records = new ArrayList<>();
             for (String requestId : result.requestIds()) {
@@ -75,7 +77,13 @@
                 }
                 report.printRecord(result.label(), requestId, record);
             }
-            summary.add(result, records, executions.getOrDefault(result.label(), 0));
+            recordsOfResults.add(records);
+        }
+        Summary summary = new Summary();
+        Map<String, Integer> executions = Accounts.executions(desks);
+        for (int i = 0; i < results.size(); i++) {
+            RequestResult result = results.get(i);
+            summary.add(result, recordsOfResults.get(i), executions.getOrDefault(result.label(), 0));
         }
         report.printTimeline(accounts.timeline());
         summary.faults().forEach(fault -> System.out.println("fault: " + fault));
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/demo/DemoLoad.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/demo/DemoLoad.java
@@ -74,7 +74,7 @@
         List<GenerationCaller> drafts = new ArrayList<>();
         for (int i = 0; i < sizes.longAnswers(); i++) {
             GenerationCaller draft = new GenerationCaller(
-                    routers, accountKey, label("draft", i), i, "drafts", sizes.longTokens(), i + 1L);
+                    routers, accountKey, label("draft", i), i, "drafts", true, sizes.longTokens(), i + 1L);
             drafts.add(draft);
             submit(callers, draft);
         }
@@ -87,7 +87,14 @@
                 submit(
                         callers,
                         new GenerationCaller(
-                                routers, accountKey, label("answer", i), i, "answers", sizes.shortTokens(), -1L - i));
+                                routers,
+                                accountKey,
+                                label("answer", i),
+                                i,
+                                "answers",
+                                false,
+                                sizes.shortTokens(),
+                                -1L - i));
             }
             if (i < sizes.orders()) {
                 submit(callers, new OrderCaller(routers, accountKey, label("order", i), i));
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/platform/PlatformStandin.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/platform/PlatformStandin.java
@@ -62,6 +62,7 @@
 
     @Override
     public void start() {
+        store.interruptWatches(false);
         server.start();
     }
 
