End requests that are never finished

A client could hold a connection with half a request head for ever, and after a timed-out body the server waited for the rest of it before closing.

--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/RouterProcess.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/RouterProcess.java
@@ -1,6 +1,7 @@
 package org.amaranthlock.router;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -25,11 +26,13 @@
 /** One router process: transports, control thread and HTTP front. */
 public final class RouterProcess implements Service {
     private static final Logger LOG = Logger.getLogger(RouterProcess.class);
+    private static final Duration READ_TIMEOUT = Duration.ofSeconds(10);
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final RouterSettings settings;
     private final RouterAssembly assembly;
     private final Runnable onFailure;
+    private final Duration readTimeout;
     private final RouterClock clock = RouterClock.system();
     private final HostId self;
     private final ControlQueue queue = new ControlQueue();
@@ -46,6 +49,11 @@
     private HttpFront front;
 
     RouterProcess(RouterSettings settings, RouterAssembly assembly, Runnable onFailure) {
+        this(settings, assembly, onFailure, READ_TIMEOUT);
+    }
+
+    RouterProcess(RouterSettings settings, RouterAssembly assembly, Runnable onFailure, Duration readTimeout) {
+        this.readTimeout = readTimeout;
         this.settings = settings;
         this.assembly = assembly;
         this.onFailure = onFailure;
@@ -72,6 +80,7 @@
         front = new HttpFrontFactory(
                         self,
                         settings.httpAddress(),
+                        readTimeout,
                         settings.operators(),
                         queue,
                         exchanges,
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/cli/Main.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/cli/Main.java
@@ -9,12 +9,14 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.ScopeType;
 import picocli.CommandLine.Spec;
 
 /** Entry point of the program. */
 @Command(
         name = "amaranthlock",
         mixinStandardHelpOptions = true,
+        scope = ScopeType.INHERIT,
         description = "Serves long generations on engines that can fail.",
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/HttpFront.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/HttpFront.java
@@ -1,6 +1,7 @@
 package org.amaranthlock.router.http;
 
 import io.servicetalk.buffer.api.ReadOnlyBufferAllocators;
+import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.api.Completable;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
@@ -14,6 +15,7 @@
 import io.servicetalk.http.netty.HttpProtocolConfigs;
 import io.servicetalk.http.netty.HttpServers;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -28,20 +30,28 @@
 public final class HttpFront implements Service {
     private static final Logger LOG = Logger.getLogger(HttpFront.class);
     private static final long STOP_TIMEOUT_SECONDS = 5;
+    // Enough for an answer of a few hundred bytes to reach a caller that reads.
+    private static final long LAST_ANSWER_MILLIS = 500;
     private static final int STATUS_NO_CONTENT = 204;
     private static final int STATUS_NOT_MODIFIED = 304;
 
     private final InetSocketAddress address;
     private final CallerFront callers;
     private final OperatorFront operators;
+    private final Duration readTimeout;
+    private final FirstRequestGuard guard;
     private HttpServerContext server;
 
-    HttpFront(InetSocketAddress address, CallerFront callers, OperatorFront operators) {
+    HttpFront(InetSocketAddress address, Duration readTimeout, CallerFront callers, OperatorFront operators) {
+        this.readTimeout = readTimeout;
+        this.guard = new FirstRequestGuard(readTimeout);
         this.address = address;
         this.callers = callers;
         this.operators = operators;
     }
 
+    // The acceptors that replace the deprecated filter are shown the connection without a means to close it later.
+    @SuppressWarnings("deprecation")
     @Override
     public synchronized void start() {
         try {
@@ -51,6 +61,7 @@
                             .maxStartLineLength(RequestReader.MAX_HEADER_BYTES)
                             .build())
                     .executionStrategy(HttpExecutionStrategies.offloadNone())
+                    .appendConnectionAcceptorFilter(original -> original.append(guard::accept))
                     .listenStreamingAndAwait(this::handle);
         } catch (Exception e) {
             throw new AmaranthlockException(
@@ -83,18 +94,35 @@
 
     private Single<StreamingHttpResponse> handle(
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory responses) {
+        guard.requestSeen(context);
         CallerConnection connection = new CallerConnection();
         connection.watchedBy(
                 closing(context, request).afterOnComplete(connection::gone).subscribe());
         boolean head = request.method().name().equals("HEAD");
-        CompletableFuture<Reply> reply = RequestReader.read(request)
+        CompletableFuture<Reply> reply = RequestReader.read(request, readTimeout)
                 .thenCompose(inbound -> route(inbound, connection))
                 .exceptionally(HttpFront::failure);
         return Single.fromStage(reply)
-                .map(done -> response(done, head, responses, connection))
+                .map(done -> {
+                    if (done.headers().containsKey("connection")) {
+                        closeSoon(context);
+                    }
+                    return response(done, head, responses, connection);
+                })
                 .beforeCancel(connection::gone);
     }
 
+    /**
+     * Closes a connection a moment after its answer. The server reads the rest of a request before it closes the
+     * connection on its own, which never ends if the sender has stopped sending.
+     */
+    private static void closeSoon(HttpServiceContext context) {
+        Cancellable timer = context.executionContext()
+                .executor()
+                .schedule(() -> context.closeAsync().subscribe(), LAST_ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+        context.onClose().afterFinally(timer::cancel).subscribe();
+    }
+
     /**
      * Returns the signal that the caller has left. The closing of a connection starts when the caller closes its side,
      * but also when its request says {@code Connection: close}; such a caller is only gone when the connection is.
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/HttpFrontFactory.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/HttpFrontFactory.java
@@ -1,6 +1,7 @@
 package org.amaranthlock.router.http;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
@@ -15,6 +16,7 @@
  *
  * @param self this process
  * @param address address to listen on
+ * @param readTimeout time for the first request head of a connection, and for each body
  * @param operatorHashes SHA-256 hashes of the operators' keys in hexadecimal, by operator name
  * @param queue queue of the control thread
  * @param exchanges open requests of callers
@@ -26,6 +28,7 @@
 public record HttpFrontFactory(
         HostId self,
         InetSocketAddress address,
+        Duration readTimeout,
         Map<String, String> operatorHashes,
         ControlQueue queue,
         ExchangeRegistry exchanges,
@@ -42,6 +45,7 @@
                 configuration, () -> self + "-" + Long.toString(lastRequest.incrementAndGet(), ID_RADIX));
         return new HttpFront(
                 address,
+                readTimeout,
                 new CallerFront(queue, resolver, exchanges),
                 new OperatorFront(
                         new OperatorAuthentication(operatorHashes), operatorCalls, timeline, metrics, status));
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/RequestReader.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/RequestReader.java
@@ -3,6 +3,7 @@
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import java.io.ByteArrayOutputStream;
+import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -22,13 +23,12 @@
      */
     private static final int MAX_DROPPED_BYTES = 8 << 20;
 
-    private static final long READ_TIMEOUT_SECONDS = 10;
     private static final int HEADER_SEPARATOR_BYTES = 4;
 
     private RequestReader() {}
 
     /** Returns the whole request; fails with an {@link AmaranthlockException} if it exceeds a limit. */
-    static CompletableFuture<InboundRequest> read(StreamingHttpRequest request) {
+    static CompletableFuture<InboundRequest> read(StreamingHttpRequest request, Duration timeout) {
         Map<String, String> headers;
         try {
             headers = headers(request);
@@ -42,7 +42,7 @@
                 .toCompletionStage()
                 .toCompletableFuture()
                 .copy()
-                .orTimeout(READ_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
                 .thenApply(body -> new InboundRequest(
                         request.method().name(),
                         request.rawPath(),
--- a/amaranthlock-router/src/test/java/org/amaranthlock/router/CallerFrontTest.java
+++ b/amaranthlock-router/src/test/java/org/amaranthlock/router/CallerFrontTest.java
@@ -3,12 +3,15 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
@@ -150,6 +153,8 @@
             BufferedReader reader =
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
             assertThat(reader.readLine()).contains("200");
+            assertThat(reader.lines().filter(line -> line.startsWith("data: ")).findFirst())
+                    .isPresent();
         }
         assertThat(router.core.await(CallerGone.class).request()).isEqualTo(spec.id());
     }
@@ -223,6 +228,20 @@
         assertThat(router.core.seen(Arrived.class)).isEmpty();
     }
 
+    // Guards against clients that hold a connection with a request that they never finish.
+    @Test
+    void anUnfinishedRequestIsEndedAfterTheReadTime() throws Exception {
+        try (RouterFixture impatient = new RouterFixture(Duration.ofMillis(300));
+                Socket halfHead = impatient.connect();
+                Socket halfBody = impatient.connect()) {
+            write(halfHead, "POST /v1/chat/completions HTTP/1.1\r\nHost: rou");
+            write(halfBody, rawCompletion("").substring(0, rawCompletion("").length() - 1));
+            assertThat(readToEnd(halfHead)).isEmpty();
+            assertThat(readToEnd(halfBody)).contains("invalid-request");
+            assertThat(impatient.core.seen(Arrived.class)).isEmpty();
+        }
+    }
+
     // Guards against headers that exceed the memory planned for a request.
     @Test
     void oversizeHeadersAreRefused() throws Exception {
@@ -313,6 +332,17 @@
                 + STREAM;
     }
 
+    /** Reads until the end of the connection; unread bytes at the server turn the end into a reset. */
+    private static String readToEnd(Socket socket) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            socket.getInputStream().transferTo(bytes);
+        } catch (SocketException e) {
+            assertThat(e).hasMessageThat().contains("reset");
+        }
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+
     private static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
         socket.getOutputStream().flush();
--- a/amaranthlock-router/src/test/java/org/amaranthlock/router/RouterFixture.java
+++ b/amaranthlock-router/src/test/java/org/amaranthlock/router/RouterFixture.java
@@ -53,10 +53,14 @@
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     public RouterFixture() {
+        this(TIMEOUT);
+    }
+
+    RouterFixture(Duration readTimeout) {
         RouterAssembly assembly = new RouterAssembly(
                 (self, settings, address, start) -> new CoreParts(core, new Configuration(), () -> false),
                 (self, settings, events, clock) -> new Transports(new NoPlatform(), new NoTargets(), new NoPeers()));
-        process = assembly.process(settings(), failed::countDown);
+        process = new RouterProcess(settings(), assembly, failed::countDown, readTimeout);
         process.start();
     }
 
