Write the log on a thread of its own

Each finished request writes a line from the control thread; a reader of the log that stalls would have paused all decisions. Lines now pass through a bounded queue and are dropped when it is full. Request targets that are no path get a 400.

--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/ControlLoop.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/ControlLoop.java
@@ -23,6 +23,8 @@
     private static final Logger LOG = Logger.getLogger(ControlLoop.class);
     private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(NodeCore.TICK_MILLIS);
     private static final long STOP_TIMEOUT_MILLIS = 5_000;
+    // An arrival holds its prompt, which may be as long as a request body.
+    private static final int MAX_EVENT_CHARACTERS = 2_000;
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final ControlQueue queue;
@@ -140,7 +142,8 @@
 
     private void fail(String what, RuntimeException e) {
         running = false;
-        LOG.fatalf(e, "Unexpected exception at %s; the process ends because its state can't be trusted.", what);
+        String shown = what.length() > MAX_EVENT_CHARACTERS ? what.substring(0, MAX_EVENT_CHARACTERS) + "..." : what;
+        LOG.fatalf(e, "Unexpected exception at %s; the process ends because its state can't be trusted.", shown);
         onFailure.run();
     }
 }
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/cli/RouterCommand.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/cli/RouterCommand.java
@@ -33,18 +33,23 @@
     public Integer call() throws InterruptedException {
         RouterSettings settings = SettingsReader.read(settingsFile);
         LogSetup.configure(settings.log().json(), settings.log().level());
-        RouterProcess process =
-                assembly.get().process(settings, () -> Runtime.getRuntime().halt(ExitCodes.INTERNAL));
+        RouterProcess process = assembly.get().process(settings, RouterCommand::endAtOnce);
         CountDownLatch stopped = new CountDownLatch(1);
         process.start();
         Thread hook = Thread.ofPlatform().name("amaranthlock-shutdown").unstarted(() -> drain(process, stopped));
         Runtime.getRuntime().addShutdownHook(hook);
         process.awaitDrained();
         process.stop();
+        LogSetup.close();
         stopped.countDown();
         return ExitCodes.OK;
     }
 
+    private static void endAtOnce() {
+        LogSetup.close();
+        Runtime.getRuntime().halt(ExitCodes.INTERNAL);
+    }
+
     private static void drain(RouterProcess process, CountDownLatch stopped) {
         if (stopped.getCount() == 0) {
             return;
@@ -54,6 +59,7 @@
             if (!stopped.await(SHUTDOWN_SECONDS, TimeUnit.SECONDS)) {
                 Logger.getLogger(RouterCommand.class)
                         .errorf("The graceful shutdown took more than %d s; the process ends.", SHUTDOWN_SECONDS);
+                LogSetup.close();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/RequestReader.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/RequestReader.java
@@ -43,12 +43,19 @@
                 .toCompletableFuture()
                 .copy()
                 .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
-                .thenApply(body -> new InboundRequest(
-                        request.method().name(),
-                        request.rawPath(),
-                        request.rawQuery() == null ? "" : request.rawQuery(),
-                        headers,
-                        body.bytes()));
+                .thenApply(body -> inbound(request, headers, body));
+    }
+
+    private static InboundRequest inbound(StreamingHttpRequest request, Map<String, String> headers, Body body) {
+        byte[] bytes = body.bytes();
+        try {
+            String query = request.rawQuery();
+            return new InboundRequest(
+                    request.method().name(), request.rawPath(), query == null ? "" : query, headers, bytes);
+        } catch (IllegalArgumentException e) {
+            throw new AmaranthlockException(
+                    ErrorCode.INVALID_REQUEST, "The request target is not a valid path; correct it.", e);
+        }
     }
 
     private static Map<String, String> headers(StreamingHttpRequest request) {
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/log/LogSetup.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/log/LogSetup.java
@@ -5,12 +5,16 @@
 import org.jboss.logmanager.LogContext;
 import org.jboss.logmanager.formatters.JsonFormatter;
 import org.jboss.logmanager.formatters.PatternFormatter;
+import org.jboss.logmanager.handlers.AsyncHandler;
 import org.jboss.logmanager.handlers.ConsoleHandler;
 
 /** Sends all logs to standard error, as text or as JSON lines. */
 public final class LogSetup {
     private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5p [%c{1}] %s%e%n";
 
+    // Lines beyond it are dropped: a log reader that stalls must not pause the control thread, which also logs.
+    private static final int QUEUE_LINES = 10_000;
+
     private LogSetup() {}
 
     /**
@@ -34,7 +38,18 @@
         Level parsed = LogContext.getLogContext().getLevelForName(level);
         handler.setLevel(parsed);
         org.jboss.logmanager.Logger root = LogContext.getLogContext().getLogger("");
-        root.setHandlers(new Handler[] {handler});
+        AsyncHandler async = new AsyncHandler(QUEUE_LINES);
+        async.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
+        async.addHandler(handler);
+        async.setLevel(parsed);
+        root.setHandlers(new Handler[] {async});
         root.setLevel(parsed);
     }
+
+    /** Writes the waiting lines and ends the log; called just before the process ends. */
+    public static void close() {
+        for (Handler handler : LogContext.getLogContext().getLogger("").getHandlers()) {
+            handler.close();
+        }
+    }
 }
--- a/amaranthlock-router/src/test/java/org/amaranthlock/router/CallerFrontTest.java
+++ b/amaranthlock-router/src/test/java/org/amaranthlock/router/CallerFrontTest.java
@@ -282,6 +282,17 @@
         assertThat(router.core.seen(Arrived.class)).isEmpty();
     }
 
+    // Guards against an error of the router, or a closed connection, for a request target that is no path.
+    @Test
+    void strangeRequestTargetsAreRefused() throws Exception {
+        for (String target : List.of("*", "/services/", "/services/orders", "//", "/%zz", "/v1/unknown?x=[")) {
+            try (Socket socket = router.connect()) {
+                write(socket, "GET " + target + " HTTP/1.1\r\nHost: router\r\nConnection: close\r\n\r\n");
+                assertThat(readToEnd(socket)).containsMatch("^HTTP/1.1 4\\d\\d ");
+            }
+        }
+    }
+
     // Guards against work on nobody's account, and against calls of services that do not exist.
     @Test
     void unknownKeysAndServicesAreRefusedAsNotRun() throws Exception {
--- a/amaranthlock-router/src/test/java/org/amaranthlock/router/OperatorFrontTest.java
+++ b/amaranthlock-router/src/test/java/org/amaranthlock/router/OperatorFrontTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.Command.Stop;
 import org.amaranthlock.coordination.Command.Trace;
 import org.amaranthlock.coordination.Event;
 import org.amaranthlock.coordination.OperatorCommand.ConfigurationAccepted;
@@ -131,6 +132,14 @@
         assertThat(metrics).contains("amaranthlock_config_staleness_seconds 0.0");
     }
 
+    // Guards against a process that does not end when its work is done, or that ends before.
+    @Test
+    void theProcessIsDrainedWhenTheCoreSaysSo() throws Exception {
+        assertThat(router.process.awaitDrained(0)).isFalse();
+        router.core.issue(new Stop());
+        assertThat(router.process.awaitDrained(10)).isTrue();
+    }
+
     // Guards against a router that goes on with broken state after an exception in the core.
     @Test
     void anExceptionInTheCoreEndsTheProcess() throws Exception {
--- a/amaranthlock-router/src/test/java/org/amaranthlock/router/cli/MainTest.java
+++ b/amaranthlock-router/src/test/java/org/amaranthlock/router/cli/MainTest.java
@@ -13,10 +13,13 @@
 import java.util.Optional;
 import java.util.function.Function;
 import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.Command.Trace;
 import org.amaranthlock.coordination.Event;
 import org.amaranthlock.coordination.OperatorCommand.ConfigurationAccepted;
 import org.amaranthlock.coordination.OperatorCommand.ConfigurationShown;
+import org.amaranthlock.coordination.OperatorCommand.DrainStarted;
 import org.amaranthlock.coordination.OperatorCommand.Failed;
+import org.amaranthlock.coordination.OperatorEvent.Drain;
 import org.amaranthlock.coordination.OperatorEvent.GetConfiguration;
 import org.amaranthlock.coordination.OperatorEvent.PutConfiguration;
 import org.amaranthlock.model.ErrorCode;
@@ -108,6 +111,25 @@
         }
     }
 
+    // Guards against a timeline that shows an effect on one router before its cause on another.
+    @Test
+    void theTimelineMergesAllRoutersByTime() throws Exception {
+        try (RouterFixture first = new RouterFixture();
+                RouterFixture second = new RouterFixture()) {
+            for (int i = 1; i <= 4; i++) {
+                RouterFixture router = i % 2 == 1 ? first : second;
+                String text = "step-" + i;
+                router.core.onEvent(event -> event instanceof Drain drain
+                        ? List.of(new Trace("test", "subject", text), new DrainStarted(drain.call(), 0))
+                        : List.of());
+                assertThat(operate(router, "drain")).isEqualTo(ExitCodes.OK);
+            }
+            out.getBuffer().setLength(0);
+            assertThat(operate(first, "timeline", "--router", second.address())).isEqualTo(ExitCodes.OK);
+            assertThat(out.toString()).containsMatch("(?s)step-1\n.*step-2\n.*step-3\n.*step-4\n");
+        }
+    }
+
     // Guards against half of an invalid file being applied.
     @Test
     void anInvalidFileIsRefusedBeforeAnythingIsWritten() throws Exception {
