--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/ActiveStream.java
@@ -0,0 +1,85 @@
+package org.amaranthlock.coordination.request;
+
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.Target;
+
+/** Progress of the stream of one attempt. */
+final class ActiveStream {
+    /** Fewer tokens give no usable average, so the target's expected pace is used instead. */
+    private static final int MIN_TOKENS_FOR_PACE = 4;
+
+    private final AttemptId attempt;
+    private final Target target;
+    private final int startPosition;
+    private final double expectedPaceMillis;
+    private final long firstTokenDeadline;
+    private long firstTokenAt = -1;
+    private long lastProgressAt;
+    private int received;
+
+    ActiveStream(
+            AttemptId attempt,
+            Target target,
+            int startPosition,
+            double expectedPaceMillis,
+            long firstTokenBoundMillis,
+            long now) {
+        this.attempt = attempt;
+        this.target = target;
+        this.startPosition = startPosition;
+        this.expectedPaceMillis = expectedPaceMillis;
+        this.firstTokenDeadline = now + firstTokenBoundMillis;
+        this.lastProgressAt = now;
+    }
+
+    AttemptId attempt() {
+        return attempt;
+    }
+
+    Target target() {
+        return target;
+    }
+
+    int startPosition() {
+        return startPosition;
+    }
+
+    /** Notes new tokens and tells whether they are the first. */
+    boolean progressed(int tokens, long now) {
+        boolean first = firstTokenAt < 0;
+        if (first) {
+            firstTokenAt = now;
+        }
+        received += tokens;
+        lastProgressAt = now;
+        return first;
+    }
+
+    boolean hasTokens() {
+        return received > 0;
+    }
+
+    boolean awaitsFirstToken() {
+        return firstTokenAt < 0;
+    }
+
+    boolean firstTokenOverdue(long now) {
+        return awaitsFirstToken() && now > firstTokenDeadline;
+    }
+
+    long silentMillis(long now) {
+        return now - lastProgressAt;
+    }
+
+    /** Restarts the measurement of silence, since time in which this process was paused says nothing of the target. */
+    void forgive(long now) {
+        lastProgressAt = now;
+    }
+
+    double paceMillis() {
+        if (received < MIN_TOKENS_FOR_PACE || lastProgressAt <= firstTokenAt) {
+            return expectedPaceMillis;
+        }
+        return (double) (lastProgressAt - firstTokenAt) / (received - 1);
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
@@ -0,0 +1,441 @@
+package org.amaranthlock.coordination.request;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.RequestCommand;
+import org.amaranthlock.coordination.RequestEvent;
+import org.amaranthlock.coordination.RequestEvent.FailureKind;
+import org.amaranthlock.coordination.admission.AdmissionDecision;
+import org.amaranthlock.coordination.poison.PoisonRegistry.Standing;
+import org.amaranthlock.coordination.routing.TargetSelector.AttemptResult;
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.ErrorCode;
+import org.amaranthlock.model.Fate;
+import org.amaranthlock.model.RequestId;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.ServiceResponse;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.protocol.peer.Checkpoint;
+import org.amaranthlock.protocol.peer.ClaimVerdict;
+
+/** Life of a call of a plain service that must not be executed twice. */
+final class AtMostOnceRequest implements OpenRequest {
+    /** A claim is dispatched only this long after its grant; later, others may rely on its not being used. */
+    static final long CLAIM_MILLIS = 2000;
+
+    /** Time that the transport gets to report the timeout of a call itself. */
+    private static final long TIMEOUT_REPORT_MILLIS = 1000;
+
+    private static final long BARRED_TARGET_MILLIS = 2000;
+
+    private enum Phase {
+        QUEUED,
+        CLAIMING,
+        WAITING_FOR_TARGET,
+        RUNNING,
+        RECONCILING
+    }
+
+    private final RequestLife life;
+    private final Dispatcher dispatcher;
+    private final PauseDetector pauses;
+    private Phase phase = Phase.QUEUED;
+    private Optional<AttemptId> attempt = Optional.empty();
+    private Optional<Target> target = Optional.empty();
+    private Optional<Reconciliation> reconciliation = Optional.empty();
+    private ErrorCode undecidedCode = ErrorCode.OUTCOME_UNKNOWN;
+    private Fate undecidedFate = Fate.UNKNOWN;
+    private ErrorCode neverExecutedCode = ErrorCode.TARGET_FAILED;
+    private long claimedAt;
+    private long grantedAt;
+    private long fence;
+
+    AtMostOnceRequest(RequestServices services, Dispatcher dispatcher, PauseDetector pauses, RequestSpec spec) {
+        this.life = new RequestLife(services, spec, Optional.of(spec.id()));
+        this.dispatcher = dispatcher;
+        this.pauses = pauses;
+    }
+
+    @Override
+    public void begin(long now, List<Command> out) {
+        if (dispatcher.standing(spec(), now) == Standing.CONDEMNED) {
+            refusePoison(now, out);
+            return;
+        }
+        switch (life.admit(now)) {
+            case AdmissionDecision.Admitted admitted -> {
+                out.addAll(life.services().checkpoints().opened(this, now));
+                claim(now, out);
+            }
+            case AdmissionDecision.Queued queued ->
+                out.addAll(life.services().checkpoints().opened(this, now));
+            case AdmissionDecision.Refused refused ->
+                refuse(refused.code(), Fate.NOT_RUN, refused.detail(), refused.retryAfterMillis(), now, out);
+        }
+    }
+
+    @Override
+    public void released(long now, List<Command> out) {
+        if (phase == Phase.QUEUED) {
+            claim(now, out);
+        }
+    }
+
+    private void claim(long now, List<Command> out) {
+        phase = Phase.CLAIMING;
+        claimedAt = now;
+        out.addAll(life.services().ledger().claim(spec(), now));
+    }
+
+    /** Reacts to the ledger's decision; only the first one counts. */
+    void claimDecided(ClaimVerdict verdict, long now, List<Command> out) {
+        if (phase != Phase.CLAIMING) {
+            return;
+        }
+        switch (verdict) {
+            case ClaimVerdict.Granted granted -> {
+                fence = granted.fence();
+                grantedAt = now;
+                phase = Phase.WAITING_FOR_TARGET;
+                dispatch(now, out);
+            }
+            case ClaimVerdict.Held held -> held(held, now, out);
+            case ClaimVerdict.Closed closed -> repeat(closed, now, out);
+            case ClaimVerdict.KeyReused reused ->
+                life.refuse(
+                        this,
+                        ErrorCode.KEY_REUSED,
+                        Fate.NOT_RUN,
+                        "The idempotency key was used with another content; use a new key.",
+                        OptionalLong.empty(),
+                        now,
+                        out);
+            case ClaimVerdict.Unavailable unavailable ->
+                refuse(
+                        ErrorCode.PLATFORM_UNAVAILABLE,
+                        Fate.NOT_RUN,
+                        "No claim could be made (" + unavailable.reason() + "); send the request again later.",
+                        now,
+                        out);
+        }
+    }
+
+    private void held(ClaimVerdict.Held held, long now, List<Command> out) {
+        if (!life.services().membership().dead(held.holder())) {
+            refuse(
+                    ErrorCode.REQUEST_IN_PROGRESS,
+                    Fate.UNKNOWN,
+                    "A request with this key is in progress; repeat it later for its outcome.",
+                    now,
+                    out);
+            return;
+        }
+        undecidedCode = ErrorCode.OUTCOME_UNKNOWN;
+        neverExecutedCode = ErrorCode.REQUEST_IN_PROGRESS;
+        reconcile(targetsOfService(), OptionalLong.of(held.fence() + 1), now, out);
+    }
+
+    private void repeat(ClaimVerdict.Closed closed, long now, List<Command> out) {
+        switch (closed.record().fate()) {
+            case RAN -> {
+                if (closed.response().isPresent()) {
+                    life.answer(this, closed.response().get(), now, out);
+                    return;
+                }
+                undecidedCode = ErrorCode.RESUME_UNAVAILABLE;
+                undecidedFate = Fate.RAN;
+                reconcile(targetsOfService(), OptionalLong.empty(), now, out);
+            }
+            case NOT_RUN ->
+                refuse(
+                        ErrorCode.TARGET_FAILED,
+                        Fate.NOT_RUN,
+                        "The request with this key was not run; send it again.",
+                        now,
+                        out);
+            default -> reconcile(targetsOfService(), OptionalLong.empty(), now, out);
+        }
+    }
+
+    private List<Target> targetsOfService() {
+        return life.services().configuration().targets().stream()
+                .filter(candidate -> candidate.service().equals(spec().service()))
+                .toList();
+    }
+
+    private void dispatch(long now, List<Command> out) {
+        if (life.connection().isEmpty()) {
+            refuse(ErrorCode.DEADLINE_EXCEEDED, Fate.NOT_RUN, "The caller waits no longer.", now, out);
+        } else if (dispatcher.standing(spec(), now) == Standing.CONDEMNED) {
+            refusePoison(now, out);
+        } else if (now - grantedAt > CLAIM_MILLIS || pauses.pausedSince(claimedAt, now)) {
+            refuse(
+                    ErrorCode.OVERLOADED,
+                    Fate.NOT_RUN,
+                    "The claim was not used in time; send the request again.",
+                    now,
+                    out);
+        } else if (life.refusedAttempts() >= RequestLife.MAX_REFUSED_ATTEMPTS) {
+            refuse(ErrorCode.OVERLOADED, Fate.NOT_RUN, "The targets take no work; send it again later.", now, out);
+        } else {
+            Optional<Target> chosen = dispatcher.choose(spec(), life.barred(now), Optional.empty(), "", 0, now);
+            if (chosen.isPresent()) {
+                call(chosen.get(), now, out);
+            } else if (life.services().targets().targets(spec().service()).isEmpty()) {
+                refuse(ErrorCode.NO_TARGET, Fate.NOT_RUN, "No target is available; send it again later.", now, out);
+            }
+        }
+    }
+
+    private void call(Target chosen, long now, List<Command> out) {
+        AttemptId id = life.nextAttempt(chosen);
+        attempt = Optional.of(id);
+        target = Optional.of(chosen);
+        phase = Phase.RUNNING;
+        dispatcher.started(id, spec(), chosen, 0, now);
+        long timeout = Math.max(1, spec().deadlineMillis() - now);
+        out.add(new RequestCommand.CallService(id, chosen, spec(), OptionalLong.of(fence), timeout));
+    }
+
+    @Override
+    public void attemptEvent(RequestEvent.OfAttempt event, long now, List<Command> out) {
+        if (phase == Phase.RUNNING && attempt.isPresent() && attempt.get().equals(event.attempt())) {
+            callEvent(event, now, out);
+        } else if (phase == Phase.RECONCILING && reconciliation.orElseThrow().knows(event.attempt())) {
+            reconciliationEvent(event, now, out);
+        }
+    }
+
+    private void callEvent(RequestEvent.OfAttempt event, long now, List<Command> out) {
+        if (event instanceof RequestEvent.ServiceAnswered answered) {
+            dispatcher.progressed(event.attempt(), 1, now);
+            dispatcher.ended(event.attempt(), AttemptResult.SUCCEEDED, now);
+            life.services().poison().completed(spec(), now);
+            life.answer(this, answered.response(), now, out);
+        } else if (event instanceof RequestEvent.AttemptFailed failed) {
+            callFailed(failed, now, out);
+        }
+    }
+
+    private void callFailed(RequestEvent.AttemptFailed failed, long now, List<Command> out) {
+        FailureKind kind = failed.kind();
+        switch (kind) {
+            case NOT_SENT, BUSY, DRAINING -> {
+                notRun(now);
+                life.bar(
+                        target.orElseThrow().id(),
+                        now + failed.retryAfterMillis().orElse(BARRED_TARGET_MILLIS));
+                target = Optional.empty();
+                phase = Phase.WAITING_FOR_TARGET;
+                dispatch(now, out);
+            }
+            case INVALID -> {
+                notRun(now);
+                String detail = "The target can't run the request: " + failed.detail();
+                refuse(ErrorCode.INVALID_REQUEST, Fate.NOT_RUN, detail, now, out);
+            }
+            case FENCED -> {
+                notRun(now);
+                String detail = "A later request with this key took its place; repeat it for its outcome.";
+                refuse(ErrorCode.SUPERSEDED, Fate.NOT_RUN, detail, now, out);
+            }
+            default -> uncertain(now, out);
+        }
+    }
+
+    private void notRun(long now) {
+        life.attemptNotRun();
+        dispatcher.ended(attempt.orElseThrow(), AttemptResult.FAILED, now);
+        attempt = Optional.empty();
+    }
+
+    /** The call may have been executed: only the target can tell. */
+    private void uncertain(long now, List<Command> out) {
+        life.attemptUncertain();
+        dispatcher.lost(attempt.orElseThrow(), now);
+        attempt = Optional.empty();
+        // The raised number bars this router's own call, in case it is still on its way to the target.
+        reconcile(List.of(target.orElseThrow()), OptionalLong.of(fence + 1), now, out);
+    }
+
+    private void reconcile(List<Target> targets, OptionalLong raisedFence, long now, List<Command> out) {
+        phase = Phase.RECONCILING;
+        reconciliation = Optional.of(new Reconciliation(life, targets, raisedFence, now));
+        reconciliation.get().askDue(now, out);
+        settle(now, out);
+    }
+
+    private void reconciliationEvent(RequestEvent.OfAttempt event, long now, List<Command> out) {
+        Reconciliation current = reconciliation.orElseThrow();
+        if (event instanceof RequestEvent.Reconciled reconciled) {
+            current.absent(event.attempt());
+            Optional<ServiceResponse> response = reconciled.response();
+            if (response.isPresent()) {
+                current.cancel(out);
+                life.answer(this, response.get(), now, out);
+                return;
+            }
+        } else if (event instanceof RequestEvent.AttemptFailed failed) {
+            current.failed(failed, now);
+        }
+        settle(now, out);
+    }
+
+    private void settle(long now, List<Command> out) {
+        Reconciliation current = reconciliation.orElseThrow();
+        switch (current.state(now)) {
+            case PENDING -> {}
+            case NEVER_EXECUTED ->
+                refuse(neverExecutedCode, Fate.NOT_RUN, "The target did not run the request; repeat it.", now, out);
+            default -> {
+                current.cancel(out);
+                String detail = undecidedFate == Fate.RAN
+                        ? "The request ran, but its answer was not stored; ask the service for it."
+                        : "It is unknown whether the request ran; ask the service before sending it with a new key.";
+                refuse(undecidedCode, undecidedFate, detail, now, out);
+            }
+        }
+    }
+
+    @Override
+    public void tick(long now, List<Command> out) {
+        boolean late = now >= spec().deadlineMillis();
+        switch (phase) {
+            case QUEUED -> {
+                if (late) {
+                    refuse(ErrorCode.DEADLINE_EXCEEDED, Fate.NOT_RUN, "The deadline passed; allow more.", now, out);
+                }
+            }
+            case WAITING_FOR_TARGET -> {
+                if (late) {
+                    refuse(ErrorCode.DEADLINE_EXCEEDED, Fate.NOT_RUN, "The deadline passed; allow more.", now, out);
+                } else {
+                    dispatch(now, out);
+                }
+            }
+            case CLAIMING -> tellLate(late, out);
+            case RUNNING -> {
+                tellLate(late, out);
+                if (now >= spec().deadlineMillis() + TIMEOUT_REPORT_MILLIS) {
+                    out.add(new RequestCommand.CancelAttempt(attempt.orElseThrow(), target.orElseThrow()));
+                    uncertain(now, out);
+                }
+            }
+            default -> {
+                tellLate(late, out);
+                reconciliation.orElseThrow().askDue(now, out);
+                settle(now, out);
+            }
+        }
+    }
+
+    /** Answers the caller at the deadline; the record follows when the fate is known. */
+    private void tellLate(boolean late, List<Command> out) {
+        if (late) {
+            life.tellRefusal(
+                    ErrorCode.DEADLINE_EXCEEDED,
+                    Fate.UNKNOWN,
+                    "The deadline passed before the outcome was known; repeat the request with its key.",
+                    OptionalLong.of(RequestLife.RETRY_AFTER_MILLIS),
+                    out);
+        }
+    }
+
+    @Override
+    public void callerGone(long now, List<Command> out) {
+        life.disconnect();
+        // A claim that is asked for or used runs to its end, so that a repeat of the key learns the outcome.
+        if (phase == Phase.QUEUED || phase == Phase.WAITING_FOR_TARGET) {
+            life.abandon(this, Fate.NOT_RUN, now, out);
+        }
+    }
+
+    /** Continues with a caller that came back while its request is in progress here. */
+    void callerBack(RequestId connection) {
+        life.connect(connection);
+    }
+
+    @Override
+    public void expired(long now, List<Command> out) {
+        if (phase == Phase.QUEUED) {
+            refuse(
+                    ErrorCode.DEADLINE_UNREACHABLE,
+                    Fate.NOT_RUN,
+                    "The request can't finish before its deadline; send it again later.",
+                    now,
+                    out);
+        }
+    }
+
+    @Override
+    public void takenOver(long now, List<Command> out) {
+        // The claim names this router alone, so no other router can carry the call on.
+    }
+
+    private void refusePoison(long now, List<Command> out) {
+        life.refuse(
+                this,
+                ErrorCode.POISON_REQUEST,
+                Fate.NOT_RUN,
+                "Targets that ran this request crashed; change the request before sending it again.",
+                OptionalLong.empty(),
+                now,
+                out);
+    }
+
+    private void refuse(ErrorCode code, Fate fate, String detail, long now, List<Command> out) {
+        refuse(code, fate, detail, RequestLife.RETRY_AFTER_MILLIS, now, out);
+    }
+
+    private void refuse(ErrorCode code, Fate fate, String detail, long retryAfterMillis, long now, List<Command> out) {
+        life.refuse(this, code, fate, detail, OptionalLong.of(retryAfterMillis), now, out);
+    }
+
+    @Override
+    public RequestSpec spec() {
+        return life.spec();
+    }
+
+    @Override
+    public Optional<RequestId> connection() {
+        return life.connection();
+    }
+
+    @Override
+    public boolean closed() {
+        return life.closed();
+    }
+
+    @Override
+    public Checkpoint checkpoint() {
+        return new Checkpoint(
+                spec(),
+                life.services().membership().self().host(),
+                attempt,
+                attempt.flatMap(id -> target.map(Target::id)),
+                "",
+                List.of());
+    }
+
+    @Override
+    public boolean keptAlive() {
+        return false;
+    }
+
+    @Override
+    public Optional<AttemptId> attempt() {
+        return attempt;
+    }
+
+    @Override
+    public Optional<Target> target() {
+        return attempt.flatMap(id -> target);
+    }
+
+    @Override
+    public List<String> tokens() {
+        return List.of();
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointStore.java
@@ -0,0 +1,24 @@
+package org.amaranthlock.coordination.request;
+
+import java.util.List;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.model.RequestSpec;
+
+/** Keeps the state of this router's open requests at other routers and finds that of others. */
+public interface CheckpointStore {
+    /** Begins to keep a request's state at its keeper; the open notice is sent at once. */
+    List<Command> opened(CheckpointSource source, long nowMillis);
+
+    /** Sends the whole present state of a request to its keeper at once. */
+    List<Command> flush(CheckpointSource source, long nowMillis);
+
+    /** Ends the keeping of a request that is closed. */
+    List<Command> closed(CheckpointSource source, long nowMillis);
+
+    /**
+     * Looks for the state of a request that other routers hold;
+     * {@link org.amaranthlock.coordination.RequestEvent.CheckpointFound} brings the answer under the id of the
+     * request given here. A live owner has stopped serving the request when its state is found.
+     */
+    List<Command> search(RequestSpec spec, long nowMillis);
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/Dispatcher.java
@@ -0,0 +1,185 @@
+package org.amaranthlock.coordination.request;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthlock.coordination.poison.PoisonRegistry;
+import org.amaranthlock.coordination.poison.PoisonRegistry.Standing;
+import org.amaranthlock.coordination.routing.SelectionContext;
+import org.amaranthlock.coordination.routing.TargetSelector.AttemptResult;
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.Capability;
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.model.TargetId;
+
+/** Chooses targets for all attempts of this router and notes which attempts run, waste a prefill or were lost. */
+final class Dispatcher {
+    /** Resumes whose prefill runs at a target at the same time; more would delay each other and the running streams. */
+    static final int PREFILLS_PER_TARGET = 4;
+
+    /** Time in which losses of targets of one failure domain count as one event. */
+    static final long DOMAIN_LOSS_MILLIS = 2000;
+
+    /** Time in which a refused connection after the loss of an attempt still counts as a death of the target. */
+    private static final long DEATH_WINDOW_MILLIS = 5000;
+
+    private final RequestServices services;
+    private final Map<AttemptId, Running> running = new LinkedHashMap<>();
+    private final List<Lost> lost = new ArrayList<>();
+
+    Dispatcher(RequestServices services) {
+        this.services = services;
+    }
+
+    Standing standing(RequestSpec spec, long now) {
+        return services.poison().standing(spec, now);
+    }
+
+    /** Chooses a target under the conditions of a request; empty if none is available now. */
+    Optional<Target> choose(
+            RequestSpec spec,
+            Set<TargetId> excluded,
+            Optional<Target> lostTarget,
+            String version,
+            int resumedTokens,
+            long now) {
+        Set<TargetId> barred = new HashSet<>(excluded);
+        for (Running other : running.values()) {
+            if (other.alone) {
+                barred.add(other.target.id());
+            }
+        }
+        if (resumedTokens > 0) {
+            barUnfitForResume(spec, version, barred);
+        }
+        boolean alone = standing(spec, now) == Standing.SUSPECT;
+        Optional<FailureDomain> avoided =
+                lostTarget.filter(target -> domainLost(target, now)).map(Target::failureDomain);
+        SelectionContext context = new SelectionContext(barred, avoided, version, resumedTokens, alone);
+        return services.selector().select(spec, context, now).filter(target -> !barred.contains(target.id()));
+    }
+
+    private void barUnfitForResume(RequestSpec spec, String version, Set<TargetId> barred) {
+        for (Target target : services.targets().targets(spec.service())) {
+            boolean fit = target.can(Capability.RESUME) && target.version().equals(version);
+            if (!fit || prefills(target.id()) >= PREFILLS_PER_TARGET) {
+                barred.add(target.id());
+            }
+        }
+    }
+
+    private long prefills(TargetId target) {
+        return running.values().stream()
+                .filter(attempt -> attempt.prefill && attempt.target.id().equals(target))
+                .count();
+    }
+
+    private boolean domainLost(Target target, long now) {
+        return lost.stream()
+                .anyMatch(loss -> !loss.target.id().equals(target.id())
+                        && loss.target.failureDomain().equals(target.failureDomain())
+                        && now - loss.atMillis <= DOMAIN_LOSS_MILLIS);
+    }
+
+    /** Notes that an attempt is sent to a target. */
+    void started(AttemptId attempt, RequestSpec spec, Target target, int resumedTokens, long now) {
+        boolean alone = standing(spec, now) == Standing.SUSPECT;
+        running.put(attempt, new Running(spec, target, now, alone, resumedTokens > 0));
+        services.selector().started(attempt, spec, target, resumedTokens, now);
+    }
+
+    /** Notes tokens, or an answer as one token. */
+    void progressed(AttemptId attempt, int tokens, long now) {
+        Running entry = running.get(attempt);
+        if (entry != null) {
+            entry.prefill = false;
+        }
+        services.selector().progressed(attempt, tokens, now);
+    }
+
+    /** Notes the end of an attempt that was not lost. */
+    void ended(AttemptId attempt, AttemptResult result, long now) {
+        if (running.remove(attempt) != null) {
+            services.selector().finished(attempt, result, now);
+        }
+    }
+
+    /** Notes that the connection of an attempt was lost or its stream stalled. */
+    void lost(AttemptId attempt, long now) {
+        Running entry = running.remove(attempt);
+        if (entry != null) {
+            lost.add(new Lost(entry.spec, entry.target, now - entry.startedAtMillis, now, entry.counted));
+            services.selector().finished(attempt, AttemptResult.FAILED, now);
+        }
+    }
+
+    /** Counts the death of a target against the requests that ran there, each attempt at most once. */
+    void unreachable(TargetId target, long now) {
+        List<PoisonRegistry.Running> victims = new ArrayList<>();
+        for (Running entry : running.values()) {
+            if (entry.target.id().equals(target) && !entry.counted) {
+                entry.counted = true;
+                victims.add(new PoisonRegistry.Running(entry.spec, now - entry.startedAtMillis));
+            }
+        }
+        for (Lost loss : lost) {
+            if (loss.target.id().equals(target) && !loss.counted) {
+                loss.counted = true;
+                victims.add(new PoisonRegistry.Running(loss.spec, loss.ranMillis));
+            }
+        }
+        if (!victims.isEmpty()) {
+            services.poison().targetDied(target, victims, now);
+        }
+    }
+
+    /** Forgets losses that no longer matter. */
+    void tick(long now) {
+        Iterator<Lost> losses = lost.iterator();
+        while (losses.hasNext()) {
+            if (now - losses.next().atMillis > DEATH_WINDOW_MILLIS) {
+                losses.remove();
+            }
+        }
+    }
+
+    private static final class Running {
+        private final RequestSpec spec;
+        private final Target target;
+        private final long startedAtMillis;
+        private final boolean alone;
+        private boolean prefill;
+        private boolean counted;
+
+        Running(RequestSpec spec, Target target, long startedAtMillis, boolean alone, boolean prefill) {
+            this.spec = spec;
+            this.target = target;
+            this.startedAtMillis = startedAtMillis;
+            this.alone = alone;
+            this.prefill = prefill;
+        }
+    }
+
+    private static final class Lost {
+        private final RequestSpec spec;
+        private final Target target;
+        private final long ranMillis;
+        private final long atMillis;
+        private boolean counted;
+
+        Lost(RequestSpec spec, Target target, long ranMillis, long atMillis, boolean counted) {
+            this.spec = spec;
+            this.target = target;
+            this.ranMillis = ranMillis;
+            this.atMillis = atMillis;
+            this.counted = counted;
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OpenRequest.java
@@ -0,0 +1,37 @@
+package org.amaranthlock.coordination.request;
+
+import java.util.List;
+import java.util.Optional;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.RequestEvent;
+import org.amaranthlock.model.RequestId;
+
+/** State machine of one request that this router serves; commands are added to {@code out}. */
+sealed interface OpenRequest extends CheckpointSource permits GenerationRequest, ServiceRequest, AtMostOnceRequest {
+    /** Begins a new request: admission, then the first dispatch. */
+    void begin(long now, List<Command> out);
+
+    /** Starts a queued request. */
+    void released(long now, List<Command> out);
+
+    /** Reacts to an event of one of its attempts, present or past. */
+    void attemptEvent(RequestEvent.OfAttempt event, long now, List<Command> out);
+
+    /** Checks deadlines and waits. */
+    void tick(long now, List<Command> out);
+
+    /** Reacts to the loss of the caller's connection. */
+    void callerGone(long now, List<Command> out);
+
+    /** Refuses a queued request that can't finish before its deadline any more. */
+    void expired(long now, List<Command> out);
+
+    /** Stops serving the request without a record, because another router serves it now. */
+    void takenOver(long now, List<Command> out);
+
+    /** Returns the id under which the caller is connected, if it is. */
+    Optional<RequestId> connection();
+
+    /** Tells whether the request is over for this router and can be forgotten. */
+    boolean closed();
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/PauseDetector.java
@@ -0,0 +1,26 @@
+package org.amaranthlock.coordination.request;
+
+/** Notices pauses of this process from gaps between ticks. */
+final class PauseDetector {
+    /** Ticks come every 50 ms; ten missing in a row mean that the process did not run. */
+    static final long PAUSE_MILLIS = 500;
+
+    private long lastTickAt = -1;
+    private long lastPauseAt = -1;
+
+    /** Notes a tick and tells whether the process was paused before it. */
+    boolean ticked(long now) {
+        boolean paused = lastTickAt >= 0 && now - lastTickAt > PAUSE_MILLIS;
+        if (paused) {
+            lastPauseAt = now;
+        }
+        lastTickAt = now;
+        return paused;
+    }
+
+    /** Tells whether a pause was seen since a time, or is evident because the next tick is overdue. */
+    boolean pausedSince(long since, long now) {
+        boolean overdue = lastTickAt >= 0 && now - lastTickAt > PAUSE_MILLIS;
+        return overdue || (lastPauseAt >= 0 && lastPauseAt >= since);
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/Reconciliation.java
@@ -0,0 +1,116 @@
+package org.amaranthlock.coordination.request;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.RequestCommand;
+import org.amaranthlock.coordination.RequestEvent;
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.Capability;
+import org.amaranthlock.model.Target;
+
+/**
+ * Asks targets whether a key was executed.
+ *
+ * <p>That a key was executed is proved by one target; that it was not, and never will be, only by all targets that may
+ * have got it, each with a raised fencing number that bars a dispatch which is still under way.
+ */
+final class Reconciliation {
+    /** Time for all answers; a caller waits for it after a failure. */
+    static final long TIME_MILLIS = 2000;
+
+    /** Pause before a target that did not answer is asked again. */
+    private static final long RETRY_MILLIS = 200;
+
+    private static final int MAX_QUERIES_PER_TARGET = 3;
+
+    /** Result so far. */
+    enum State {
+        PENDING,
+        NEVER_EXECUTED,
+        UNDECIDED
+    }
+
+    private final RequestLife life;
+    private final OptionalLong fence;
+    private final long startedAt;
+    private final Map<AttemptId, Target> asked = new LinkedHashMap<>();
+    private final Map<Target, Long> waiting = new LinkedHashMap<>();
+    private final Map<Target, Integer> queries = new LinkedHashMap<>();
+    private boolean conclusive;
+
+    /**
+     * Creates a reconciliation.
+     *
+     * @param life the request
+     * @param targets all targets that may have got the key
+     * @param fence raised fencing number; without it no answer proves that the key will never be executed
+     */
+    Reconciliation(RequestLife life, List<Target> targets, OptionalLong fence, long now) {
+        this.life = life;
+        this.fence = fence;
+        this.startedAt = now;
+        this.conclusive = fence.isPresent() && !targets.isEmpty();
+        for (Target target : targets) {
+            if (target.can(Capability.RECONCILE)) {
+                waiting.put(target, now);
+            }
+            conclusive = conclusive && target.can(Capability.RECONCILE) && target.can(Capability.FENCING);
+        }
+    }
+
+    /** Sends the queries that are due. */
+    void askDue(long now, List<Command> out) {
+        for (Target target : List.copyOf(waiting.keySet())) {
+            if (waiting.get(target) <= now) {
+                waiting.remove(target);
+                queries.merge(target, 1, Integer::sum);
+                AttemptId query = life.nextQuery();
+                asked.put(query, target);
+                out.add(new RequestCommand.Reconcile(query, target, life.spec(), fence));
+            }
+        }
+    }
+
+    /** Notes that a target does not know the key. */
+    void absent(AttemptId query) {
+        asked.remove(query);
+    }
+
+    /** Notes that a query failed. */
+    void failed(RequestEvent.AttemptFailed failure, long now) {
+        Target target = asked.remove(failure.attempt());
+        if (target == null) {
+            return;
+        }
+        if (queries.get(target) < MAX_QUERIES_PER_TARGET) {
+            waiting.put(target, now + RETRY_MILLIS);
+        } else {
+            conclusive = false;
+        }
+    }
+
+    boolean knows(AttemptId query) {
+        return asked.containsKey(query);
+    }
+
+    State state(long now) {
+        boolean pending = !asked.isEmpty() || !waiting.isEmpty();
+        if (pending) {
+            return now - startedAt < TIME_MILLIS ? State.PENDING : State.UNDECIDED;
+        }
+        return conclusive ? State.NEVER_EXECUTED : State.UNDECIDED;
+    }
+
+    /** Cancels the queries that are still open. */
+    void cancel(List<Command> out) {
+        List<AttemptId> open = new ArrayList<>(asked.keySet());
+        for (AttemptId query : open) {
+            out.add(new RequestCommand.CancelAttempt(query, asked.remove(query)));
+        }
+        waiting.clear();
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RefusedArrival.java
@@ -0,0 +1,54 @@
+package org.amaranthlock.coordination.request;
+
+import java.util.List;
+import java.util.Optional;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.model.ErrorCode;
+import org.amaranthlock.model.Fate;
+import org.amaranthlock.model.Outcome;
+import org.amaranthlock.model.OutcomeRecord;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.protocol.peer.PeerMessage.FinalOutcome;
+
+/** Records of arrivals that end before this router begins to serve them. */
+final class RefusedArrival {
+    private RefusedArrival() {}
+
+    static void close(
+            RequestServices services, RequestSpec spec, ErrorCode code, Fate fate, long now, List<Command> out) {
+        close(services, spec, Outcome.REFUSED, fate, code.code(), code.status(), now, out);
+    }
+
+    static void abandon(RequestServices services, RequestSpec spec, Fate fate, long now, List<Command> out) {
+        close(services, spec, Outcome.ABANDONED, fate, "", 0, now, out);
+    }
+
+    private static void close(
+            RequestServices services,
+            RequestSpec spec,
+            Outcome outcome,
+            Fate fate,
+            String code,
+            int status,
+            long now,
+            List<Command> out) {
+        OutcomeRecord record = new OutcomeRecord(
+                spec.id(),
+                spec.account(),
+                spec.service(),
+                spec.profile().name(),
+                spec.ledgerKey(),
+                outcome,
+                fate,
+                code,
+                status,
+                services.membership().self().host(),
+                List.of(),
+                0,
+                0,
+                0,
+                spec.arrivedAtMillis(),
+                now);
+        out.addAll(services.ledger().close(new FinalOutcome(record, Optional.empty()), now));
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -0,0 +1,325 @@
+package org.amaranthlock.coordination.request;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.Component;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.RequestCommand;
+import org.amaranthlock.coordination.RequestEvent;
+import org.amaranthlock.coordination.TargetEvent;
+import org.amaranthlock.model.ErrorCode;
+import org.amaranthlock.model.Fate;
+import org.amaranthlock.model.ProfileKind;
+import org.amaranthlock.model.Refusal;
+import org.amaranthlock.model.RequestId;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.Work;
+import org.amaranthlock.protocol.peer.Checkpoint;
+
+/**
+ * Serves the callers' requests from arrival to the final answer.
+ *
+ * <p>A request that continues one of another router keeps the id of the first, which names its attempts and its record;
+ * commands to the caller carry the id of the connection that is served now. Every request ends in exactly one final
+ * command to a connected caller and exactly one outcome record, except when another router takes it over.
+ */
+public final class RequestCoordinator implements Component {
+    /** Records waiting for the ledger above which no request is admitted, so that none has to be dropped. */
+    static final int MAX_PENDING_OUTCOMES = 50_000;
+
+    /** Time after which a leaving router hands its kept-alive requests over. */
+    static final long DRAIN_MILLIS = 120_000;
+
+    private final RequestServices services;
+    private final Dispatcher dispatcher;
+    private final PauseDetector pauses = new PauseDetector();
+    private final Map<RequestId, OpenRequest> requests = new LinkedHashMap<>();
+    private final Map<String, OpenRequest> byLedgerKey = new LinkedHashMap<>();
+    private final Map<RequestId, OpenRequest> byConnection = new LinkedHashMap<>();
+    private final Map<RequestId, Search> searches = new LinkedHashMap<>();
+    private long leavingSince = -1;
+
+    /** Creates a coordinator without requests. */
+    public RequestCoordinator(RequestServices services) {
+        this.services = Objects.requireNonNull(services, "services");
+        this.dispatcher = new Dispatcher(services);
+    }
+
+    /** Returns the number of requests that are not closed. */
+    public int openRequests() {
+        return requests.size() + searches.size();
+    }
+
+    @Override
+    public List<Command> handle(Event event, long nowMillis) {
+        List<Command> out = new ArrayList<>();
+        switch (event) {
+            case Event.Tick tick -> tick(nowMillis, out);
+            case RequestEvent.Arrived arrived -> arrived(arrived, nowMillis, out);
+            case RequestEvent.CallerGone gone -> callerGone(gone.request(), nowMillis, out);
+            case RequestEvent.CheckpointFound found -> searched(found, nowMillis, out);
+            case RequestEvent.ClaimDecided decided -> {
+                if (requests.get(decided.request()) instanceof AtMostOnceRequest request) {
+                    request.claimDecided(decided.verdict(), nowMillis, out);
+                    settle(request);
+                }
+            }
+            case RequestEvent.Released released ->
+                with(released.request(), request -> request.released(nowMillis, out));
+            case RequestEvent.TakenOver taken -> with(taken.request(), request -> request.takenOver(nowMillis, out));
+            case RequestEvent.OfAttempt ofAttempt ->
+                with(ofAttempt.request(), request -> request.attemptEvent(ofAttempt, nowMillis, out));
+            case TargetEvent.Unreachable unreachable -> dispatcher.unreachable(unreachable.target(), nowMillis);
+            default -> {}
+        }
+        return out;
+    }
+
+    private void with(RequestId id, Consumer<OpenRequest> action) {
+        OpenRequest request = requests.get(id);
+        if (request != null) {
+            action.accept(request);
+            settle(request);
+        }
+    }
+
+    /** Brings the tables up to date after a change of a request. */
+    private void settle(OpenRequest request) {
+        byConnection.values().removeIf(other -> other == request);
+        if (request.closed()) {
+            requests.remove(request.spec().id(), request);
+            byLedgerKey.remove(request.spec().ledgerKey(), request);
+            return;
+        }
+        requests.put(request.spec().id(), request);
+        byLedgerKey.put(request.spec().ledgerKey(), request);
+        request.connection().ifPresent(id -> byConnection.put(id, request));
+    }
+
+    private void arrived(RequestEvent.Arrived arrived, long now, List<Command> out) {
+        RequestSpec spec = arrived.spec();
+        OpenRequest present = byLedgerKey.get(spec.ledgerKey());
+        if (present != null && joins(spec, present)) {
+            join(arrived, present, now, out);
+        } else if (requests.containsKey(spec.id()) || searches.containsKey(spec.id())) {
+            out.add(refusal(spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, "The request is in progress."));
+        } else if (services.membership().leaving()) {
+            reject(spec, ErrorCode.DRAINING, "This router shuts down; connect to another one.", now, out);
+        } else if (services.ledger().pendingOutcomes() >= MAX_PENDING_OUTCOMES) {
+            reject(spec, ErrorCode.PLATFORM_UNAVAILABLE, "Outcome records wait for the platform.", now, out);
+        } else if (spec.work() instanceof Work.Generation && searchable(arrived)) {
+            searches.put(spec.id(), new Search(arrived));
+            out.addAll(services.checkpoints().search(spec, now));
+        } else {
+            begin(create(spec, Optional.of(spec.id()), now), now, out);
+        }
+    }
+
+    /** A repeat by key may find a kept-alive generation that is open elsewhere; other work has no tokens to find. */
+    private static boolean searchable(RequestEvent.Arrived arrived) {
+        boolean keyed = arrived.spec().key().isPresent();
+        return arrived.resumeAt().isPresent()
+                || (keyed && arrived.spec().profile().kind() != ProfileKind.RETRIABLE);
+    }
+
+    private static boolean joins(RequestSpec spec, OpenRequest present) {
+        boolean repeat =
+                spec.key().isPresent() || spec.id().equals(present.spec().id());
+        return repeat && !(present instanceof ServiceRequest);
+    }
+
+    private void join(RequestEvent.Arrived arrived, OpenRequest present, long now, List<Command> out) {
+        RequestSpec spec = arrived.spec();
+        if (spec.fingerprint() != present.spec().fingerprint()) {
+            reject(
+                    spec,
+                    ErrorCode.KEY_REUSED,
+                    "The idempotency key was used with another content; use a new key.",
+                    now,
+                    out);
+            return;
+        }
+        if (present instanceof GenerationRequest generation) {
+            generation.callerBack(spec.id(), arrived.resumeAt().orElse(0), now, out);
+        } else if (present instanceof AtMostOnceRequest order) {
+            if (order.connection().isPresent()) {
+                inProgress(spec, order, now, out);
+            } else {
+                order.callerBack(spec.id());
+            }
+        }
+        settle(present);
+    }
+
+    private void inProgress(RequestSpec spec, AtMostOnceRequest order, long now, List<Command> out) {
+        String detail = "A request with this key is in progress; repeat it later for its outcome.";
+        out.add(refusal(spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, detail));
+        if (!spec.id().equals(order.spec().id())) {
+            RefusedArrival.close(services, spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, now, out);
+        }
+    }
+
+    private void reject(RequestSpec spec, ErrorCode code, String detail, long now, List<Command> out) {
+        out.add(refusal(spec, code, Fate.NOT_RUN, detail));
+        RefusedArrival.close(services, spec, code, Fate.NOT_RUN, now, out);
+    }
+
+    private static Command refusal(RequestSpec spec, ErrorCode code, Fate fate, String detail) {
+        OptionalLong retryAfter =
+                code == ErrorCode.KEY_REUSED ? OptionalLong.empty() : OptionalLong.of(RequestLife.RETRY_AFTER_MILLIS);
+        return new RequestCommand.Refuse(spec.id(), new Refusal(code, fate, detail, retryAfter));
+    }
+
+    private void begin(OpenRequest request, long now, List<Command> out) {
+        requests.put(request.spec().id(), request);
+        byLedgerKey.putIfAbsent(request.spec().ledgerKey(), request);
+        request.begin(now, out);
+        settle(request);
+    }
+
+    private OpenRequest create(RequestSpec spec, Optional<RequestId> connection, long now) {
+        if (spec.work() instanceof Work.Generation) {
+            return new GenerationRequest(services, dispatcher, spec, connection, now);
+        }
+        if (spec.profile().kind() == ProfileKind.AT_MOST_ONCE) {
+            return new AtMostOnceRequest(services, dispatcher, pauses, spec);
+        }
+        return new ServiceRequest(services, dispatcher, spec);
+    }
+
+    private void searched(RequestEvent.CheckpointFound found, long now, List<Command> out) {
+        Search search = searches.remove(found.request());
+        if (search == null) {
+            return;
+        }
+        RequestSpec spec = search.arrived.spec();
+        Optional<RequestId> connection = search.gone ? Optional.empty() : Optional.of(spec.id());
+        OpenRequest present = byLedgerKey.get(spec.ledgerKey());
+        if (present instanceof GenerationRequest && joins(spec, present)) {
+            if (!search.gone) {
+                join(search.arrived, present, now, out);
+            }
+        } else if (found.checkpoint().isPresent()) {
+            takeOver(search, found.checkpoint().get(), connection, now, out);
+        } else if (search.arrived.resumeAt().isPresent()) {
+            resumeUnavailable(search, now, out);
+        } else if (search.gone) {
+            RefusedArrival.abandon(services, spec, Fate.NOT_RUN, now, out);
+        } else {
+            begin(create(spec, connection, now), now, out);
+        }
+    }
+
+    private void takeOver(
+            Search search, Checkpoint checkpoint, Optional<RequestId> connection, long now, List<Command> out) {
+        RequestSpec spec = search.arrived.spec();
+        Optional<RequestId> served = connection;
+        if (checkpoint.spec().fingerprint() != spec.fingerprint()) {
+            // The state is this router's now, so the request is kept open for its true caller.
+            served = Optional.empty();
+            connection.ifPresent(id -> reject(
+                    spec,
+                    ErrorCode.KEY_REUSED,
+                    "The idempotency key was used with another content; use a new key.",
+                    now,
+                    out));
+        }
+        GenerationRequest request = new GenerationRequest(services, dispatcher, checkpoint.spec(), served, now);
+        int resumeAt = served.isPresent() ? search.arrived.resumeAt().orElse(0) : 0;
+        request.continueFrom(checkpoint, resumeAt, now, out);
+        settle(request);
+    }
+
+    private void resumeUnavailable(Search search, long now, List<Command> out) {
+        RequestSpec spec = search.arrived.spec();
+        // A caller that names a token has seen output; without one nothing is known of the execution.
+        Fate fate = search.arrived.resumeAt().orElse(0) > 0 ? Fate.RAN : Fate.UNKNOWN;
+        if (!search.gone) {
+            String detail = "No router holds the answer any more; read its outcome record or send the request anew.";
+            out.add(refusal(spec, ErrorCode.RESUME_UNAVAILABLE, fate, detail));
+        }
+        RefusedArrival.close(services, spec, ErrorCode.RESUME_UNAVAILABLE, fate, now, out);
+    }
+
+    private void callerGone(RequestId connection, long now, List<Command> out) {
+        Search search = searches.get(connection);
+        if (search != null) {
+            search.gone = true;
+            return;
+        }
+        OpenRequest request = byConnection.get(connection);
+        if (request != null) {
+            request.callerGone(now, out);
+            settle(request);
+        }
+    }
+
+    private void tick(long now, List<Command> out) {
+        boolean paused = pauses.ticked(now);
+        dispatcher.tick(now);
+        for (RequestId expired : services.admission().expired(now)) {
+            with(expired, request -> request.expired(now, out));
+        }
+        detectStalls(paused, now, out);
+        for (OpenRequest request : List.copyOf(requests.values())) {
+            if (!request.closed()) {
+                request.tick(now, out);
+                settle(request);
+            }
+        }
+        drain(now, out);
+    }
+
+    private void detectStalls(boolean paused, long now, List<Command> out) {
+        Map<ActiveStream, GenerationRequest> streams = new LinkedHashMap<>();
+        for (OpenRequest request : requests.values()) {
+            if (request instanceof GenerationRequest generation) {
+                generation.stream().ifPresent(stream -> streams.put(stream, generation));
+            }
+        }
+        if (paused) {
+            streams.keySet().forEach(stream -> stream.forgive(now));
+        }
+        for (ActiveStream stalled : StallDetector.stalled(List.copyOf(streams.keySet()), now)) {
+            GenerationRequest generation = streams.get(stalled);
+            generation.lose(stalled, now, out);
+            settle(generation);
+        }
+    }
+
+    private void drain(long now, List<Command> out) {
+        if (!services.membership().leaving()) {
+            leavingSince = -1;
+            return;
+        }
+        if (leavingSince < 0) {
+            leavingSince = now;
+        }
+        if (now - leavingSince < DRAIN_MILLIS) {
+            return;
+        }
+        for (OpenRequest request : List.copyOf(requests.values())) {
+            if (request instanceof GenerationRequest && request.keptAlive()) {
+                out.addAll(services.checkpoints().flush(request, now));
+                request.takenOver(now, out);
+                settle(request);
+            }
+        }
+    }
+
+    private static final class Search {
+        private final RequestEvent.Arrived arrived;
+        private boolean gone;
+
+        Search(RequestEvent.Arrived arrived) {
+            this.arrived = arrived;
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestLife.java
@@ -0,0 +1,275 @@
+package org.amaranthlock.coordination.request;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.RequestCommand;
+import org.amaranthlock.coordination.admission.AdmissionDecision;
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.ErrorCode;
+import org.amaranthlock.model.Fate;
+import org.amaranthlock.model.Outcome;
+import org.amaranthlock.model.OutcomeRecord;
+import org.amaranthlock.model.Refusal;
+import org.amaranthlock.model.RequestId;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.ServiceResponse;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.model.TargetId;
+import org.amaranthlock.protocol.peer.PeerMessage.FinalOutcome;
+
+/** What all kinds of requests have in common: admission, attempts made, the caller's connection and the final record. */
+final class RequestLife {
+    /** Hint for callers when no better prediction exists. */
+    static final long RETRY_AFTER_MILLIS = 1000;
+
+    /** Time in which an available target must appear for work that has not started. */
+    static final long TARGET_WAIT_MILLIS = 2000;
+
+    /** Refusals by targets after which a request is given up; each costs a round trip only. */
+    static final int MAX_REFUSED_ATTEMPTS = 16;
+
+    /** Answers above this size are not stored with the record. */
+    static final int MAX_STORED_BODY_BYTES = 4096;
+
+    private static final int OK = 200;
+
+    private final RequestServices services;
+    private final RequestSpec spec;
+    private final Map<TargetId, Long> barredUntil = new HashMap<>();
+    private final List<TargetId> targetsTried = new ArrayList<>();
+    private Optional<RequestId> connection;
+    private int lastAttempt;
+    private int attempts;
+    private int refusedAttempts;
+    private boolean admitted;
+    private boolean uncertain;
+    private boolean closed;
+    private int tokensDelivered;
+    private int tokensRecomputed;
+    private Optional<ErrorCode> told = Optional.empty();
+
+    RequestLife(RequestServices services, RequestSpec spec, Optional<RequestId> connection) {
+        this.services = services;
+        this.spec = spec;
+        this.connection = connection;
+    }
+
+    RequestSpec spec() {
+        return spec;
+    }
+
+    RequestServices services() {
+        return services;
+    }
+
+    Optional<RequestId> connection() {
+        return connection;
+    }
+
+    void connect(RequestId newConnection) {
+        connection = Optional.of(newConnection);
+    }
+
+    void disconnect() {
+        connection = Optional.empty();
+    }
+
+    boolean closed() {
+        return closed;
+    }
+
+    /** Ends the request for this router without a record. */
+    void abandonTo(CheckpointSource source, long now, List<Command> out) {
+        connection.ifPresent(id -> out.add(new RequestCommand.Supersede(id)));
+        leave(now);
+        out.addAll(services.checkpoints().closed(source, now));
+    }
+
+    private void leave(long now) {
+        closed = true;
+        releaseAdmission(now);
+    }
+
+    /** Gives back the place of a request that needs no target any more. */
+    void releaseAdmission(long now) {
+        if (admitted) {
+            admitted = false;
+            services.admission().finished(spec.id(), now);
+        }
+    }
+
+    AdmissionDecision admit(long now) {
+        AdmissionDecision decision = services.admission().admit(spec, now);
+        admitted = !(decision instanceof AdmissionDecision.Refused);
+        return decision;
+    }
+
+    void noteProgress(int tokens, long now) {
+        if (admitted) {
+            services.admission().progressed(spec.id(), tokens, now);
+        }
+    }
+
+    /** Continues the numbering of attempts behind one that another router made. */
+    void continueAfter(int attemptNumber, TargetId target) {
+        lastAttempt = attemptNumber;
+        attempts++;
+        targetsTried.add(target);
+        uncertain = true;
+    }
+
+    void skipAttempts(int count) {
+        lastAttempt += count;
+    }
+
+    AttemptId nextAttempt(Target target) {
+        lastAttempt++;
+        attempts++;
+        targetsTried.add(target.id());
+        return new AttemptId(spec.id(), lastAttempt);
+    }
+
+    /** Returns the number of a query that asks a target about an earlier attempt. */
+    AttemptId nextQuery() {
+        lastAttempt++;
+        return new AttemptId(spec.id(), lastAttempt);
+    }
+
+    /** Returns the number of attempts that the target did not refuse unexecuted. */
+    int executedAttempts() {
+        return attempts - refusedAttempts;
+    }
+
+    int refusedAttempts() {
+        return refusedAttempts;
+    }
+
+    void attemptNotRun() {
+        refusedAttempts++;
+    }
+
+    /** Notes that an attempt may have been executed without a known result. */
+    void attemptUncertain() {
+        uncertain = true;
+    }
+
+    boolean uncertain() {
+        return uncertain;
+    }
+
+    void bar(TargetId target, long untilMillis) {
+        barredUntil.merge(target, untilMillis, Math::max);
+    }
+
+    Set<TargetId> barred(long now) {
+        Set<TargetId> barred = new HashSet<>();
+        barredUntil.forEach((target, until) -> {
+            if (until > now) {
+                barred.add(target);
+            }
+        });
+        return barred;
+    }
+
+    void delivered(int tokens) {
+        tokensDelivered += tokens;
+    }
+
+    void recomputed(int tokens) {
+        tokensRecomputed += tokens;
+    }
+
+    void complete(CheckpointSource source, String reason, long now, List<Command> out) {
+        OutcomeRecord record = record(Outcome.COMPLETED, Fate.RAN, "", OK, now);
+        connection.ifPresent(id -> out.add(new RequestCommand.CompleteAnswer(id, reason, record)));
+        close(source, record, Optional.empty(), now, out);
+    }
+
+    /** Ends a service call with its answer; a caller that has left makes it abandoned. */
+    void answer(CheckpointSource source, ServiceResponse response, long now, List<Command> out) {
+        Outcome outcome = connection.isPresent() ? Outcome.COMPLETED : Outcome.ABANDONED;
+        if (told.isPresent()) {
+            outcome = Outcome.FAILED;
+        }
+        String code = told.map(ErrorCode::code).orElse("");
+        OutcomeRecord record = record(outcome, Fate.RAN, code, response.status(), now);
+        connection.ifPresent(id -> out.add(new RequestCommand.DeliverResponse(id, response, record)));
+        Optional<ServiceResponse> stored =
+                Optional.of(response).filter(answer -> answer.body().length <= MAX_STORED_BODY_BYTES);
+        close(source, record, stored, now, out);
+    }
+
+    void abandon(CheckpointSource source, Fate fate, long now, List<Command> out) {
+        OutcomeRecord record = record(Outcome.ABANDONED, fate, "", 0, now);
+        close(source, record, Optional.empty(), now, out);
+    }
+
+    void refuse(
+            CheckpointSource source,
+            ErrorCode code,
+            Fate fate,
+            String detail,
+            OptionalLong retryAfterMillis,
+            long now,
+            List<Command> out) {
+        tellRefusal(code, fate, detail, retryAfterMillis, out);
+        closeRefused(source, code, fate, now, out);
+    }
+
+    /** Refuses the request towards the caller while its record has to wait for the truth about its fate. */
+    void tellRefusal(ErrorCode code, Fate fate, String detail, OptionalLong retryAfterMillis, List<Command> out) {
+        Refusal refusal = new Refusal(code, fate, detail, retryAfterMillis);
+        if (connection.isPresent()) {
+            out.add(new RequestCommand.Refuse(connection.get(), refusal));
+            connection = Optional.empty();
+            told = Optional.of(code);
+        }
+    }
+
+    private void closeRefused(CheckpointSource source, ErrorCode reason, Fate fate, long now, List<Command> out) {
+        ErrorCode code = told.orElse(reason);
+        Outcome outcome = attempts > 0 && fate != Fate.NOT_RUN ? Outcome.FAILED : Outcome.REFUSED;
+        if (told.isEmpty()) {
+            outcome = Outcome.ABANDONED;
+        }
+        close(source, record(outcome, fate, code.code(), code.status(), now), Optional.empty(), now, out);
+    }
+
+    private void close(
+            CheckpointSource source,
+            OutcomeRecord record,
+            Optional<ServiceResponse> response,
+            long now,
+            List<Command> out) {
+        leave(now);
+        out.addAll(services.ledger().close(new FinalOutcome(record, response), now));
+        out.addAll(services.checkpoints().closed(source, now));
+    }
+
+    private OutcomeRecord record(Outcome outcome, Fate fate, String code, int status, long now) {
+        return new OutcomeRecord(
+                spec.id(),
+                spec.account(),
+                spec.service(),
+                spec.profile().name(),
+                spec.ledgerKey(),
+                outcome,
+                fate,
+                code,
+                status,
+                services.membership().self().host(),
+                targetsTried,
+                attempts,
+                tokensDelivered,
+                tokensRecomputed,
+                spec.arrivedAtMillis(),
+                now);
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/GenerationProperties.java
@@ -0,0 +1,220 @@
+package org.amaranthlock.coordination.request;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import org.amaranthlock.coordination.RequestCommand;
+import org.amaranthlock.coordination.RequestEvent;
+import org.amaranthlock.coordination.RequestEvent.FailureKind;
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.Capability;
+import org.amaranthlock.model.Fate;
+import org.amaranthlock.model.Outcome;
+import org.amaranthlock.model.ProfileKind;
+import org.amaranthlock.model.RequestId;
+import org.amaranthlock.model.RequestSpec;
+
+class GenerationProperties {
+    private static final int LENGTH = 24;
+
+    enum Kind {
+        NEXT,
+        DUPLICATE,
+        OVERLAP,
+        GAP,
+        LOSS,
+        REFUSED_BY_TARGET,
+        LATE_TOKENS,
+        LATE_END,
+        WRONG_COUNT,
+        STALL,
+        CALLER_GONE,
+        CALLER_BACK
+    }
+
+    record Step(Kind kind, int amount) {}
+
+    @Provide
+    Arbitrary<List<Step>> steps() {
+        Arbitrary<Step> step = Combinators.combine(
+                        Arbitraries.of(Kind.class), Arbitraries.integers().between(1, 5))
+                .as(Step::new);
+        return step.list().ofMaxSize(40);
+    }
+
+    /** Guards against answers with missing, repeated or mixed tokens and against missing or double final records. */
+    @Property(seed = "20261203", tries = 2000, shrinking = ShrinkingMode.FULL)
+    void deliveredTokensAreTheAnswerFromThePositionOfEachConnection(@ForAll("steps") List<Step> steps) {
+        Scenario scenario = new Scenario();
+        scenario.run(steps);
+        scenario.finish();
+        scenario.check();
+    }
+
+    /** Every engine's token carries its attempt, so an answer mixed from two generations is recognised. */
+    private static final class Scenario {
+        private final RequestFixture fixture = RequestFixture.withTargets(48, Capability.RESUME);
+        private final RequestSpec first = fixture.generation("a", ProfileKind.KEPT_ALIVE, 1000);
+        private final Map<RequestId, Integer> connections = new LinkedHashMap<>();
+        private int position;
+        private int connectionCount;
+        private int recomputed;
+        private int refusals;
+        private long goneAt;
+        private boolean connected;
+
+        Scenario() {
+            arrive(first, OptionalInt.empty());
+            fixture.send(new RequestEvent.CheckpointFound(first.id(), Optional.empty()));
+        }
+
+        private void arrive(RequestSpec spec, OptionalInt resumeAt) {
+            connections.put(spec.id(), resumeAt.orElse(0));
+            connected = true;
+            fixture.send(new RequestEvent.Arrived(spec, resumeAt));
+        }
+
+        private RequestCommand.OpenStream current() {
+            for (int i = 0; fixture.inFlight.isEmpty(); i++) {
+                assertThat(i).isLessThan(120);
+                fixture.pass(50);
+            }
+            return fixture.last(RequestCommand.OpenStream.class);
+        }
+
+        private List<String> answerOf(RequestCommand.OpenStream open) {
+            List<String> answer = new ArrayList<>(open.prefix());
+            for (int i = answer.size(); i < LENGTH; i++) {
+                answer.add(i + "@" + open.attempt().number());
+            }
+            return answer;
+        }
+
+        private void chunk(RequestCommand.OpenStream open, int from, int to) {
+            int end = Math.min(to, LENGTH);
+            if (from < end) {
+                if (fixture.inFlight.containsKey(open.attempt())) {
+                    recomputed += Math.max(0, Math.min(end, open.prefix().size()) - from);
+                }
+                fixture.send(new RequestEvent.TokensReceived(
+                        open.attempt(), from, answerOf(open).subList(from, end)));
+            }
+        }
+
+        void run(List<Step> steps) {
+            for (Step step : steps) {
+                fixture.pass(10);
+                if (!connected && fixture.now - goneAt > 20_000) {
+                    back(1);
+                }
+                apply(step, current());
+            }
+        }
+
+        private void apply(Step step, RequestCommand.OpenStream open) {
+            AttemptId attempt = open.attempt();
+            switch (step.kind()) {
+                case NEXT -> {
+                    chunk(open, position, position + step.amount());
+                    position = Math.min(LENGTH, position + step.amount());
+                }
+                case DUPLICATE -> chunk(open, Math.max(0, position - step.amount()), position);
+                case OVERLAP -> {
+                    chunk(open, Math.max(0, position - step.amount()), position + 1);
+                    position = Math.min(LENGTH, position + 1);
+                }
+                case GAP -> chunk(open, position + step.amount(), position + step.amount() + 2);
+                case LOSS -> fixture.fail(attempt, step.amount() > 2 ? FailureKind.LOST : FailureKind.TIMED_OUT);
+                case REFUSED_BY_TARGET -> {
+                    if (refusals++ < 10) {
+                        fixture.fail(attempt, FailureKind.BUSY);
+                    }
+                }
+                case LATE_TOKENS -> former(open).ifPresent(old -> chunk(old, position, position + step.amount()));
+                case LATE_END ->
+                    former(open)
+                            .ifPresent(
+                                    old -> fixture.send(new RequestEvent.StreamEnded(old.attempt(), "stop", position)));
+                case WRONG_COUNT ->
+                    fixture.send(new RequestEvent.StreamEnded(attempt, "stop", position + step.amount()));
+                case STALL -> fixture.pass(2500);
+                case CALLER_GONE -> gone();
+                case CALLER_BACK -> back(step.amount());
+                default -> throw new AssertionError(step);
+            }
+        }
+
+        private Optional<RequestCommand.OpenStream> former(RequestCommand.OpenStream open) {
+            return fixture.all(RequestCommand.OpenStream.class).stream()
+                    .filter(other -> other != open)
+                    .reduce((earlier, later) -> later);
+        }
+
+        private void gone() {
+            if (connected) {
+                connected = false;
+                goneAt = fixture.now;
+                RequestId last =
+                        connections.keySet().stream().reduce((a, b) -> b).orElseThrow();
+                fixture.send(new RequestEvent.CallerGone(last));
+            }
+        }
+
+        private void back(int overlap) {
+            connectionCount++;
+            RequestSpec repeat = fixture.generation("back-" + connectionCount, ProfileKind.KEPT_ALIVE, 1000);
+            arrive(repeat, OptionalInt.of(Math.max(0, position - overlap)));
+        }
+
+        void finish() {
+            if (!connected) {
+                back(1);
+            }
+            RequestCommand.OpenStream open = current();
+            chunk(open, position, LENGTH);
+            fixture.send(new RequestEvent.StreamEnded(open.attempt(), "stop", LENGTH));
+            fixture.pass(40_000);
+        }
+
+        void check() {
+            List<String> answer = answerOf(fixture.last(RequestCommand.OpenStream.class));
+            RequestId last = connections.keySet().stream().reduce((a, b) -> b).orElseThrow();
+            connections.forEach((connection, resumeAt) -> {
+                List<String> delivered = new ArrayList<>();
+                for (RequestCommand.Deliver deliver : fixture.all(RequestCommand.Deliver.class)) {
+                    if (deliver.request().equals(connection)) {
+                        assertThat(deliver.firstIndex()).isEqualTo(resumeAt + delivered.size());
+                        delivered.addAll(deliver.tokens());
+                    }
+                }
+                List<String> rest = answer.subList(resumeAt, answer.size());
+                if (connection.equals(last)) {
+                    assertThat(delivered).containsExactlyElementsIn(rest).inOrder();
+                } else {
+                    assertThat(delivered)
+                            .containsExactlyElementsIn(rest.subList(0, delivered.size()))
+                            .inOrder();
+                }
+            });
+            assertThat(fixture.all(RequestCommand.CompleteAnswer.class)).hasSize(1);
+            assertThat(fixture.all(RequestCommand.Refuse.class)).isEmpty();
+            assertThat(fixture.records()).hasSize(1);
+            assertThat(fixture.records().getFirst().outcome()).isEqualTo(Outcome.COMPLETED);
+            assertThat(fixture.records().getFirst().fate()).isEqualTo(Fate.RAN);
+            assertThat(fixture.records().getFirst().tokensRecomputed()).isEqualTo(recomputed);
+            assertThat(fixture.coordinator.openRequests()).isEqualTo(0);
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestFixture.java
@@ -0,0 +1,361 @@
+package org.amaranthlock.coordination.request;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.RequestCommand;
+import org.amaranthlock.coordination.RequestEvent;
+import org.amaranthlock.coordination.TargetEvent;
+import org.amaranthlock.coordination.admission.AdmissionController;
+import org.amaranthlock.coordination.admission.AdmissionDecision;
+import org.amaranthlock.coordination.configuration.AccountSettings;
+import org.amaranthlock.coordination.configuration.ConfigurationView;
+import org.amaranthlock.coordination.configuration.ServiceSettings;
+import org.amaranthlock.coordination.ledger.LedgerClient;
+import org.amaranthlock.coordination.poison.PoisonRegistry;
+import org.amaranthlock.coordination.routing.SelectionContext;
+import org.amaranthlock.coordination.routing.TargetSelector;
+import org.amaranthlock.model.AccountId;
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.Capability;
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.model.IdempotencyKey;
+import org.amaranthlock.model.OutcomeRecord;
+import org.amaranthlock.model.Profile;
+import org.amaranthlock.model.ProfileKind;
+import org.amaranthlock.model.Region;
+import org.amaranthlock.model.RequestId;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.model.TargetId;
+import org.amaranthlock.model.Work;
+import org.amaranthlock.protocol.peer.PeerMessage.FinalOutcome;
+import org.amaranthlock.protocol.peer.PoisonMark;
+import org.amaranthlock.state.TargetDirectory;
+
+/** A coordinator with simple stand-ins for the other parts of the core, in virtual time. */
+final class RequestFixture {
+    static final ServiceName SERVICE = new ServiceName("service");
+    static final Region REGION = new Region("north");
+
+    long now = 1_000_000;
+    final List<Target> targets = new ArrayList<>();
+    final Set<TargetId> unavailable = new LinkedHashSet<>();
+    final List<FinalOutcome> outcomes = new ArrayList<>();
+    final List<RequestSpec> claims = new ArrayList<>();
+    final List<SelectionContext> selections = new ArrayList<>();
+    final List<List<PoisonRegistry.Running>> deaths = new ArrayList<>();
+    final Map<AttemptId, TargetId> inFlight = new LinkedHashMap<>();
+    final List<Command> commands = new ArrayList<>();
+    final List<RequestSpec> searched = new ArrayList<>();
+    final FakeMembership membership = new FakeMembership("router-0");
+    AdmissionDecision admission = new AdmissionDecision.Admitted();
+    PoisonRegistry.Standing standing = PoisonRegistry.Standing.CLEAN;
+    boolean retryAllowed = true;
+    final RequestCoordinator coordinator = new RequestCoordinator(new RequestServices(
+            membership,
+            new Configuration(),
+            new Directory(),
+            new Selector(),
+            new Admission(),
+            new Ledger(),
+            new Poison(),
+            new Checkpoints()));
+
+    static RequestFixture withTargets(int count, Capability... capabilities) {
+        RequestFixture fixture = new RequestFixture();
+        for (int i = 0; i < count; i++) {
+            fixture.targets.add(target(i, "domain-" + i % 3, capabilities));
+        }
+        fixture.send(new Event.Tick());
+        return fixture;
+    }
+
+    static Target target(int number, String domain, Capability... capabilities) {
+        return new Target(
+                new TargetId("target-" + number),
+                SERVICE,
+                "127.0.0.1:" + (9000 + number),
+                REGION,
+                new FailureDomain(domain),
+                "model",
+                "v1",
+                16,
+                Set.of(capabilities));
+    }
+
+    RequestSpec generation(String id, ProfileKind kind, int maxTokens) {
+        return spec(id, kind, new Work.Generation("model", "", "prompt", List.of(), maxTokens, 1));
+    }
+
+    RequestSpec order(String id) {
+        return spec(id, ProfileKind.AT_MOST_ONCE, new Work.ServiceCall("POST", "/orders", Map.of(), new byte[] {1}));
+    }
+
+    RequestSpec spec(String id, ProfileKind kind, Work work) {
+        return new RequestSpec(
+                new RequestId("01-" + id),
+                new AccountId("shop"),
+                SERVICE,
+                new Profile("profile", kind, 1000, 1, 600_000),
+                Optional.of(new IdempotencyKey("key")),
+                7,
+                now,
+                now + 600_000,
+                work);
+    }
+
+    /** Sends an event and returns its commands. */
+    List<Command> send(Event event) {
+        List<Command> result = coordinator.handle(event, now);
+        commands.addAll(result);
+        return result;
+    }
+
+    /** Lets time pass with regular ticks. */
+    void pass(long millis) {
+        long end = now + millis;
+        while (now < end) {
+            now = Math.min(end, now + 50);
+            send(new Event.Tick());
+        }
+    }
+
+    <T extends Command> List<T> all(Class<T> type) {
+        return commands.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    <T extends Command> T last(Class<T> type) {
+        return all(type).getLast();
+    }
+
+    void fail(AttemptId attempt, RequestEvent.FailureKind kind) {
+        send(new RequestEvent.AttemptFailed(attempt, kind, "test", java.util.OptionalLong.empty()));
+    }
+
+    List<OutcomeRecord> records() {
+        return outcomes.stream().map(FinalOutcome::record).toList();
+    }
+
+    /** Returns the final commands sent to callers. */
+    List<Command> finals() {
+        return commands.stream()
+                .filter(command -> command instanceof RequestCommand.CompleteAnswer
+                        || command instanceof RequestCommand.DeliverResponse
+                        || command instanceof RequestCommand.Refuse
+                        || command instanceof RequestCommand.Supersede)
+                .toList();
+    }
+
+    private final class Configuration implements ConfigurationView {
+        @Override
+        public Optional<ServiceSettings> service(ServiceName name) {
+            return Optional.empty();
+        }
+
+        @Override
+        public List<ServiceSettings> services() {
+            return List.of();
+        }
+
+        @Override
+        public Optional<AccountSettings> account(AccountId id) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<AccountSettings> accountByKey(String keySha256) {
+            return Optional.empty();
+        }
+
+        @Override
+        public List<Target> targets() {
+            return targets;
+        }
+
+        @Override
+        public long revision() {
+            return 1;
+        }
+
+        @Override
+        public boolean ready() {
+            return true;
+        }
+    }
+
+    private final class Directory implements TargetDirectory {
+        @Override
+        public List<Target> targets(ServiceName service) {
+            return targets;
+        }
+
+        @Override
+        public List<Target> all() {
+            return targets;
+        }
+
+        @Override
+        public Optional<Target> target(TargetId id) {
+            return targets.stream().filter(target -> target.id().equals(id)).findFirst();
+        }
+
+        @Override
+        public Optional<String> unavailableReason(TargetId id) {
+            return unavailable.contains(id) ? Optional.of("test") : Optional.empty();
+        }
+    }
+
+    private final class Selector implements TargetSelector {
+        @Override
+        public Optional<Target> select(RequestSpec spec, SelectionContext context, long nowMillis) {
+            selections.add(context);
+            List<Target> fit = targets.stream()
+                    .filter(target -> !context.excluded().contains(target.id()) && !unavailable.contains(target.id()))
+                    .filter(target -> context.requiredVersion().isEmpty()
+                            || context.requiredVersion().equals(target.version()))
+                    .toList();
+            return fit.stream()
+                    .filter(target -> !context.avoidedDomain().equals(Optional.of(target.failureDomain())))
+                    .findFirst()
+                    .or(() -> fit.stream().findFirst());
+        }
+
+        @Override
+        public void started(AttemptId attempt, RequestSpec spec, Target target, int resumedTokens, long nowMillis) {
+            inFlight.put(attempt, target.id());
+        }
+
+        @Override
+        public void progressed(AttemptId attempt, int tokens, long nowMillis) {}
+
+        @Override
+        public void finished(AttemptId attempt, AttemptResult result, long nowMillis) {
+            inFlight.remove(attempt);
+        }
+
+        @Override
+        public void observed(TargetEvent event, long nowMillis) {}
+
+        @Override
+        public int inFlight(TargetId target) {
+            return (int) inFlight.values().stream().filter(target::equals).count();
+        }
+
+        @Override
+        public double expectedPaceMillis(TargetId target) {
+            return 50;
+        }
+
+        @Override
+        public double expectedFirstTokenMillis(RequestSpec spec, TargetId target, int resumedTokens) {
+            return 100;
+        }
+    }
+
+    private final class Admission implements AdmissionController {
+        @Override
+        public AdmissionDecision admit(RequestSpec spec, long nowMillis) {
+            return admission;
+        }
+
+        @Override
+        public List<RequestId> expired(long nowMillis) {
+            return List.of();
+        }
+
+        @Override
+        public void progressed(RequestId request, int tokens, long nowMillis) {}
+
+        @Override
+        public void finished(RequestId request, long nowMillis) {}
+
+        @Override
+        public boolean tryRetry(RequestSpec spec, long nowMillis) {
+            return retryAllowed;
+        }
+
+        @Override
+        public List<Command> handle(Event event, long nowMillis) {
+            return List.of();
+        }
+    }
+
+    private final class Ledger implements LedgerClient {
+        @Override
+        public List<Command> claim(RequestSpec spec, long nowMillis) {
+            claims.add(spec);
+            return List.of();
+        }
+
+        @Override
+        public List<Command> close(FinalOutcome outcome, long nowMillis) {
+            outcomes.add(outcome);
+            return List.of();
+        }
+
+        @Override
+        public int pendingOutcomes() {
+            return 0;
+        }
+
+        @Override
+        public List<Command> handle(Event event, long nowMillis) {
+            return List.of();
+        }
+    }
+
+    private final class Poison implements PoisonRegistry {
+        @Override
+        public Standing standing(RequestSpec spec, long nowMillis) {
+            return standing;
+        }
+
+        @Override
+        public void targetDied(TargetId target, List<Running> running, long nowMillis) {
+            deaths.add(List.copyOf(running));
+        }
+
+        @Override
+        public void completed(RequestSpec spec, long nowMillis) {}
+
+        @Override
+        public List<PoisonMark> marksToSpread(int limit, long nowMillis) {
+            return List.of();
+        }
+
+        @Override
+        public void learn(List<PoisonMark> marks, long nowMillis) {}
+    }
+
+    /** Holds no checkpoints; a test sends the result of a search itself. */
+    private final class Checkpoints implements CheckpointStore {
+        @Override
+        public List<Command> opened(CheckpointSource source, long nowMillis) {
+            return List.of();
+        }
+
+        @Override
+        public List<Command> flush(CheckpointSource source, long nowMillis) {
+            return List.of();
+        }
+
+        @Override
+        public List<Command> closed(CheckpointSource source, long nowMillis) {
+            return List.of();
+        }
+
+        @Override
+        public List<Command> search(RequestSpec spec, long nowMillis) {
+            searched.add(spec);
+            return List.of();
+        }
+    }
+}
