Keep the test connection of the load poll open

Its server closed every connection after one answer without announcing it, so the second GET of the poll could be sent on a closing connection and was lost, which the transport allows for polls. The server now keeps the connection open; the assertions are unchanged.

--- a/amaranthlock-net/src/test/java/org/amaranthlock/transport/target/HttpTargetTransportTest.java
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/transport/target/HttpTargetTransportTest.java
@@ -288,13 +288,15 @@
     /** Guards against load and cache reports that are lost or read twice. */
     @Test
     void pollReadsLoadAndNewCacheEvents() throws Exception {
-        try (RawServer server = new RawServer((head, out) -> {
-            if (head.startsWith("GET /v1/load")) {
-                ok(out, "{\"running\":3,\"queued\":1,\"ageMillis\":2000}");
-            } else {
-                ok(out, "{\"events\":[{\"seq\":4,\"added\":[11],\"evicted\":[12]}]}");
-            }
-        })) {
+        try (RawServer server = new RawServer(
+                (head, out) -> {
+                    if (head.startsWith("GET /v1/load")) {
+                        ok(out, "{\"running\":3,\"queued\":1,\"ageMillis\":2000}");
+                    } else {
+                        ok(out, "{\"events\":[{\"seq\":4,\"added\":[11],\"evicted\":[12]}]}");
+                    }
+                },
+                true)) {
             Target target = target(server.address());
             transport.execute(new TargetCommand.Poll(target));
             List<TargetEvent> received = List.of(events.next(TargetEvent.class), events.next(TargetEvent.class));
