Keep network work and prompt hashing off the control thread

Completing an answer ran the response's assembly and the socket writes on the control thread, and a prompt of up to 1 MiB was hashed there. Answers are now written on the connection's event loop, and prefixes are hashed while parsing.

--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/AnswerForm.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/AnswerForm.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import org.amaranthlock.model.RequestId;
 
 /** Form of the answer that a caller asked for. */
@@ -18,12 +19,18 @@
     /** Answer of a plain service. */
     record Proxied() implements AnswerForm {}
 
-    /** Returns a writer; {@code onGone} is called when the reader leaves before the end. */
-    default AnswerWriter open(RequestId id, CompletableFuture<Reply> reply, Runnable onGone) {
+    /** Returns a writer that writes on {@code executor}; {@code onGone} is called when the reader leaves before the end. */
+    default AnswerWriter open(RequestId id, CompletableFuture<Reply> reply, Executor executor, Runnable onGone) {
         return switch (this) {
             case Streamed(var call, var created, var resumeAt) ->
                 new StreamedAnswer(
-                        id, new OpenAiFormat(id, call, created), resumeAt, call.includeUsage(), reply, onGone);
+                        id,
+                        new OpenAiFormat(id, call, created),
+                        resumeAt,
+                        call.includeUsage(),
+                        reply,
+                        executor,
+                        onGone);
             case Whole(var call, var created) -> new WholeAnswer(id, new OpenAiFormat(id, call, created), reply);
             case Proxied() -> new ProxiedAnswer(reply);
         };
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/ArrivalResolver.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/ArrivalResolver.java
@@ -94,12 +94,12 @@
     private Work work(PendingCall call) {
         return switch (call.content()) {
             case Content.Call(var service, var work) -> work;
-            case Content.Completion(var completion) ->
+            case Content.Completion(var completion, var prefixHashes) ->
                 new Work.Generation(
                         model(completion.service()),
                         completion.adapter(),
                         completion.prompt(),
-                        CallReader.prefixHashes(completion.prompt()),
+                        prefixHashes,
                         completion.maxTokens(),
                         // A seed derived from the content is the same when the caller sends the request again.
                         completion.seed().orElse(call.fingerprint()));
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/ByteQueue.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/ByteQueue.java
@@ -7,6 +7,7 @@
 import io.servicetalk.concurrent.api.Publisher;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jboss.logging.Logger;
 
@@ -21,6 +22,7 @@
 
     private final int limitBytes;
     private final Runnable onCancel;
+    private final Executor executor;
     private final Queue<byte[]> waiting = new ArrayDeque<>();
     private final AtomicInteger pendingDrains = new AtomicInteger();
     private Subscriber<? super Buffer> subscriber;
@@ -34,9 +36,11 @@
      * Creates an empty body.
      *
      * @param limitBytes bound on the waiting bytes
+     * @param executor runs the signals to the network, so that the thread that fills the body does no network work
      * @param onCancel called at most once when the reader goes away before the end
      */
-    ByteQueue(int limitBytes, Runnable onCancel) {
+    ByteQueue(int limitBytes, Executor executor, Runnable onCancel) {
+        this.executor = executor;
         this.limitBytes = limitBytes;
         this.onCancel = onCancel;
     }
@@ -96,9 +100,12 @@
     }
 
     private void drain() {
-        if (pendingDrains.getAndIncrement() != 0) {
-            return;
+        if (pendingDrains.getAndIncrement() == 0) {
+            executor.execute(this::emitAll);
         }
+    }
+
+    private void emitAll() {
         int seen = 1;
         do {
             try {
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/CallReader.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/CallReader.java
@@ -66,7 +66,8 @@
         if (!request.method().equals("POST")) {
             throw invalid("The path " + request.path() + " accepts POST only.");
         }
-        return new Content.Completion(CompletionParser.parse(request.path().equals(CHAT_PATH), request.body()));
+        CompletionCall call = CompletionParser.parse(request.path().equals(CHAT_PATH), request.body());
+        return new Content.Completion(call, prefixHashes(call.prompt()));
     }
 
     private static Content serviceCall(InboundRequest request) {
@@ -86,7 +87,7 @@
 
     private static void checkResumable(Content content) {
         boolean streamed = switch (content) {
-            case Content.Completion(var call) -> call.stream();
+            case Content.Completion(var call, var hashes) -> call.stream();
             case Content.Call _ -> false;
         };
         if (!streamed) {
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/CallerConnection.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/CallerConnection.java
@@ -1,14 +1,26 @@
 package org.amaranthlock.router.http;
 
 import io.servicetalk.concurrent.Cancellable;
+import java.util.concurrent.Executor;
 
 /** Ties the loss of a caller's connection to the exchange that it carries; thread-safe. */
 final class CallerConnection {
+    private final Executor executor;
     private Exchange exchange;
     private Cancellable watch;
     private boolean gone;
     private boolean finished;
 
+    /** Creates a connection whose network work runs on an executor. */
+    CallerConnection(Executor executor) {
+        this.executor = executor;
+    }
+
+    /** Returns the executor of the connection's network work. */
+    Executor executor() {
+        return executor;
+    }
+
     /** Sets the exchange whose caller uses the connection; reports a caller that has left already. */
     void attach(Exchange newExchange) {
         synchronized (this) {
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/CallerFront.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/CallerFront.java
@@ -48,7 +48,13 @@
             registry.metrics().resumed("caller-return");
         }
         Exchange exchange = new Exchange(
-                arrived.request(), arrived.spec().service(), nowMillis, registry, form(call, arrived), reply);
+                arrived.request(),
+                arrived.spec().service(),
+                nowMillis,
+                registry,
+                form(call, arrived),
+                reply,
+                connection.executor());
         registry.open(exchange);
         connection.attach(exchange);
         return Optional.of(arrived);
@@ -58,7 +64,7 @@
         long createdSeconds = TimeUnit.MILLISECONDS.toSeconds(arrived.spec().arrivedAtMillis());
         return switch (call.content()) {
             case Content.Call _ -> new AnswerForm.Proxied();
-            case Content.Completion(var completion) ->
+            case Content.Completion(var completion, var hashes) ->
                 completion.stream()
                         ? new AnswerForm.Streamed(completion, createdSeconds, arrived.resumeAt())
                         : new AnswerForm.Whole(completion, createdSeconds);
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/Exchange.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/Exchange.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.amaranthlock.model.ErrorCode;
 import org.amaranthlock.model.Fate;
@@ -40,13 +41,14 @@
             long arrivedAtMillis,
             ExchangeRegistry registry,
             AnswerForm form,
-            CompletableFuture<Reply> reply) {
+            CompletableFuture<Reply> reply,
+            Executor executor) {
         this.id = Objects.requireNonNull(id, "id");
         this.service = Objects.requireNonNull(service, "service");
         this.arrivedAtMillis = arrivedAtMillis;
         this.registry = registry;
         this.reply = reply;
-        this.writer = form.open(id, reply, this::callerGone);
+        this.writer = form.open(id, reply, executor, this::callerGone);
     }
 
     /** Returns the request's id. */
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/HttpFront.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/HttpFront.java
@@ -14,6 +14,7 @@
 import io.servicetalk.http.api.StreamingHttpResponseFactory;
 import io.servicetalk.http.netty.HttpProtocolConfigs;
 import io.servicetalk.http.netty.HttpServers;
+import io.servicetalk.transport.api.IoExecutor;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Locale;
@@ -95,7 +96,8 @@
     private Single<StreamingHttpResponse> handle(
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory responses) {
         guard.requestSeen(context);
-        CallerConnection connection = new CallerConnection();
+        IoExecutor network = context.executionContext().ioExecutor();
+        CallerConnection connection = new CallerConnection(network::execute);
         connection.watchedBy(
                 closing(context, request).afterOnComplete(connection::gone).subscribe());
         boolean head = request.method().name().equals("HEAD");
@@ -103,6 +105,7 @@
                 .thenCompose(inbound -> route(inbound, connection))
                 .exceptionally(HttpFront::failure);
         return Single.fromStage(reply)
+                .publishOn(network)
                 .map(done -> {
                     if (done.headers().containsKey("connection")) {
                         closeSoon(context);
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/PendingCall.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/PendingCall.java
@@ -1,5 +1,6 @@
 package org.amaranthlock.router.http;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.amaranthlock.model.IdempotencyKey;
@@ -28,8 +29,14 @@
         /** Addressed service. */
         ServiceName service();
 
-        /** Completion by a model engine. */
-        record Completion(CompletionCall call) implements Content {
+        /**
+         * Completion by a model engine.
+         *
+         * @param call the parsed body
+         * @param prefixHashes hashes of the prompt's growing prefixes, computed before the control thread takes over,
+         *     because prompts may be as long as a body
+         */
+        record Completion(CompletionCall call, List<Long> prefixHashes) implements Content {
             @Override
             public ServiceName service() {
                 return call.service();
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/StreamedAnswer.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/StreamedAnswer.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import org.amaranthlock.model.Fate;
 import org.amaranthlock.model.OutcomeRecord;
 import org.amaranthlock.model.Refusal;
@@ -33,6 +34,7 @@
             OptionalInt resumeAt,
             boolean includeUsage,
             CompletableFuture<Reply> reply,
+            Executor executor,
             Runnable onGone) {
         this.id = id;
         this.format = format;
@@ -40,7 +42,7 @@
         this.resumed = resumeAt.isPresent();
         this.nextIndex = resumeAt.orElse(0);
         this.reply = reply;
-        this.body = new ByteQueue(AnswerForm.BUFFER_LIMIT_BYTES, onGone);
+        this.body = new ByteQueue(AnswerForm.BUFFER_LIMIT_BYTES, executor, onGone);
     }
 
     @Override
