--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/ledger/LedgerProperties.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/ledger/LedgerProperties.java
@@ -15,6 +15,7 @@
 import org.amaranthlock.coordination.RequestEvent.ClaimDecided;
 import org.amaranthlock.coordination.ledger.LedgerFixture.Node;
 import org.amaranthlock.model.Fate;
+import org.amaranthlock.model.HostId;
 import org.amaranthlock.model.OutcomeRecord;
 import org.amaranthlock.model.RequestId;
 import org.amaranthlock.model.RequestSpec;
@@ -197,6 +198,92 @@
                 .orElseThrow();
     }
 
+    /** Guards against claims that are refused although their write took effect. */
+    @Property(seed = "46", tries = 30)
+    void lostAnswersAreSettledByReadingThePositionBack(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed);
+        LedgerFixture fixture = new LedgerFixture(simulation, ROUTERS);
+        simulation.platform().disturb(0.5, 0.5);
+        List<RequestSpec> orders = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            orders.add(fixture.request("key-" + i, 7));
+            fixture.node(i % ROUTERS).claim(orders.get(i));
+        }
+        simulation.run(2_000);
+
+        for (int i = 0; i < 30; i++) {
+            assertThat(verdict(fixture.node(i % ROUTERS), orders.get(i))).isInstanceOf(ClaimVerdict.Granted.class);
+        }
+    }
+
+    /** Guards against a key that stays held by a grant which came after the client had given up. */
+    @Property(seed = "47", tries = 20)
+    void grantThatComesTooLateIsClosedAsNotRun(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed);
+        LedgerFixture fixture = new LedgerFixture(simulation, ROUTERS);
+        RequestSpec order = fixture.request("order", 7);
+        int partition = LedgerPartitions.ofKey(order.ledgerKey());
+        HostId preferred = fixture.node(0)
+                .view
+                .rendezvous(LedgerKeys.owner(partition))
+                .getFirst()
+                .host();
+        Node owner = fixture.running().stream()
+                .filter(node -> node.view.self().host().equals(preferred))
+                .findFirst()
+                .orElseThrow();
+        Node asking = fixture.running().stream()
+                .filter(node -> node != owner)
+                .findFirst()
+                .orElseThrow();
+        asking.close(fixture.request(fillerKey(partition), 7), Fate.RAN);
+        simulation.run(2_000);
+        long before = fixture.highestPosition(partition).orElseThrow();
+
+        asking.router.run(asking.client.claim(order, simulation.now()));
+        while (fixture.highestPosition(partition).orElseThrow() == before) {
+            simulation.run(1);
+        }
+        owner.router.pause(3_000);
+        simulation.run(6_000);
+
+        assertThat(verdict(asking, order)).isInstanceOf(ClaimVerdict.Unavailable.class);
+        assertThat(fixture.firstOutcomes().get(order.id()).fate()).isEqualTo(Fate.NOT_RUN);
+    }
+
+    /** Guards against claims that fail because a message was lost or the client's view is outdated. */
+    @Property(seed = "48", tries = 20)
+    void claimReachesThePresentOwnerInSpiteOfLossAndAnOutdatedView(
+            @ForAll long seed, @ForAll @IntRange(max = 3) int number) {
+        Simulation simulation = new Simulation(seed);
+        LedgerFixture fixture = new LedgerFixture(simulation, ROUTERS);
+        Node node = fixture.node(number);
+        RequestSpec lost = fixture.request("lost", 7);
+        RequestSpec misdirected = fixture.request("misdirected", 7);
+        simulation.connect((from, to) -> false);
+        node.claim(lost);
+        simulation.run(150);
+        simulation.connect((from, to) -> true);
+        simulation.run(1_000);
+        assertThat(verdict(node, lost)).isInstanceOf(ClaimVerdict.Granted.class);
+
+        List<Integer> hidden = new ArrayList<>();
+        for (int other = 0; other < ROUTERS; other++) {
+            HostId owner = node.view
+                    .rendezvous(LedgerKeys.owner(LedgerPartitions.ofKey(misdirected.ledgerKey())))
+                    .getFirst()
+                    .host();
+            if (fixture.node(other).view.self().host().equals(owner) && other != number) {
+                hidden.add(other);
+            }
+        }
+        fixture.disagree(node, hidden);
+        hidden.forEach(other -> fixture.node(other).claim(fixture.request("other", 7)));
+        node.claim(misdirected);
+        simulation.run(1_000);
+        assertThat(verdict(node, misdirected)).isInstanceOf(ClaimVerdict.Granted.class);
+    }
+
     /** Guards against orders that wait for a platform that is down instead of being refused at once. */
     @Property(seed = "43", tries = 20)
     void claimsAreRefusedDuringAnOutageAndOutcomesWait(@ForAll long seed) {
