Write the waiting log lines before the process ends

The queue in front of the log lost the line that explains why the process ends, because closing it does not wait for its thread. Closing now waits for at most 2 s.

--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/log/LogSetup.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/log/LogSetup.java
@@ -15,6 +15,10 @@
     // Lines beyond it are dropped: a log reader that stalls must not pause the control thread, which also logs.
     private static final int QUEUE_LINES = 10_000;
 
+    private static final long CLOSE_TIMEOUT_MILLIS = 2_000;
+
+    private static volatile Thread writer;
+
     private LogSetup() {}
 
     /**
@@ -38,7 +42,11 @@
         Level parsed = LogContext.getLogContext().getLevelForName(level);
         handler.setLevel(parsed);
         org.jboss.logmanager.Logger root = LogContext.getLogContext().getLogger("");
-        AsyncHandler async = new AsyncHandler(QUEUE_LINES);
+        AsyncHandler async = new AsyncHandler(QUEUE_LINES, task -> {
+            writer = Thread.ofPlatform().name("amaranthlock-log").daemon().unstarted(task);
+            return writer;
+        });
+        async.setCloseChildren(false);
         async.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
         async.addHandler(handler);
         async.setLevel(parsed);
@@ -51,5 +59,15 @@
         for (Handler handler : LogContext.getLogContext().getLogger("").getHandlers()) {
             handler.close();
         }
+        Thread waiting = writer;
+        if (waiting == null) {
+            return;
+        }
+        // Closing the handler only tells its thread to write what waits and to end.
+        try {
+            waiting.join(CLOSE_TIMEOUT_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
