Wire the router process and run the whole path as separate processes

Cause: the parts existed but no process ran them together. Ruled out: waiting for the checkpoint keeper and the poison registry before the first whole run; NoCheckpoints and NoBlame stand in until they land, so a request does not survive its router yet.

--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/scenario/CoreFactory.java
@@ -0,0 +1,38 @@
+package org.amaranthlock.bench.scenario;
+
+import java.util.List;
+import org.amaranthlock.bench.policy.Policy;
+import org.amaranthlock.bench.sim.NoCheckpoints;
+import org.amaranthlock.coordination.DefaultNodeCore;
+import org.amaranthlock.coordination.NodeCore;
+import org.amaranthlock.coordination.configuration.ConfigurationView;
+import org.amaranthlock.coordination.ledger.LedgerClient;
+import org.amaranthlock.coordination.membership.MembershipView;
+import org.amaranthlock.coordination.node.NoBlame;
+import org.amaranthlock.coordination.node.ObservationFeed;
+import org.amaranthlock.coordination.request.RequestCoordinator;
+import org.amaranthlock.coordination.request.RequestServices;
+import org.amaranthlock.state.TargetDirectory;
+
+/** Composes the decision core of a simulated router: the product's request handling with the policy under test. */
+final class CoreFactory {
+    private CoreFactory() {}
+
+    static NodeCore create(
+            Policy.Parts parts,
+            TargetDirectory directory,
+            ConfigurationView configuration,
+            MembershipView membership,
+            LedgerClient ledger) {
+        RequestCoordinator requests = new RequestCoordinator(new RequestServices(
+                membership,
+                configuration,
+                directory,
+                parts.selector(),
+                parts.admission(),
+                ledger,
+                new NoBlame(),
+                new NoCheckpoints()));
+        return new DefaultNodeCore(List.of(new ObservationFeed(parts.selector()), ledger, requests, parts.admission()));
+    }
+}
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/scenario/Simulation.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/scenario/Simulation.java
@@ -102,7 +102,7 @@
         RecordingLedger ledger = new RecordingLedger();
         ledgers.add(ledger);
         return new SimulatedRouter(
-                CoreFactory.create(parts, directory, configuration, membership, ledger, routerRandom),
+                CoreFactory.create(parts, directory, configuration, membership, ledger),
                 member.region(),
                 fleet,
                 directory,
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/scenario/Workload.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/scenario/Workload.java
@@ -94,7 +94,7 @@
                 nowMillis,
                 nowMillis + deadline,
                 new Work.Generation("model-1", "", "prompt " + created, List.of(prefix), MAX_TOKENS, created));
-        int tokens = (int) Math.clamp(Math.round(length), 2, MAX_TOKENS);
+        int tokens = Math.clamp(Math.round(length), 2, MAX_TOKENS);
         return new SimulatedRequest(spec, prompt, prefix, tokens, straggler);
     }
 
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/node/FleetOperations.java
@@ -0,0 +1,83 @@
+package org.amaranthlock.coordination.node;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.Component;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.OperatorCommand;
+import org.amaranthlock.coordination.OperatorEvent;
+import org.amaranthlock.coordination.ledger.LedgerClient;
+import org.amaranthlock.coordination.membership.MembershipView;
+import org.amaranthlock.coordination.request.RequestCoordinator;
+import org.amaranthlock.coordination.routing.TargetSelector;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.state.TargetDirectory;
+
+/** Shows operators the targets and ends the process once a graceful shutdown has nothing left to do. */
+final class FleetOperations implements Component {
+    /**
+     * Time between the last request and the end of the process. Callers that the balancer still sends here get a
+     * refusal in this time, and the other routers learn that this one leaves.
+     */
+    private static final long LINGER_MILLIS = 2_000;
+
+    private final MembershipView membership;
+    private final TargetDirectory directory;
+    private final TargetSelector selector;
+    private final RequestCoordinator requests;
+    private final LedgerClient ledger;
+    private long idleSinceMillis = -1;
+    private boolean stopped;
+
+    FleetOperations(
+            MembershipView membership,
+            TargetDirectory directory,
+            TargetSelector selector,
+            RequestCoordinator requests,
+            LedgerClient ledger) {
+        this.membership = Objects.requireNonNull(membership, "membership");
+        this.directory = Objects.requireNonNull(directory, "directory");
+        this.selector = Objects.requireNonNull(selector, "selector");
+        this.requests = Objects.requireNonNull(requests, "requests");
+        this.ledger = Objects.requireNonNull(ledger, "ledger");
+    }
+
+    @Override
+    public List<Command> handle(Event event, long nowMillis) {
+        return switch (event) {
+            case OperatorEvent.ListTargets list -> List.of(new OperatorCommand.TargetsShown(list.call(), statuses()));
+            case OperatorEvent.Drain drain ->
+                List.of(
+                        new OperatorCommand.DrainStarted(drain.call(), requests.openRequests()),
+                        new Command.Trace(
+                                "router-leaving", membership.self().host().value(), "graceful shutdown began"));
+            case Event.Tick _ -> stopWhenIdle(nowMillis);
+            default -> List.of();
+        };
+    }
+
+    private List<OperatorCommand.TargetStatus> statuses() {
+        List<OperatorCommand.TargetStatus> statuses = new ArrayList<>();
+        for (Target target : directory.all()) {
+            String reason = directory.unavailableReason(target.id()).orElse("");
+            statuses.add(
+                    new OperatorCommand.TargetStatus(target, reason.isEmpty(), reason, selector.inFlight(target.id())));
+        }
+        return statuses;
+    }
+
+    private List<Command> stopWhenIdle(long nowMillis) {
+        boolean idle = membership.leaving() && requests.openRequests() == 0 && ledger.pendingOutcomes() == 0;
+        if (!idle || stopped) {
+            idleSinceMillis = -1;
+            return List.of();
+        }
+        if (idleSinceMillis < 0) {
+            idleSinceMillis = nowMillis;
+        }
+        stopped = nowMillis - idleSinceMillis >= LINGER_MILLIS;
+        return stopped ? List.of(new Command.Stop()) : List.of();
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/node/NoCheckpoints.java
@@ -0,0 +1,40 @@
+package org.amaranthlock.coordination.node;
+
+import java.util.List;
+import java.util.Optional;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.Component;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.RequestEvent;
+import org.amaranthlock.coordination.request.CheckpointSource;
+import org.amaranthlock.coordination.request.CheckpointStore;
+import org.amaranthlock.model.RequestSpec;
+
+/** Keeps no checkpoints: a request does not survive its router. Stands in until the keeper lands. */
+final class NoCheckpoints implements CheckpointStore, Component {
+
+    @Override
+    public List<Command> handle(Event event, long nowMillis) {
+        return List.of();
+    }
+
+    @Override
+    public List<Command> opened(CheckpointSource source, long nowMillis) {
+        return List.of();
+    }
+
+    @Override
+    public List<Command> flush(CheckpointSource source, long nowMillis) {
+        return List.of();
+    }
+
+    @Override
+    public List<Command> closed(CheckpointSource source, long nowMillis) {
+        return List.of();
+    }
+
+    @Override
+    public List<Command> search(RequestSpec spec, long nowMillis) {
+        return List.of(new Command.Raise(new RequestEvent.CheckpointFound(spec.id(), Optional.empty())));
+    }
+}
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/RouterAssembly.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/RouterAssembly.java
@@ -1,10 +1,22 @@
 package org.amaranthlock.router;
 
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
-import org.amaranthlock.model.AmaranthlockException;
-import org.amaranthlock.model.ErrorCode;
+import org.amaranthlock.coordination.membership.RouterMember;
+import org.amaranthlock.coordination.node.RouterCore;
+import org.amaranthlock.model.HostId;
+import org.amaranthlock.protocol.HybridClock;
+import org.amaranthlock.protocol.PeerMessageCodec;
+import org.amaranthlock.protocol.PlatformValueCodec;
 import org.amaranthlock.router.settings.RouterSettings;
+import org.amaranthlock.transport.EventSink;
+import org.amaranthlock.transport.peer.NettyPeerTransport;
+import org.amaranthlock.transport.platform.HttpPlatformTransport;
+import org.amaranthlock.transport.target.HttpTargetTransport;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 
 /**
  * Joins decision core and transports into a router process.
@@ -18,16 +30,9 @@
         Objects.requireNonNull(transports, "transports");
     }
 
-    /**
-     * Returns the assembly that the daemon uses.
-     *
-     * @throws AmaranthlockException if this build contains no decision core
-     */
+    /** Returns the assembly that the daemon uses. */
     public static RouterAssembly standard() {
-        return Optional.<RouterAssembly>empty()
-                .orElseThrow(() -> new AmaranthlockException(
-                        ErrorCode.INTERNAL,
-                        "This build contains no decision core and no transports; use a complete build."));
+        return new RouterAssembly(RouterAssembly::createCore, RouterAssembly::createTransports);
     }
 
     /**
@@ -39,4 +44,37 @@
     public RouterProcess process(RouterSettings settings, Runnable onFailure) {
         return new RouterProcess(settings, this, onFailure);
     }
+
+    private static CoreParts createCore(HostId self, RouterSettings settings, String peerAddress, long startMillis) {
+        RouterMember member = new RouterMember(
+                self,
+                settings.peer().advertised().orElse(peerAddress),
+                settings.host().region(),
+                settings.host().failureDomain());
+        List<String> seeds = settings.peer().seeds().stream()
+                .map(RouterSettings.Seed::address)
+                .toList();
+        RouterCore core = new RouterCore(member, seeds, random(settings, startMillis));
+        return new CoreParts(core, core.configuration(), () -> core.membership().leaving());
+    }
+
+    private static UniformRandomProvider random(RouterSettings settings, long startMillis) {
+        // Routers that start in the same millisecond must not make the same choices, so the name is part of the seed.
+        long fresh = startMillis * 31 + settings.host().name().hashCode();
+        return RandomSource.XO_RO_SHI_RO_128_PP.create(settings.randomSeed().orElse(fresh));
+    }
+
+    private static Transports createTransports(
+            HostId self, RouterSettings settings, EventSink events, HybridClock clock) {
+        byte[] clusterKey = settings.peer().clusterKey().getBytes(StandardCharsets.UTF_8);
+        return new Transports(
+                new HttpPlatformTransport(text(settings.platformAddress()), events, new PlatformValueCodec()),
+                new HttpTargetTransport(events),
+                new NettyPeerTransport(
+                        self, text(settings.peer().address()), clusterKey, events, clock, new PeerMessageCodec()));
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
 }
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/TransportsFactory.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/TransportsFactory.java
@@ -1,7 +1,7 @@
 package org.amaranthlock.router;
 
 import org.amaranthlock.model.HostId;
-import org.amaranthlock.router.control.HybridClock;
+import org.amaranthlock.protocol.HybridClock;
 import org.amaranthlock.router.settings.RouterSettings;
 import org.amaranthlock.transport.EventSink;
 
--- a/amaranthlock-router/src/test/java/org/amaranthlock/router/control/ControlPartsTest.java
+++ b/amaranthlock-router/src/test/java/org/amaranthlock/router/control/ControlPartsTest.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.amaranthlock.model.HostId;
 import org.amaranthlock.model.TimelineEvent;
+import org.amaranthlock.protocol.HybridClock;
 import org.junit.jupiter.api.Test;
 
 class ControlPartsTest {
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/engine/EngineStandin.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/engine/EngineStandin.java
@@ -166,7 +166,7 @@
         long after = exchange.queryNumber("after", 0);
         List<LaggingReports.CacheEvent> events = reports.visibleEvents(after, Timing.monotonicMillis());
         Map<String, Object> answer = new LinkedHashMap<>();
-        answer.put("last", events.isEmpty() ? after : events.getLast().n());
+        answer.put("last", events.isEmpty() ? after : events.getLast().seq());
         answer.put("events", events);
         exchange.sendJson(200, answer);
     }
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/engine/LaggingReports.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/engine/LaggingReports.java
@@ -20,7 +20,7 @@
     record Load(long sinceMillis, int running, int queued) {}
 
     /** Change of the prefix cache; {@code n} counts lost events too. */
-    record CacheEvent(long n, List<Long> added, List<Long> evicted) {}
+    record CacheEvent(long seq, List<Long> added, List<Long> evicted) {}
 
     private record TimedEvent(long atMillis, CacheEvent event) {}
 
@@ -63,7 +63,7 @@
     synchronized List<CacheEvent> visibleEvents(long after, long nowMillis) {
         List<CacheEvent> visible = new ArrayList<>();
         for (TimedEvent timed : events) {
-            if (timed.event().n() > after && timed.atMillis() <= nowMillis - lagMillis) {
+            if (timed.event().seq() > after && timed.atMillis() <= nowMillis - lagMillis) {
                 visible.add(timed.event());
             }
         }
--- a/amaranthlock-standins/src/test/java/org/amaranthlock/standin/engine/EngineModelTest.java
+++ b/amaranthlock-standins/src/test/java/org/amaranthlock/standin/engine/EngineModelTest.java
@@ -31,7 +31,7 @@
         }
         assertThat(reports.visibleEvents(0, 99)).isEmpty();
         assertThat(reports.visibleEvents(1, 100).stream()
-                        .map(LaggingReports.CacheEvent::n)
+                        .map(LaggingReports.CacheEvent::seq)
                         .toList())
                 .containsExactly(3L);
     }
