--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointKeeper.java
@@ -0,0 +1,117 @@
+package org.amaranthlock.coordination.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.Component;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.OperationNumbers;
+import org.amaranthlock.coordination.RequestEvent;
+import org.amaranthlock.coordination.ledger.LedgerClient;
+import org.amaranthlock.coordination.membership.MembershipView;
+import org.amaranthlock.model.HostId;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.protocol.peer.Checkpoint;
+import org.amaranthlock.protocol.peer.PeerMessage;
+import org.amaranthlock.state.TargetDirectory;
+
+/** Exchanges checkpoints with other routers, as the owner of requests and as the keeper of those of others. */
+public final class CheckpointKeeper implements Component, CheckpointStore {
+    private final MembershipView membership;
+    private final OwnedCheckpoints owned;
+    private final KeptCheckpoints kept;
+    private final CheckpointSearches searches;
+
+    /** Creates a keeper without checkpoints. */
+    public CheckpointKeeper(
+            MembershipView membership, TargetDirectory targets, LedgerClient ledger, OperationNumbers numbers) {
+        this.membership = Objects.requireNonNull(membership, "membership");
+        this.owned = new OwnedCheckpoints(membership);
+        this.kept = new KeptCheckpoints(
+                membership, Objects.requireNonNull(targets, "targets"), Objects.requireNonNull(ledger, "ledger"));
+        this.searches = new CheckpointSearches(membership, Objects.requireNonNull(numbers, "numbers"), kept);
+    }
+
+    @Override
+    public List<Command> opened(CheckpointSource source, long nowMillis) {
+        List<Command> out = new ArrayList<>();
+        owned.opened(source, nowMillis, out);
+        return out;
+    }
+
+    @Override
+    public List<Command> flush(CheckpointSource source, long nowMillis) {
+        List<Command> out = new ArrayList<>();
+        owned.flush(source, nowMillis, out);
+        return out;
+    }
+
+    @Override
+    public List<Command> closed(CheckpointSource source, long nowMillis) {
+        List<Command> out = new ArrayList<>();
+        owned.closed(source, true, out);
+        return out;
+    }
+
+    @Override
+    public void handedOver(CheckpointSource source) {
+        owned.closed(source, false, new ArrayList<>());
+    }
+
+    @Override
+    public List<Command> search(RequestSpec spec, long nowMillis) {
+        List<Command> out = new ArrayList<>();
+        searches.start(spec, nowMillis, out);
+        return out;
+    }
+
+    @Override
+    public List<Command> handle(Event event, long nowMillis) {
+        List<Command> out = new ArrayList<>();
+        switch (event) {
+            case Event.Tick tick -> {
+                owned.tick(nowMillis, out);
+                kept.tick(nowMillis, out);
+                searches.tick(nowMillis, out);
+            }
+            case Event.PeerUnreachable unreachable -> searches.unreachable(unreachable.host(), out);
+            case Event.PeerReceived received -> received(received.from(), received.message(), out);
+            default -> {}
+        }
+        return out;
+    }
+
+    private void received(HostId from, PeerMessage message, List<Command> out) {
+        switch (message) {
+            case PeerMessage.CheckpointSave save -> kept.save(save.checkpoint(), out);
+            case PeerMessage.CheckpointAppend append -> kept.append(from, append, out);
+            case PeerMessage.CheckpointDrop drop -> kept.drop(from, drop.ledgerKey(), drop.request());
+            case PeerMessage.CheckpointQuery query -> {
+                Optional<Checkpoint> known = owned.source(query.ledgerKey())
+                        .filter(CheckpointSource::keptAlive)
+                        .map(CheckpointSource::checkpoint)
+                        .or(() -> kept.find(query.ledgerKey()));
+                answer(from, query.query(), known, out);
+            }
+            case PeerMessage.CheckpointAnswer answer -> searches.answered(from, answer, out);
+            case PeerMessage.HandoverRequest request -> handOver(from, request, out);
+            default -> {}
+        }
+    }
+
+    private void handOver(HostId from, PeerMessage.HandoverRequest request, List<Command> out) {
+        Optional<CheckpointSource> source = owned.source(request.ledgerKey()).filter(CheckpointSource::keptAlive);
+        answer(from, request.query(), source.map(CheckpointSource::checkpoint), out);
+        source.ifPresent(present -> out.add(
+                new Command.Raise(new RequestEvent.TakenOver(present.spec().id()))));
+    }
+
+    private void answer(HostId to, long query, Optional<Checkpoint> checkpoint, List<Command> out) {
+        membership
+                .member(to)
+                .ifPresent(member -> out.add(new Command.SendPeer(
+                        member.host(), member.address(), new PeerMessage.CheckpointAnswer(query, checkpoint))));
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointSearches.java
@@ -0,0 +1,146 @@
+package org.amaranthlock.coordination.request;
+
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.OperationNumbers;
+import org.amaranthlock.coordination.RequestEvent;
+import org.amaranthlock.coordination.membership.MembershipView;
+import org.amaranthlock.coordination.membership.RouterMember;
+import org.amaranthlock.model.HostId;
+import org.amaranthlock.model.RequestId;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.protocol.peer.Checkpoint;
+import org.amaranthlock.protocol.peer.PeerMessage;
+
+/** Searches for the state of requests whose callers came to this router. */
+final class CheckpointSearches {
+    /** Time for a search; a returning caller waits for it. */
+    static final long SEARCH_MILLIS = 300;
+
+    private final MembershipView membership;
+    private final OperationNumbers numbers;
+    private final KeptCheckpoints kept;
+    private final Map<Long, Search> searches = new LinkedHashMap<>();
+
+    CheckpointSearches(MembershipView membership, OperationNumbers numbers, KeptCheckpoints kept) {
+        this.membership = membership;
+        this.numbers = numbers;
+        this.kept = kept;
+    }
+
+    void start(RequestSpec spec, long now, List<Command> out) {
+        Search search = new Search(numbers.next(), spec, now);
+        searches.put(search.query, search);
+        Optional<Checkpoint> local = kept.find(spec.ledgerKey());
+        if (local.isPresent()) {
+            found(search, local.get(), out);
+            return;
+        }
+        for (RouterMember member : KeeperOrder.candidates(membership, spec.ledgerKey())) {
+            search.awaited.add(member.host());
+            send(member, new PeerMessage.CheckpointQuery(search.query, spec.ledgerKey()), out);
+        }
+        if (search.awaited.isEmpty()) {
+            finish(search, out);
+        }
+    }
+
+    void answered(HostId from, PeerMessage.CheckpointAnswer answer, List<Command> out) {
+        Search search = searches.get(answer.query());
+        if (search == null) {
+            return;
+        }
+        if (search.handover.equals(Optional.of(from))) {
+            answer.checkpoint().ifPresent(newest -> search.found = Optional.of(newest));
+            finish(search, out);
+        } else if (search.handover.isEmpty()) {
+            if (answer.checkpoint().isPresent()) {
+                found(search, answer.checkpoint().get(), out);
+            } else {
+                absent(search, from, out);
+            }
+        }
+    }
+
+    void unreachable(HostId host, List<Command> out) {
+        for (Search search : List.copyOf(searches.values())) {
+            if (search.handover.equals(Optional.of(host))) {
+                finish(search, out);
+            } else {
+                absent(search, host, out);
+            }
+        }
+    }
+
+    private void absent(Search search, HostId from, List<Command> out) {
+        boolean awaited = search.awaited.remove(from);
+        if (awaited && search.awaited.isEmpty() && search.handover.isEmpty()) {
+            finish(search, out);
+        }
+    }
+
+    private void found(Search search, Checkpoint checkpoint, List<Command> out) {
+        search.found = Optional.of(checkpoint);
+        HostId owner = checkpoint.owner();
+        Optional<RouterMember> live = membership.member(owner);
+        if (owner.equals(membership.self().host()) || membership.dead(owner) || live.isEmpty()) {
+            finish(search, out);
+            return;
+        }
+        search.handover = Optional.of(owner);
+        send(live.get(), new PeerMessage.HandoverRequest(search.query, search.spec.ledgerKey()), out);
+    }
+
+    /** Ends searches that took too long; an owner that does not answer in time is superseded unasked. */
+    void tick(long now, List<Command> out) {
+        for (Search search : List.copyOf(searches.values())) {
+            if (now - search.startedAt >= SEARCH_MILLIS) {
+                finish(search, out);
+            }
+        }
+    }
+
+    private void finish(Search search, List<Command> out) {
+        searches.remove(search.query);
+        out.add(new Command.Raise(new RequestEvent.CheckpointFound(search.spec.id(), search.found)));
+        search.found.ifPresent(checkpoint -> dropFormer(search, checkpoint, out));
+    }
+
+    /** Drops copies that would be adopted although this router serves the request now. */
+    private void dropFormer(Search search, Checkpoint checkpoint, List<Command> out) {
+        String ledgerKey = search.spec.ledgerKey();
+        kept.forget(ledgerKey);
+        Optional<HostId> keeper =
+                KeeperOrder.keeper(membership, ledgerKey, membership.self()).map(RouterMember::host);
+        for (RouterMember member : KeeperOrder.candidates(membership, ledgerKey)) {
+            if (!keeper.equals(Optional.of(member.host()))) {
+                RequestId request = checkpoint.spec().id();
+                send(member, new PeerMessage.CheckpointDrop(ledgerKey, request), out);
+            }
+        }
+    }
+
+    private static void send(RouterMember to, PeerMessage message, List<Command> out) {
+        out.add(new Command.SendPeer(to.host(), to.address(), message));
+    }
+
+    private static final class Search {
+        private final long query;
+        private final RequestSpec spec;
+        private final long startedAt;
+        private final Set<HostId> awaited = new LinkedHashSet<>();
+        private Optional<Checkpoint> found = Optional.empty();
+        private Optional<HostId> handover = Optional.empty();
+
+        Search(long query, RequestSpec spec, long startedAt) {
+            this.query = query;
+            this.spec = spec;
+            this.startedAt = startedAt;
+        }
+    }
+}
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointStore.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointStore.java
@@ -15,6 +15,9 @@
     /** Ends the keeping of a request that is closed. */
     List<Command> closed(CheckpointSource source, long nowMillis);
 
+    /** Ends the keeping of a request that another router carries on; its checkpoint stays with the keeper. */
+    void handedOver(CheckpointSource source);
+
     /**
      * Looks for the state of a request that other routers hold;
      * {@link org.amaranthlock.coordination.RequestEvent.CheckpointFound} brings the answer under the id of the
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OwnedCheckpoints.java
@@ -0,0 +1,132 @@
+package org.amaranthlock.coordination.request;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.membership.MembershipView;
+import org.amaranthlock.coordination.membership.RouterMember;
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.HostId;
+import org.amaranthlock.protocol.peer.PeerMessage;
+
+/** The owner's side: sends the state of this router's open requests to their keepers. */
+final class OwnedCheckpoints {
+    /** Younger requests cost less to repeat than to keep. */
+    static final long KEEP_AFTER_MILLIS = 500;
+
+    static final long DELTA_MILLIS = 250;
+
+    private final MembershipView membership;
+    private final Map<String, Owned> owned = new LinkedHashMap<>();
+
+    OwnedCheckpoints(MembershipView membership) {
+        this.membership = membership;
+    }
+
+    Optional<CheckpointSource> source(String ledgerKey) {
+        return Optional.ofNullable(owned.get(ledgerKey)).map(entry -> entry.source);
+    }
+
+    void opened(CheckpointSource source, long now, List<Command> out) {
+        Owned entry = new Owned(source, now);
+        owned.put(source.spec().ledgerKey(), entry);
+        saveWhole(entry, now, out);
+    }
+
+    void flush(CheckpointSource source, long now, List<Command> out) {
+        Owned entry = owned.get(source.spec().ledgerKey());
+        if (entry != null && entry.source == source) {
+            saveWhole(entry, now, out);
+        }
+    }
+
+    /** Forgets a request, and drops its checkpoint unless another router carries the request on. */
+    void closed(CheckpointSource source, boolean drop, List<Command> out) {
+        String ledgerKey = source.spec().ledgerKey();
+        Owned entry = owned.get(ledgerKey);
+        if (entry == null || entry.source != source) {
+            return;
+        }
+        owned.remove(ledgerKey);
+        if (drop && entry.keeper.isPresent()) {
+            RouterMember keeper = entry.keeper.get();
+            PeerMessage message =
+                    new PeerMessage.CheckpointDrop(ledgerKey, source.spec().id());
+            out.add(new Command.SendPeer(keeper.host(), keeper.address(), message));
+        }
+    }
+
+    void tick(long now, List<Command> out) {
+        for (Owned entry : owned.values()) {
+            if (!keeperLive(entry)) {
+                saveWhole(entry, now, out);
+            } else if (entry.source.keptAlive()
+                    && now - entry.openedAt >= KEEP_AFTER_MILLIS
+                    && now - entry.sentAt >= DELTA_MILLIS) {
+                sendDelta(entry, now, out);
+            }
+        }
+    }
+
+    private boolean keeperLive(Owned entry) {
+        if (entry.keeper.isEmpty()) {
+            return false;
+        }
+        HostId host = entry.keeper.get().host();
+        return membership.live().stream().anyMatch(member -> member.host().equals(host));
+    }
+
+    private void sendDelta(Owned entry, long now, List<Command> out) {
+        CheckpointSource source = entry.source;
+        int size = source.tokens().size();
+        boolean moved = !source.attempt().equals(entry.sentAttempt);
+        if (source.attempt().isEmpty() || (size == entry.sentTokens && !moved)) {
+            return;
+        }
+        if (entry.sentTokens == 0) {
+            // The first tokens fix the model version, which only the whole checkpoint carries.
+            saveWhole(entry, now, out);
+            return;
+        }
+        RouterMember keeper = entry.keeper.orElseThrow();
+        PeerMessage message = new PeerMessage.CheckpointAppend(
+                source.spec().ledgerKey(),
+                source.attempt().get(),
+                source.target().orElseThrow().id(),
+                entry.sentTokens,
+                source.tokens().subList(entry.sentTokens, size));
+        out.add(new Command.SendPeer(keeper.host(), keeper.address(), message));
+        entry.sent(now);
+    }
+
+    private void saveWhole(Owned entry, long now, List<Command> out) {
+        entry.keeper = KeeperOrder.keeper(membership, entry.source.spec().ledgerKey(), membership.self());
+        entry.keeper.ifPresent(keeper -> {
+            PeerMessage message = new PeerMessage.CheckpointSave(entry.source.checkpoint());
+            out.add(new Command.SendPeer(keeper.host(), keeper.address(), message));
+            entry.sent(now);
+        });
+    }
+
+    private static final class Owned {
+        private final CheckpointSource source;
+        private final long openedAt;
+        private Optional<RouterMember> keeper = Optional.empty();
+        private Optional<AttemptId> sentAttempt = Optional.empty();
+        private int sentTokens;
+        private long sentAt;
+
+        Owned(CheckpointSource source, long openedAt) {
+            this.source = source;
+            this.openedAt = openedAt;
+        }
+
+        void sent(long now) {
+            sentAt = now;
+            sentTokens = source.tokens().size();
+            sentAttempt = source.attempt();
+        }
+    }
+}
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -1,6 +1,7 @@
 package org.amaranthlock.coordination.request;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -43,6 +44,7 @@
     private final Map<RequestId, OpenRequest> requests = new LinkedHashMap<>();
     private final Map<String, OpenRequest> byLedgerKey = new LinkedHashMap<>();
     private final Map<RequestId, OpenRequest> byConnection = new LinkedHashMap<>();
+    private final Map<RequestId, RequestId> connectionOf = new HashMap<>();
     private final Map<RequestId, Search> searches = new LinkedHashMap<>();
     private long leavingSince = -1;
 
@@ -92,15 +94,24 @@
 
     /** Brings the tables up to date after a change of a request. */
     private void settle(OpenRequest request) {
-        byConnection.values().removeIf(other -> other == request);
+        RequestId id = request.spec().id();
+        Optional<RequestId> served = request.closed() ? Optional.empty() : request.connection();
+        RequestId before = connectionOf.get(id);
+        if (before != null && !served.equals(Optional.of(before))) {
+            connectionOf.remove(id);
+            byConnection.remove(before, request);
+        }
+        served.ifPresent(connection -> {
+            connectionOf.put(id, connection);
+            byConnection.put(connection, request);
+        });
         if (request.closed()) {
-            requests.remove(request.spec().id(), request);
+            requests.remove(id, request);
             byLedgerKey.remove(request.spec().ledgerKey(), request);
             return;
         }
-        requests.put(request.spec().id(), request);
+        requests.put(id, request);
         byLedgerKey.put(request.spec().ledgerKey(), request);
-        request.connection().ifPresent(id -> byConnection.put(id, request));
     }
 
     private void arrived(RequestEvent.Arrived arrived, long now, List<Command> out) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestLife.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestLife.java
@@ -89,7 +89,7 @@
     void abandonTo(CheckpointSource source, long now, List<Command> out) {
         connection.ifPresent(id -> out.add(new RequestCommand.Supersede(id)));
         leave(now);
-        out.addAll(services.checkpoints().closed(source, now));
+        services.checkpoints().handedOver(source);
     }
 
     private void leave(long now) {
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestFixture.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestFixture.java
@@ -46,6 +46,7 @@
     static final Region REGION = new Region("north");
 
     long now = 1_000_000;
+    long deadlineMillis = 600_000;
     final List<Target> targets = new ArrayList<>();
     final Set<TargetId> unavailable = new LinkedHashSet<>();
     final List<FinalOutcome> outcomes = new ArrayList<>();
@@ -108,7 +109,7 @@
                 Optional.of(new IdempotencyKey("key")),
                 7,
                 now,
-                now + 600_000,
+                now + deadlineMillis,
                 work);
     }
 
@@ -352,6 +353,9 @@
             return List.of();
         }
 
+        @Override
+        public void handedOver(CheckpointSource source) {}
+
         @Override
         public List<Command> search(RequestSpec spec, long nowMillis) {
             searched.add(spec);
