--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
@@ -28,7 +28,8 @@
     /** Time that the transport gets to report the timeout of a call itself. */
     private static final long TIMEOUT_REPORT_MILLIS = 1000;
 
-    private static final long BARRED_TARGET_MILLIS = 2000;
+    /** A target that did not take the call is not asked again under the same claim. */
+    private static final long BARRED_TARGET_MILLIS = CLAIM_MILLIS + 1;
 
     private enum Phase {
         QUEUED,
@@ -224,9 +225,7 @@
         switch (kind) {
             case NOT_SENT, BUSY, DRAINING -> {
                 notRun(now);
-                life.bar(
-                        target.orElseThrow().id(),
-                        now + failed.retryAfterMillis().orElse(BARRED_TARGET_MILLIS));
+                life.bar(target.orElseThrow().id(), now + BARRED_TARGET_MILLIS);
                 target = Optional.empty();
                 phase = Phase.WAITING_FOR_TARGET;
                 dispatch(now, out);
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/FaultMatrixTest.java
@@ -0,0 +1,200 @@
+package org.amaranthlock.coordination.request;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.TreeMap;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.RequestCommand;
+import org.amaranthlock.coordination.RequestEvent;
+import org.amaranthlock.coordination.RequestEvent.FailureKind;
+import org.amaranthlock.coordination.admission.AdmissionDecision;
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.Capability;
+import org.amaranthlock.model.ProfileKind;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.ServiceResponse;
+import org.amaranthlock.model.Work;
+import org.amaranthlock.protocol.peer.ClaimVerdict;
+import org.junit.jupiter.api.Test;
+
+class FaultMatrixTest {
+    enum Fault {
+        LOST,
+        NOT_SENT,
+        BUSY,
+        LEDGER_DOWN,
+        PAUSE,
+        CALLER_GONE,
+        DEADLINE,
+        TARGETS_GONE
+    }
+
+    /**
+     * Expected fate of a request whose single target, or whose router, has one fault at one step; no repeat is allowed
+     * by the budget. A kept-alive generation runs on for 30 s without its caller. A cell {@code -X} is not applicable for reason X.
+     */
+    private static final String TABLE = """
+            kind       step       LOST    NOT_SENT BUSY    LEDGER_DOWN PAUSE   CALLER_GONE DEADLINE TARGETS_GONE
+            GENERATION QUEUED     -A      -A       -A      -L          RAN     RAN         NOT_RUN  NOT_RUN
+            GENERATION DISPATCHED UNKNOWN NOT_RUN  NOT_RUN -L          RAN     UNKNOWN     UNKNOWN  RAN
+            GENERATION STREAMING  RAN     -S       -S      -L          RAN     RAN         RAN      RAN
+            CALL       QUEUED     -A      -A       -A      -L          RAN     NOT_RUN     NOT_RUN  NOT_RUN
+            CALL       DISPATCHED UNKNOWN NOT_RUN  NOT_RUN -L          RAN     UNKNOWN     UNKNOWN  RAN
+            ORDER      QUEUED     -A      -A       -A      -C          RAN     NOT_RUN     NOT_RUN  NOT_RUN
+            ORDER      CLAIMING   -A      -A       -A      NOT_RUN     NOT_RUN NOT_RUN     NOT_RUN  NOT_RUN
+            ORDER      GRANTED    -A      -A       -A      -C          NOT_RUN NOT_RUN     -W       NOT_RUN
+            ORDER      DISPATCHED UNKNOWN NOT_RUN  NOT_RUN -C          RAN     RAN         RAN      RAN
+            """;
+
+    private static final Map<String, String> REASONS = Map.of(
+            "A", "no attempt runs at this step",
+            "L", "the request does not use the ledger before its end",
+            "S", "a target that streams has not refused the request",
+            "C", "the claim is not asked for at this step, or is decided already",
+            "W", "a granted claim is given up after 2 s, before the deadline");
+
+    /** Guards against a fate that is wrong after a fault at any step of any kind of request. */
+    @Test
+    void everyFaultAtEveryStepEndsInOneRecordWithTheTrueFate() {
+        List<String> rows = TABLE.lines().toList();
+        List<String> failures = new ArrayList<>();
+        int run = 0;
+        Map<String, Integer> skipped = new TreeMap<>();
+        for (String row : rows.subList(1, rows.size())) {
+            String[] cells = row.split(" +");
+            assertThat(cells).hasLength(2 + Fault.values().length);
+            for (Fault fault : Fault.values()) {
+                String expected = cells[2 + fault.ordinal()];
+                if (expected.startsWith("-")) {
+                    skipped.merge(REASONS.get(expected.substring(1)), 1, Integer::sum);
+                    continue;
+                }
+                run++;
+                String seen = new Cell(cells[0], cells[1]).fateAfter(fault);
+                if (!seen.equals(expected)) {
+                    failures.add(cells[0] + " " + cells[1] + " " + fault + ": " + seen + ", not " + expected);
+                }
+            }
+        }
+        System.out.printf("Fault matrix: %d run, %d passed, not applicable: %s%n", run, run - failures.size(), skipped);
+        assertThat(failures).isEmpty();
+    }
+
+    private static final class Cell {
+        private final RequestFixture fixture = RequestFixture.withTargets(1, Capability.RESUME);
+        private final String kind;
+        private final String step;
+        private final RequestSpec spec;
+
+        Cell(String kind, String step) {
+            this.kind = kind;
+            this.step = step;
+            fixture.retryAllowed = false;
+            fixture.deadlineMillis = 20_000;
+            if (step.equals("QUEUED")) {
+                fixture.admission = new AdmissionDecision.Queued();
+            }
+            if (step.equals("GRANTED")) {
+                fixture.unavailable.add(fixture.targets.getFirst().id());
+            }
+            spec = switch (kind) {
+                case "GENERATION" -> fixture.generation("a", ProfileKind.KEPT_ALIVE, 10);
+                case "CALL" ->
+                    fixture.spec("a", ProfileKind.RETRIABLE, new Work.ServiceCall("GET", "/", Map.of(), new byte[0]));
+                default -> fixture.order("a");
+            };
+        }
+
+        String fateAfter(Fault fault) {
+            reachStep();
+            inject(fault);
+            fixture.pass(5_900);
+            proceed();
+            fixture.pass(60_000);
+            if (fixture.records().size() != 1 || fixture.finals().size() > 1) {
+                return fixture.records().size() + " records";
+            }
+            return fixture.records().getFirst().fate().name();
+        }
+
+        private void reachStep() {
+            fixture.send(new RequestEvent.Arrived(spec, OptionalInt.empty()));
+            fixture.send(new RequestEvent.CheckpointFound(spec.id(), Optional.empty()));
+            if (step.equals("GRANTED") || step.equals("DISPATCHED")) {
+                grant();
+            }
+            if (step.equals("STREAMING")) {
+                token(0);
+            }
+        }
+
+        private void inject(Fault fault) {
+            switch (fault) {
+                case LOST, NOT_SENT, BUSY -> fixture.fail(attempt(), FailureKind.valueOf(fault.name()));
+                case LEDGER_DOWN -> verdict(new ClaimVerdict.Unavailable("test"));
+                case PAUSE -> {
+                    fixture.now += 1000;
+                    fixture.send(new Event.Tick());
+                    proceed();
+                }
+                case CALLER_GONE -> {
+                    fixture.send(new RequestEvent.CallerGone(spec.id()));
+                    if (!kind.equals("GENERATION")) {
+                        proceed();
+                    }
+                }
+                case DEADLINE -> {
+                    fixture.now = spec.deadlineMillis();
+                    fixture.send(new Event.Tick());
+                    fixture.send(new Event.Tick());
+                    proceed();
+                }
+                case TARGETS_GONE -> {
+                    fixture.unavailable.add(fixture.targets.getFirst().id());
+                    proceed();
+                }
+                default -> throw new AssertionError(fault);
+            }
+        }
+
+        /** Lets everything that is still under way go well. */
+        private void proceed() {
+            fixture.send(new RequestEvent.Released(spec.id()));
+            grant();
+            if (fixture.inFlight.isEmpty()) {
+                return;
+            }
+            if (kind.equals("GENERATION")) {
+                int position = step.equals("STREAMING") ? 1 : 0;
+                token(position);
+                fixture.send(new RequestEvent.StreamEnded(attempt(), "stop", position + 1));
+            } else {
+                fixture.send(
+                        new RequestEvent.ServiceAnswered(attempt(), new ServiceResponse(200, Map.of(), new byte[0])));
+            }
+        }
+
+        private void grant() {
+            verdict(new ClaimVerdict.Granted(1));
+        }
+
+        private void verdict(ClaimVerdict verdict) {
+            fixture.send(new RequestEvent.ClaimDecided(spec.id(), verdict));
+        }
+
+        private void token(int index) {
+            fixture.send(new RequestEvent.TokensReceived(attempt(), index, List.of("t" + index)));
+        }
+
+        private AttemptId attempt() {
+            return kind.equals("GENERATION")
+                    ? fixture.last(RequestCommand.OpenStream.class).attempt()
+                    : fixture.last(RequestCommand.CallService.class).attempt();
+        }
+    }
+}
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestFixture.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestFixture.java
@@ -60,7 +60,7 @@
     AdmissionDecision admission = new AdmissionDecision.Admitted();
     PoisonRegistry.Standing standing = PoisonRegistry.Standing.CLEAN;
     boolean retryAllowed = true;
-    final RequestCoordinator coordinator = new RequestCoordinator(new RequestServices(
+    final RequestServices services = new RequestServices(
             membership,
             new Configuration(),
             new Directory(),
@@ -68,7 +68,8 @@
             new Admission(),
             new Ledger(),
             new Poison(),
-            new Checkpoints()));
+            new Checkpoints());
+    final RequestCoordinator coordinator = new RequestCoordinator(services);
 
     static RequestFixture withTargets(int count, Capability... capabilities) {
         RequestFixture fixture = new RequestFixture();
