Write no record for a returning caller that a router turns away

Cause: a router that was leaving, or waited for the platform, closed the record of a returning caller's request as not run while another router served it. Change: a returning caller is refused with the fate it has seen, without a record; the owner or the keeper writes it.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -122,9 +122,9 @@
         } else if (requests.containsKey(spec.id()) || searches.containsKey(spec.id())) {
             out.add(refusal(spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, "The request is in progress."));
         } else if (services.membership().leaving()) {
-            reject(spec, ErrorCode.DRAINING, "This router shuts down; connect to another one.", now, out);
+            reject(arrived, ErrorCode.DRAINING, "This router shuts down; connect to another one.", now, out);
         } else if (services.ledger().pendingOutcomes() >= MAX_PENDING_OUTCOMES) {
-            reject(spec, ErrorCode.PLATFORM_UNAVAILABLE, "Outcome records wait for the platform.", now, out);
+            reject(arrived, ErrorCode.PLATFORM_UNAVAILABLE, "Outcome records wait for the platform.", now, out);
         } else if (spec.work() instanceof Work.Generation && searchable(arrived)) {
             searches.put(spec.id(), new Search(arrived));
             out.addAll(services.checkpoints().search(spec, now));
@@ -150,7 +150,7 @@
         RequestSpec spec = arrived.spec();
         if (spec.fingerprint() != present.spec().fingerprint()) {
             reject(
-                    spec,
+                    arrived,
                     ErrorCode.KEY_REUSED,
                     "The idempotency key was used with another content; use a new key.",
                     now,
@@ -177,9 +177,20 @@
         }
     }
 
-    private void reject(RequestSpec spec, ErrorCode code, String detail, long now, List<Command> out) {
-        out.add(refusal(spec, code, Fate.NOT_RUN, detail));
-        RefusedArrival.close(services, spec, code, Fate.NOT_RUN, now, out);
+    private void reject(RequestEvent.Arrived arrived, ErrorCode code, String detail, long now, List<Command> out) {
+        RequestSpec spec = arrived.spec();
+        if (arrived.resumeAt().isPresent()) {
+            // The request began elsewhere, and its owner or keeper writes its record.
+            out.add(refusal(spec, code, fateSeenBy(arrived), detail));
+        } else {
+            out.add(refusal(spec, code, Fate.NOT_RUN, detail));
+            RefusedArrival.close(services, spec, code, Fate.NOT_RUN, now, out);
+        }
+    }
+
+    /** A caller that names a token has seen output; without one nothing is known of the execution. */
+    private static Fate fateSeenBy(RequestEvent.Arrived arrived) {
+        return arrived.resumeAt().orElse(0) > 0 ? Fate.RAN : Fate.UNKNOWN;
     }
 
     private static Command refusal(RequestSpec spec, ErrorCode code, Fate fate, String detail) {
@@ -236,7 +247,7 @@
             // The state is this router's now, so the request is kept open for its true caller.
             served = Optional.empty();
             connection.ifPresent(id -> reject(
-                    spec,
+                    search.arrived,
                     ErrorCode.KEY_REUSED,
                     "The idempotency key was used with another content; use a new key.",
                     now,
@@ -250,8 +261,7 @@
 
     private void resumeUnavailable(Search search, long now, List<Command> out) {
         RequestSpec spec = search.arrived.spec();
-        // A caller that names a token has seen output; without one nothing is known of the execution.
-        Fate fate = search.arrived.resumeAt().orElse(0) > 0 ? Fate.RAN : Fate.UNKNOWN;
+        Fate fate = fateSeenBy(search.arrived);
         if (!search.gone) {
             String detail = "No router holds the answer any more; read its outcome record or send the request anew.";
             out.add(refusal(spec, ErrorCode.RESUME_UNAVAILABLE, fate, detail));
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RecoveryTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RecoveryTest.java
@@ -211,6 +211,20 @@
         assertThat(fixture.last(RequestCommand.Refuse.class).refusal().code()).isEqualTo(ErrorCode.MODEL_VERSION_GONE);
     }
 
+    /** Guards against a record that calls a request of another router not run because its caller met a leaving one. */
+    @Test
+    void aReturningCallerOfALeavingRouterIsSentOnWithoutARecord() {
+        fixture.membership.leaving = true;
+
+        fixture.send(
+                new RequestEvent.Arrived(fixture.generation("back", ProfileKind.KEPT_ALIVE, 100), OptionalInt.of(3)));
+
+        RequestCommand.Refuse refused = fixture.last(RequestCommand.Refuse.class);
+        assertThat(refused.refusal().code()).isEqualTo(ErrorCode.DRAINING);
+        assertThat(refused.refusal().fate()).isEqualTo(Fate.RAN);
+        assertThat(fixture.records()).isEmpty();
+    }
+
     private Fate fateOfHeldClaim(Capability... capabilities) {
         RequestFixture desk = RequestFixture.withTargets(2, capabilities);
         RequestSpec order = desk.order("a");
