--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestFixture.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestFixture.java
@@ -46,6 +46,7 @@
     static final Region REGION = new Region("north");
 
     long now = 1_000_000;
+    long deadlineMillis = 600_000;
     final List<Target> targets = new ArrayList<>();
     final Set<TargetId> unavailable = new LinkedHashSet<>();
     final List<FinalOutcome> outcomes = new ArrayList<>();
@@ -59,7 +60,7 @@
     AdmissionDecision admission = new AdmissionDecision.Admitted();
     PoisonRegistry.Standing standing = PoisonRegistry.Standing.CLEAN;
     boolean retryAllowed = true;
-    final RequestCoordinator coordinator = new RequestCoordinator(new RequestServices(
+    final RequestServices services = new RequestServices(
             membership,
             new Configuration(),
             new Directory(),
@@ -67,7 +68,8 @@
             new Admission(),
             new Ledger(),
             new Poison(),
-            new Checkpoints()));
+            new Checkpoints());
+    final RequestCoordinator coordinator = new RequestCoordinator(services);
 
     static RequestFixture withTargets(int count, Capability... capabilities) {
         RequestFixture fixture = new RequestFixture();
@@ -108,7 +110,7 @@
                 Optional.of(new IdempotencyKey("key")),
                 7,
                 now,
-                now + 600_000,
+                now + deadlineMillis,
                 work);
     }
 
@@ -352,6 +354,9 @@
             return List.of();
         }
 
+        @Override
+        public void handedOver(CheckpointSource source) {}
+
         @Override
         public List<Command> search(RequestSpec spec, long nowMillis) {
             searched.add(spec);
