Probe a ring successor and pass suspicions on at once

Change: every second probe goes to the successor on a hashed ring, so each router is probed every second; suspicions, deaths and departures go to three routers at once.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/DefaultMembership.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/DefaultMembership.java
@@ -39,6 +39,7 @@
     private static final long DIRECT_TIMEOUT_MILLIS = 200;
     private static final long SUSPICION_MILLIS = 1_500;
     private static final int INDIRECT_PROBES = 3;
+    private static final int URGENT_NEWS_RECEIVERS = 3;
     private static final int UPDATES_PER_MESSAGE = 8;
     /** Members sent at random when there is little news; about 0.5 KB/s per router. */
     private static final int REPAIRS_PER_MESSAGE = 2;
@@ -86,6 +87,7 @@
     private long introductionEndMillis;
     private long nextListRequestMillis;
     private long nextAccusationMillis;
+    private boolean urgentNews;
     private long lastTickMillis = -1;
     private long nextProbeMillis;
     private long nextContactMillis;
@@ -116,7 +118,7 @@
         this.configurationRevision = Objects.requireNonNull(configurationRevision, "configurationRevision");
         this.random = Objects.requireNonNull(random, "random");
         this.numbers = Objects.requireNonNull(numbers, "numbers");
-        this.order = new ProbeOrder(random);
+        this.order = new ProbeOrder(self.host(), random);
         this.snapshot = new MembershipSnapshot(self, table);
     }
 
@@ -166,6 +168,7 @@
 
     private void startLeaving() {
         leaving = true;
+        urgentNews = true;
         updates.add(self.host(), selfUpdate());
     }
 
@@ -191,6 +194,7 @@
         introduce(nowMillis, commands);
         endSuspicions(nowMillis);
         accuse(nowMillis, commands);
+        spreadUrgentNews(nowMillis, commands);
         probeIndirectly(nowMillis, commands);
         if (nowMillis >= nextProbeMillis) {
             nextProbeMillis = Math.max(nextProbeMillis + PROBE_PERIOD_MILLIS, nowMillis + 1);
@@ -249,6 +253,26 @@
         }
     }
 
+    /** Passes suspicions, deaths and departures on at once; probes alone take more than 2 s to reach 60 routers. */
+    private void spreadUrgentNews(long nowMillis, List<Command> commands) {
+        if (urgentNews) {
+            urgentNews = false;
+            for (MemberUpdate peer : randomAlive(URGENT_NEWS_RECEIVERS, self.host())) {
+                send(peer, new Ack(0, news(peer.host(), nowMillis)), commands);
+            }
+        }
+    }
+
+    private List<MemberUpdate> randomAlive(int count, HostId except) {
+        List<MemberUpdate> others = new ArrayList<>(table.present());
+        others.removeIf(other -> other.host().equals(except) || other.state() != RouterState.ALIVE);
+        List<MemberUpdate> chosen = new ArrayList<>();
+        while (chosen.size() < count && !others.isEmpty()) {
+            chosen.add(others.remove(random.nextInt(others.size())));
+        }
+        return chosen;
+    }
+
     private void startProbe(long nowMillis, List<Command> commands) {
         Optional<MemberUpdate> next = order.next(table);
         if (next.isEmpty()) {
@@ -268,10 +292,7 @@
         }
         Probe current = probe.get();
         probe = Optional.of(current.goneIndirect());
-        List<MemberUpdate> others = new ArrayList<>(table.present());
-        others.removeIf(other -> other.host().equals(current.subject()) || other.state() != RouterState.ALIVE);
-        for (int i = 0; i < INDIRECT_PROBES && !others.isEmpty(); i++) {
-            MemberUpdate helper = others.remove(random.nextInt(others.size()));
+        for (MemberUpdate helper : randomAlive(INDIRECT_PROBES, current.subject())) {
             PingRequest request =
                     new PingRequest(current.sequence(), current.subject(), news(helper.host(), nowMillis));
             send(helper, request, commands);
@@ -423,6 +444,7 @@
             return;
         }
         updates.add(update.host(), update);
+        urgentNews = urgentNews || update.state() != RouterState.ALIVE;
         if (update.state() == RouterState.SUSPECT) {
             suspectUntil.put(update.host(), nowMillis + SUSPICION_MILLIS);
         } else {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/ProbeOrder.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/ProbeOrder.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -10,12 +11,21 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.sampling.ListSampler;
 
-/** Shuffled round robin over the other routers, so that each is probed once per round. */
+/**
+ * Chooses whom to probe: alternately the next router of a shuffled round and the successor on a ring.
+ *
+ * <p>Random probes alone leave a dead router unprobed for more than 2 s in about 2% of cases, which is too long for
+ * detection by all within 6 s. The ring has each router probed every second by one other. Its order is by hash, so that
+ * neighbours are seldom in one failure domain.
+ */
 final class ProbeOrder {
     private final UniformRandomProvider random;
+    private final HostId self;
     private final Deque<HostId> waiting = new ArrayDeque<>();
+    private boolean successorNext;
 
-    ProbeOrder(UniformRandomProvider random) {
+    ProbeOrder(HostId self, UniformRandomProvider random) {
+        this.self = self;
         this.random = random;
     }
 
@@ -23,9 +33,22 @@
     void first(HostId host) {
         waiting.remove(host);
         waiting.addFirst(host);
+        successorNext = true;
     }
 
     Optional<MemberUpdate> next(MemberTable table) {
+        successorNext = !successorNext;
+        return successorNext ? successor(table) : nextOfRound(table);
+    }
+
+    private Optional<MemberUpdate> successor(MemberTable table) {
+        long own = RendezvousOrder.hash(self.value());
+        return table.present().stream()
+                .min(Comparator.comparingLong(
+                        member -> RendezvousOrder.hash(member.host().value()) - own + Long.MIN_VALUE));
+    }
+
+    private Optional<MemberUpdate> nextOfRound(MemberTable table) {
         while (!waiting.isEmpty()) {
             HostId host = waiting.removeFirst();
             if (table.present(host)) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/RendezvousOrder.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/RendezvousOrder.java
@@ -35,7 +35,7 @@
         return List.copyOf(result);
     }
 
-    private static long hash(String text) {
+    static long hash(String text) {
         return HASH.hashString(text, StandardCharsets.UTF_8).asLong();
     }
 
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/membership/DefaultMembershipProperties.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/membership/DefaultMembershipProperties.java
@@ -4,7 +4,10 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -91,6 +94,43 @@
         assertAllSee(fixture, 9);
     }
 
+    /** Guards against a router that by chance nobody probes for a while, so that its death is noticed late. */
+    @Property(seed = "20", tries = 3)
+    void everyRouterIsProbedAboutOncePerSecond(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = new MembershipFixture(simulation);
+        fixture.startAll(60);
+        simulation.run(12_000);
+        Map<HostId, Long> probedAt = new HashMap<>();
+        List<Long> gaps = new ArrayList<>();
+        fixture.running()
+                .forEach(parts -> parts.router().with((event, now) -> {
+                    if (event instanceof Event.PeerReceived received && received.message() instanceof Ping) {
+                        Long last = probedAt.put(parts.router().member().host(), now);
+                        gaps.add(last == null ? 0 : now - last);
+                    }
+                    return List.of();
+                }));
+        simulation.run(30_000);
+
+        assertThat(probedAt).hasSize(60);
+        assertThat(Collections.max(gaps)).isAtMost(1_100);
+    }
+
+    /** Guards against departures, suspicions and deaths that spread only at the pace of the probes. */
+    @Property(seed = "21", tries = 5)
+    void departureIsKnownToSixtyRoutersWithinOneSecond(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed);
+        MembershipFixture fixture = new MembershipFixture(simulation);
+        fixture.startAll(60);
+        simulation.run(12_000);
+
+        fixture.get(7).router().offer(new OperatorEvent.Drain(1));
+        simulation.run(1_000);
+
+        assertAllSee(fixture, 59);
+    }
+
     /** Guards against two halves that stay apart after a network partition has healed. */
     @Property(seed = "14", tries = 10)
     void healedPartitionIsOneFleetAgain(@ForAll long seed) {
