Test the engine order controller

Cause: it had no tests. Change: two routers with changing views, pauses and outages; orders of two holders must not overlap, fencing numbers must not fall, loads keep their rate.

--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/engineorder/EngineOrderProperties.java
@@ -0,0 +1,220 @@
+package org.amaranthlock.coordination.engineorder;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.amaranthlock.coordination.OperationNumbers;
+import org.amaranthlock.coordination.TargetCommand.GiveOrder;
+import org.amaranthlock.coordination.TargetEvent;
+import org.amaranthlock.coordination.configuration.AccountSettings;
+import org.amaranthlock.coordination.configuration.ConfigurationView;
+import org.amaranthlock.coordination.configuration.ServiceSettings;
+import org.amaranthlock.coordination.membership.RouterMember;
+import org.amaranthlock.coordination.membership.SettableView;
+import org.amaranthlock.model.AccountId;
+import org.amaranthlock.model.Capability;
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.model.Region;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.model.TargetId;
+import org.amaranthlock.simulation.SimulatedRouter;
+import org.amaranthlock.simulation.Simulation;
+
+class EngineOrderProperties {
+    private static final int TARGETS = 12;
+    private static final double LOADS_PER_SECOND = 0.5;
+    private static final long ORDER_MILLIS = 2_000;
+
+    /** Something that happens to the two routers. */
+    enum Disturbance {
+        NEW_VERSION,
+        FIRST_ALONE,
+        SECOND_ALONE,
+        BOTH,
+        PAUSE,
+        OUTAGE,
+        RECOVERY,
+        WAIT
+    }
+
+    /** Guards against two routers that give orders to one group at a time, and against falling fencing numbers. */
+    @Property(seed = "51", tries = 200)
+    void ordersOfTwoHoldersNeverOverlapAndTheRateOfLoadsIsKept(
+            @ForAll long seed,
+            @ForAll boolean fencing,
+            @ForAll @Size(min = 4, max = 15) List<Disturbance> disturbances) {
+        Simulation simulation = new Simulation(seed);
+        simulation.platform().disturb(0.2, 0);
+        SettableTargets targets = new SettableTargets(fencing);
+        List<Given> given = new ArrayList<>();
+        Router first = new Router(simulation, targets, 0, given);
+        Router second = new Router(simulation, targets, 1, given);
+        view(first, second, true, true);
+        for (Disturbance disturbance : disturbances) {
+            switch (disturbance) {
+                case NEW_VERSION -> targets.version++;
+                case FIRST_ALONE -> view(first, second, true, false);
+                case SECOND_ALONE -> view(first, second, false, true);
+                case BOTH -> view(first, second, true, true);
+                case PAUSE -> {
+                    Router paused = simulation.random().nextBoolean() ? first : second;
+                    if (!paused.router.paused()) {
+                        paused.router.pause(simulation.random().nextLong(20_000));
+                    }
+                }
+                case OUTAGE -> simulation.platform().down(true);
+                case RECOVERY -> simulation.platform().down(false);
+                default -> simulation.run(10_000);
+            }
+            targets.refresh();
+            simulation.run(simulation.random().nextLong(6_000));
+        }
+
+        for (int i = 1; i < given.size(); i++) {
+            Given before = given.get(i - 1);
+            Given after = given.get(i);
+            assertThat(after.order().fence()).isAtLeast(before.order().fence());
+            if (!before.router().equals(after.router())) {
+                assertWithMessage("%s then %s", before, after)
+                        .that(after.atMillis() - before.atMillis())
+                        .isAtLeast(ORDER_MILLIS);
+            }
+        }
+        if (!given.isEmpty()) {
+            double seconds = (given.getLast().atMillis() - given.getFirst().atMillis()) / 1_000.0;
+            assertThat((double) given.size()).isAtMost(3 + seconds * LOADS_PER_SECOND);
+        }
+    }
+
+    /** Guards against engines that never learn of a new version. */
+    @Property(seed = "52", tries = 20)
+    void allEnginesAreOrderedToTheNewVersionAlsoAfterTheHolderIsLost(@ForAll long seed, @ForAll boolean fencing) {
+        Simulation simulation = new Simulation(seed);
+        SettableTargets targets = new SettableTargets(fencing);
+        List<Given> given = new ArrayList<>();
+        Router first = new Router(simulation, targets, 0, given);
+        Router second = new Router(simulation, targets, 1, given);
+        view(first, second, true, true);
+        simulation.run(1_000);
+        targets.version++;
+        targets.refresh();
+        simulation.run(6_000);
+        assertThat(given).isNotEmpty();
+        boolean firstHolds = given.getFirst().router().equals("first");
+        (firstHolds ? first : second).router.kill();
+        view(first, second, !firstHolds, firstHolds);
+        simulation.run(60_000);
+
+        long ordered = given.stream()
+                .map(item -> item.order().target().id())
+                .distinct()
+                .count();
+        assertThat(ordered).isEqualTo(TARGETS);
+    }
+
+    private static void view(Router first, Router second, boolean firstLive, boolean secondLive) {
+        List<RouterMember> members = List.of(first.router.member(), second.router.member());
+        first.view.set(firstLive ? (secondLive ? members : members.subList(0, 1)) : members.subList(1, 2), members);
+        second.view.set(secondLive ? (firstLive ? members : members.subList(1, 2)) : members.subList(0, 1), members);
+    }
+
+    private record Given(String router, GiveOrder order, long atMillis) {}
+
+    private static final class Router {
+        private final SimulatedRouter router;
+        private final SettableView view;
+
+        private Router(Simulation simulation, SettableTargets targets, int number, List<Given> given) {
+            router = new SimulatedRouter(simulation, simulation.member(number, 0));
+            view = new SettableView(router.member());
+            EngineOrderController controller =
+                    new EngineOrderController(view, targets, LOADS_PER_SECOND, new OperationNumbers());
+            String name = number == 0 ? "first" : "second";
+            router.with((event, now) -> {
+                var commands = controller.handle(event, now);
+                for (var command : commands) {
+                    if (command instanceof GiveOrder order) {
+                        given.add(new Given(name, order, now));
+                        simulation.schedule(
+                                simulation.random().nextLong(ORDER_MILLIS),
+                                () -> router.offer(new TargetEvent.OrderAnswered(
+                                        order.target().id(), order.order(), true, "")));
+                    }
+                }
+                return commands;
+            });
+            simulation.add(router);
+        }
+    }
+
+    private static final class SettableTargets implements ConfigurationView {
+        private final Set<Capability> capabilities;
+        private int version = 1;
+        private List<Target> targets = List.of();
+
+        private SettableTargets(boolean fencing) {
+            capabilities = fencing ? Set.of(Capability.FENCING) : Set.of();
+            refresh();
+        }
+
+        private void refresh() {
+            List<Target> list = new ArrayList<>();
+            for (int i = 0; i < TARGETS; i++) {
+                list.add(new Target(
+                        new TargetId("t" + i),
+                        new ServiceName("engines"),
+                        "10.9.0." + i + ":8000",
+                        new Region("r"),
+                        new FailureDomain("d"),
+                        "model",
+                        "v" + version,
+                        8,
+                        capabilities));
+            }
+            targets = List.copyOf(list);
+        }
+
+        @Override
+        public Optional<ServiceSettings> service(ServiceName name) {
+            return Optional.empty();
+        }
+
+        @Override
+        public List<ServiceSettings> services() {
+            return List.of();
+        }
+
+        @Override
+        public Optional<AccountSettings> account(AccountId id) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<AccountSettings> accountByKey(String keySha256) {
+            return Optional.empty();
+        }
+
+        @Override
+        public List<Target> targets() {
+            return targets;
+        }
+
+        @Override
+        public long revision() {
+            return version;
+        }
+
+        @Override
+        public boolean ready() {
+            return true;
+        }
+    }
+}
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/ledger/LedgerFixture.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/ledger/LedgerFixture.java
@@ -17,9 +17,8 @@
 import org.amaranthlock.coordination.Event;
 import org.amaranthlock.coordination.OperationNumbers;
 import org.amaranthlock.coordination.RequestEvent;
-import org.amaranthlock.coordination.membership.MembershipView;
-import org.amaranthlock.coordination.membership.RendezvousOrder;
 import org.amaranthlock.coordination.membership.RouterMember;
+import org.amaranthlock.coordination.membership.SettableView;
 import org.amaranthlock.model.AccountId;
 import org.amaranthlock.model.Fate;
 import org.amaranthlock.model.HostId;
@@ -63,51 +62,10 @@
         agree();
     }
 
-    /** A view that the test sets. */
-    static final class SetView implements MembershipView {
-        private final RouterMember self;
-        private List<RouterMember> live = List.of();
-        private List<RouterMember> known = List.of();
-
-        SetView(RouterMember self) {
-            this.self = self;
-        }
-
-        @Override
-        public RouterMember self() {
-            return self;
-        }
-
-        @Override
-        public List<RouterMember> live() {
-            return live;
-        }
-
-        @Override
-        public Optional<RouterMember> member(HostId host) {
-            return known.stream().filter(member -> member.host().equals(host)).findFirst();
-        }
-
-        @Override
-        public boolean dead(HostId host) {
-            return member(host).isEmpty();
-        }
-
-        @Override
-        public boolean leaving() {
-            return false;
-        }
-
-        @Override
-        public List<RouterMember> rendezvous(String key) {
-            return RendezvousOrder.order(key, live, member -> member.host().value());
-        }
-    }
-
     /** One router. */
     final class Node implements Component {
         final SimulatedRouter router;
-        final SetView view;
+        final SettableView view;
         final DefaultLedgerClient client;
         private final Map<RequestId, RequestSpec> asked = new LinkedHashMap<>();
         private final Set<RequestId> decided = new HashSet<>();
@@ -115,7 +73,7 @@
 
         private Node(RouterMember member) {
             router = new SimulatedRouter(simulation, member);
-            view = new SetView(member);
+            view = new SettableView(member);
             OperationNumbers numbers = new OperationNumbers();
             router.with(new PartitionOwners(view, numbers));
             client = router.with(new DefaultLedgerClient(view, numbers));
@@ -193,19 +151,17 @@
     void agree() {
         List<RouterMember> members = members();
         for (Node node : running()) {
-            node.view.known = members;
-            node.view.live = members;
+            node.view.set(members, members);
         }
     }
 
     /** Gives a router a view of its own, so that it may believe itself the owner of any partition. */
     void disagree(Node node, List<Integer> hidden) {
         List<RouterMember> live = new ArrayList<>(members());
-        live.removeIf(member -> !member.equals(node.view.self)
+        live.removeIf(member -> !member.equals(node.view.self())
                 && hidden.stream()
-                        .anyMatch(number -> nodes.get(number).view.self.equals(member)));
-        node.view.known = members();
-        node.view.live = live;
+                        .anyMatch(number -> nodes.get(number).view.self().equals(member)));
+        node.view.set(live, members());
     }
 
     private List<RouterMember> members() {
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/membership/SettableView.java
@@ -0,0 +1,52 @@
+package org.amaranthlock.coordination.membership;
+
+import java.util.List;
+import java.util.Optional;
+import org.amaranthlock.model.HostId;
+
+/** A view of the routers that a test sets. */
+public final class SettableView implements MembershipView {
+    private final RouterMember self;
+    private List<RouterMember> live = List.of();
+    private List<RouterMember> known = List.of();
+
+    public SettableView(RouterMember self) {
+        this.self = self;
+    }
+
+    /** Sets the live routers, and all that can be addressed. */
+    public void set(List<RouterMember> liveMembers, List<RouterMember> knownMembers) {
+        live = liveMembers;
+        known = knownMembers;
+    }
+
+    @Override
+    public RouterMember self() {
+        return self;
+    }
+
+    @Override
+    public List<RouterMember> live() {
+        return live;
+    }
+
+    @Override
+    public Optional<RouterMember> member(HostId host) {
+        return known.stream().filter(member -> member.host().equals(host)).findFirst();
+    }
+
+    @Override
+    public boolean dead(HostId host) {
+        return member(host).isEmpty();
+    }
+
+    @Override
+    public boolean leaving() {
+        return false;
+    }
+
+    @Override
+    public List<RouterMember> rendezvous(String key) {
+        return RendezvousOrder.order(key, live, member -> member.host().value());
+    }
+}
