Let routers meet through their seeds; wire the keeper, the poison registry and engine orders

Cause: bin/demo showed that no router ever saw another one: membership addresses a seed by a made-up host id, and the transport delivers only to the exact process. Ruled out: lost checkpoints and a wrong search order; a trace showed a membership of one on all three routers. Change: HostId.unknownAt names whoever listens at an address, and the transport accepts any authenticated router for it. RouterCore now contains the checkpoint keeper, the poison registry and the engine orders. Still failing: two drafts whose engine and router die together, because the caller is up to 250 ms ahead of the checkpoint.

--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/scenario/CoreFactory.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/scenario/CoreFactory.java
@@ -8,8 +8,8 @@
 import org.amaranthlock.coordination.configuration.ConfigurationView;
 import org.amaranthlock.coordination.ledger.LedgerClient;
 import org.amaranthlock.coordination.membership.MembershipView;
-import org.amaranthlock.coordination.node.NoBlame;
 import org.amaranthlock.coordination.node.ObservationFeed;
+import org.amaranthlock.coordination.poison.DefaultPoisonRegistry;
 import org.amaranthlock.coordination.request.RequestCoordinator;
 import org.amaranthlock.coordination.request.RequestServices;
 import org.amaranthlock.state.TargetDirectory;
@@ -31,7 +31,7 @@
                 parts.selector(),
                 parts.admission(),
                 ledger,
-                new NoBlame(),
+                new DefaultPoisonRegistry(),
                 new NoCheckpoints()));
         return new DefaultNodeCore(List.of(new ObservationFeed(parts.selector()), ledger, requests, parts.admission()));
     }
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/NoCheckpoints.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/NoCheckpoints.java
@@ -25,6 +25,11 @@
         return List.of();
     }
 
+    @Override
+    public void handedOver(CheckpointSource source) {
+        // Nothing is kept.
+    }
+
     @Override
     public List<Command> search(RequestSpec spec, long nowMillis) {
         return List.of(new Command.Raise(new RequestEvent.CheckpointFound(spec.id(), Optional.empty())));
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/DefaultMembership.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/DefaultMembership.java
@@ -334,7 +334,7 @@
 
     private MemberUpdate seed(String address) {
         return new MemberUpdate(
-                new HostId("seed/" + address), address, self.region(), self.failureDomain(), RouterState.ALIVE, 0);
+                HostId.unknownAt(address), address, self.region(), self.failureDomain(), RouterState.ALIVE, 0);
     }
 
     private void receive(HostId from, PeerMessage message, long nowMillis, List<Command> commands) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/node/RouterCore.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/node/RouterCore.java
@@ -10,6 +10,7 @@
 import org.amaranthlock.coordination.admission.DefaultAdmissionController;
 import org.amaranthlock.coordination.configuration.ConfigurationView;
 import org.amaranthlock.coordination.configuration.DefaultConfiguration;
+import org.amaranthlock.coordination.engineorder.EngineOrderController;
 import org.amaranthlock.coordination.ledger.DefaultLedgerClient;
 import org.amaranthlock.coordination.ledger.PartitionOwners;
 import org.amaranthlock.coordination.membership.DefaultMembership;
@@ -18,6 +19,8 @@
 import org.amaranthlock.coordination.membership.MembershipView;
 import org.amaranthlock.coordination.membership.RouterMember;
 import org.amaranthlock.coordination.membership.TargetNews;
+import org.amaranthlock.coordination.poison.DefaultPoisonRegistry;
+import org.amaranthlock.coordination.request.CheckpointKeeper;
 import org.amaranthlock.coordination.request.RequestCoordinator;
 import org.amaranthlock.coordination.request.RequestServices;
 import org.amaranthlock.coordination.routing.DefaultTargetSelector;
@@ -25,6 +28,9 @@
 
 /** Decision core of one router with the product's policies. */
 public final class RouterCore implements NodeCore {
+    /** Weight loads per second of one engine group; keeps a restart of all engines under the weight store's rate. */
+    private static final double WEIGHT_LOADS_PER_SECOND = 1;
+
     private final DefaultMembership membership;
     private final DefaultConfiguration configuration;
     private final NodeCore core;
@@ -41,7 +47,7 @@
         Objects.requireNonNull(random, "random");
         OperationNumbers numbers = new OperationNumbers();
         TargetNews targetNews = new TargetNews(() -> this.membership().live().size());
-        NoBlame poison = new NoBlame();
+        DefaultPoisonRegistry poison = new DefaultPoisonRegistry();
         this.membership = new DefaultMembership(
                 self,
                 seeds,
@@ -57,7 +63,7 @@
         DefaultAdmissionController admission =
                 new DefaultAdmissionController(selector, configuration, membership, random);
         DefaultLedgerClient ledger = new DefaultLedgerClient(membership, numbers);
-        NoCheckpoints keeper = new NoCheckpoints();
+        CheckpointKeeper keeper = new CheckpointKeeper(membership, directory, ledger, numbers);
         RequestCoordinator requests = new RequestCoordinator(
                 new RequestServices(membership, configuration, directory, selector, admission, ledger, poison, keeper));
         // Views first, so that the requests decide on what the same event has changed; the admission last, so that it
@@ -72,6 +78,7 @@
                 keeper,
                 requests,
                 admission,
+                new EngineOrderController(membership, configuration, WEIGHT_LOADS_PER_SECOND, numbers),
                 new FleetOperations(membership, directory, selector, requests, ledger)));
     }
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/model/HostId.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/model/HostId.java
@@ -6,10 +6,26 @@
  * @param value non-blank text
  */
 public record HostId(String value) implements Comparable<HostId> {
+    private static final String UNKNOWN_PREFIX = "seed/";
+
     public HostId {
         Arguments.requireText(value, "host id");
     }
 
+    /**
+     * Returns the id that stands for whichever router listens at an address, for the first contact.
+     *
+     * @param address IP number and port of its peer transport
+     */
+    public static HostId unknownAt(String address) {
+        return new HostId(UNKNOWN_PREFIX + address);
+    }
+
+    /** Tells whether the id stands for whichever router listens at an address. */
+    public boolean unknown() {
+        return value.startsWith(UNKNOWN_PREFIX);
+    }
+
     @Override
     public int compareTo(HostId other) {
         return value.compareTo(other.value);
--- a/amaranthlock-core/src/test/java/org/amaranthlock/simulation/Simulation.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/simulation/Simulation.java
@@ -131,8 +131,7 @@
         }
         long latency = self ? 0 : 1 + random.nextLong(maxLatencyMillis);
         schedule(delayMillis + latency, () -> {
-            boolean meant =
-                    to.member().host().equals(send.to()) || send.to().value().startsWith("seed/");
+            boolean meant = to.member().host().equals(send.to()) || send.to().unknown();
             if (meant && path.test(from.member(), to.member())) {
                 to.offer(new Event.PeerReceived(from.member().host(), send.message()));
             }
--- a/amaranthlock-net/src/main/java/org/amaranthlock/transport/PeerTransport.java
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/transport/PeerTransport.java
@@ -10,7 +10,12 @@
  * one {@code PeerUnreachable} event is raised.
  */
 public interface PeerTransport extends Service {
-    /** Queues a message; never blocks. */
+    /**
+     * Queues a message; never blocks.
+     *
+     * <p>Only the process {@code to} gets it; a message to {@link HostId#unknownAt} goes to whichever router listens at
+     * the address.
+     */
     void send(HostId to, String address, PeerMessage message);
 
     /** Returns the IP number and port that other routers reach this one at; valid after the start. */
--- a/amaranthlock-net/src/test/java/org/amaranthlock/transport/peer/NettyPeerTransportTest.java
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/transport/peer/NettyPeerTransportTest.java
@@ -87,6 +87,17 @@
         assertThat(eventsOfB.isEmpty()).isTrue();
     }
 
+    /** Guards against routers that never meet, because a router knows only the addresses of its seeds at the start. */
+    @Test
+    void whoeverListensAtASeedsAddressGetsTheFirstContact() throws Exception {
+        NettyPeerTransport a = start(A, KEY, eventsOfA, clockOfB);
+        NettyPeerTransport b = start(B, KEY, eventsOfB, clockOfB);
+        a.send(HostId.unknownAt(b.localAddress()), b.localAddress(), new PeerMessage.ConfigPull(7));
+
+        assertThat(eventsOfB.next(Event.PeerReceived.class))
+                .isEqualTo(new Event.PeerReceived(A, new PeerMessage.ConfigPull(7)));
+    }
+
     /** Guards against messages that wait for ever for a dead router, and against a router that never reconnects. */
     @Test
     void refusedConnectionIsReportedAndLaterRetried() throws Exception {
