--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/engineorder/EngineOrderProperties.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/engineorder/EngineOrderProperties.java
@@ -78,20 +78,54 @@
             simulation.run(simulation.random().nextLong(6_000));
         }
 
+        assertNoOverlap(given);
+        if (!given.isEmpty()) {
+            double seconds = (given.getLast().atMillis() - given.getFirst().atMillis()) / 1_000.0;
+            assertThat((double) given.size()).isAtMost(3 + seconds * LOADS_PER_SECOND);
+        }
+    }
+
+    private static void assertNoOverlap(List<Given> given) {
         for (int i = 1; i < given.size(); i++) {
             Given before = given.get(i - 1);
             Given after = given.get(i);
             assertThat(after.order().fence()).isAtLeast(before.order().fence());
             if (!before.router().equals(after.router())) {
+                assertThat(after.order().fence()).isGreaterThan(before.order().fence());
                 assertWithMessage("%s then %s", before, after)
                         .that(after.atMillis() - before.atMillis())
                         .isAtLeast(ORDER_MILLIS);
             }
         }
-        if (!given.isEmpty()) {
-            double seconds = (given.getLast().atMillis() - given.getFirst().atMillis()) / 1_000.0;
-            assertThat((double) given.size()).isAtMost(3 + seconds * LOADS_PER_SECOND);
+    }
+
+    /** Guards against a paused holder that gives an order after its successor has begun. */
+    @Property(seed = "53", tries = 300)
+    void pausedHolderGivesNoOrderBesideItsSuccessor(@ForAll long seed, @ForAll boolean duringRenewal) {
+        Simulation simulation = new Simulation(seed);
+        SettableTargets targets = new SettableTargets(true);
+        List<Given> given = new ArrayList<>();
+        Router first = new Router(simulation, targets, 0, given);
+        Router second = new Router(simulation, targets, 1, given);
+        view(first, second, true, true);
+        simulation.run(1_000);
+        targets.version++;
+        targets.refresh();
+        while (given.isEmpty()) {
+            simulation.run(10);
+        }
+        simulation.run(simulation.random().nextLong(4_000));
+        long writes = simulation.platform().writes();
+        while (duringRenewal && simulation.platform().writes() == writes) {
+            simulation.run(1);
         }
+        boolean firstHolds = given.getFirst().router().equals("first");
+        view(first, second, !firstHolds, firstHolds);
+        (firstHolds ? first : second).router.pause(2_000 + simulation.random().nextLong(13_000));
+        simulation.run(30_000);
+
+        assertNoOverlap(given);
+        assertThat(given.getLast().router()).isNotEqualTo(given.getFirst().router());
     }
 
     /** Guards against engines that never learn of a new version. */
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/ledger/LedgerProperties.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/ledger/LedgerProperties.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -19,6 +20,7 @@
 import org.amaranthlock.model.OutcomeRecord;
 import org.amaranthlock.model.RequestId;
 import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.ServiceResponse;
 import org.amaranthlock.protocol.peer.ClaimVerdict;
 import org.amaranthlock.protocol.peer.PeerMessage.FinalOutcome;
 import org.amaranthlock.simulation.Simulation;
@@ -328,6 +330,20 @@
         simulation.run(2_000);
         int partition = LedgerPartitions.ofKey(order.ledgerKey());
         String filler = fillerKey(partition);
+        ServiceResponse response = new ServiceResponse(200, Map.of(), new byte[4_096]);
+        List<RequestSpec> large = new ArrayList<>();
+        for (int i = 0; large.size() < 120; i++) {
+            if (LedgerPartitions.ofKey("account/large-" + i) == partition) {
+                large.add(fixture.request("large-" + i, 7));
+            }
+        }
+        large.forEach(spec -> node.router.run(node.client.claim(spec, simulation.now())));
+        simulation.run(3_000);
+        for (RequestSpec spec : large) {
+            OutcomeRecord ran =
+                    LedgerFixture.record(spec, Fate.RAN, node.router.member().host());
+            node.router.run(node.client.close(new FinalOutcome(ran, Optional.of(response)), simulation.now()));
+        }
         while (simulation.platform().object(LedgerKeys.snapshot(partition)).isEmpty()) {
             assertThat(fixture.highestPosition(partition).orElse(0)).isLessThan(1_500);
             node.close(fixture.request(filler, 7), Fate.RAN);
@@ -344,7 +360,15 @@
         Node later = fixture.node(1);
         later.router.run(later.client.claim(repeat, simulation.now()));
         later.router.run(later.client.claim(reused, simulation.now()));
+        List<RequestSpec> repeats = new ArrayList<>();
+        large.forEach(
+                spec -> repeats.add(fixture.request(spec.key().orElseThrow().value(), 7)));
+        repeats.forEach(spec -> later.router.run(later.client.claim(spec, simulation.now())));
         simulation.run(1_500);
+        for (RequestSpec spec : repeats) {
+            ClaimVerdict.Closed closed = (ClaimVerdict.Closed) verdict(later, spec);
+            assertThat(closed.response()).hasValue(response);
+        }
 
         assertThat(verdict(later, repeat)).isEqualTo(new ClaimVerdict.Closed(record, Optional.empty()));
         assertThat(verdict(later, reused)).isInstanceOf(ClaimVerdict.KeyReused.class);
