Send tokens to the keeper before the caller gets them, and don't close what may be open elsewhere

Cause: with engine and router killed together, the caller was up to 250 ms ahead of the checkpoint, and a router that got no answer to its search within 300 ms closed the request as refused although its keeper held it. Ruled out: regenerating the missing tokens, since another attempt could continue them differently (two generations in one answer). Change: each new token of a kept-alive request goes to the keeper before it is delivered; a search tells whether it was conclusive, and an inconclusive one sends the caller away for a moment without a record; 1.5 s for a returning caller, 300 ms for a new request.

--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/NoCheckpoints.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/NoCheckpoints.java
@@ -20,6 +20,11 @@
         return List.of();
     }
 
+    @Override
+    public List<Command> progressed(CheckpointSource source, long nowMillis) {
+        return List.of();
+    }
+
     @Override
     public List<Command> closed(CheckpointSource source, long nowMillis) {
         return List.of();
@@ -31,7 +36,7 @@
     }
 
     @Override
-    public List<Command> search(RequestSpec spec, long nowMillis) {
-        return List.of(new Command.Raise(new RequestEvent.CheckpointFound(spec.id(), Optional.empty())));
+    public List<Command> search(RequestSpec spec, long timeoutMillis, long nowMillis) {
+        return List.of(new Command.Raise(new RequestEvent.CheckpointFound(spec.id(), Optional.empty(), true)));
     }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/RequestEvent.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/RequestEvent.java
@@ -41,8 +41,15 @@
     /** The ledger decided on the claim of an at-most-once request. */
     record ClaimDecided(RequestId request, ClaimVerdict verdict) implements RequestEvent {}
 
-    /** The search for the state of a returning caller's request ended. */
-    record CheckpointFound(RequestId request, Optional<Checkpoint> checkpoint) implements RequestEvent {}
+    /**
+     * The search for the state of a returning caller's request ended.
+     *
+     * @param request the request
+     * @param checkpoint the newest state that was found
+     * @param conclusive whether every router that may hold the state has answered; if not, its absence proves nothing
+     */
+    record CheckpointFound(RequestId request, Optional<Checkpoint> checkpoint, boolean conclusive)
+            implements RequestEvent {}
 
     /** An admitted request that was queued may start now. */
     record Released(RequestId request) implements RequestEvent {}
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/node/RouterCore.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/node/RouterCore.java
@@ -53,7 +53,7 @@
                 seeds,
                 targetNews.topic(),
                 new GossipTopic<>(poison::marksToSpread, poison::learn),
-                () -> this.configuration().revision(),
+                this::highestRevision,
                 random,
                 numbers);
         this.configuration = new DefaultConfiguration(membership, random, numbers);
@@ -96,4 +96,8 @@
     public MembershipView membership() {
         return membership;
     }
+
+    private long highestRevision() {
+        return configuration.highestRevision();
+    }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointKeeper.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointKeeper.java
@@ -48,6 +48,13 @@
         return out;
     }
 
+    @Override
+    public List<Command> progressed(CheckpointSource source, long nowMillis) {
+        List<Command> out = new ArrayList<>();
+        owned.progressed(source, nowMillis, out);
+        return out;
+    }
+
     @Override
     public List<Command> closed(CheckpointSource source, long nowMillis) {
         List<Command> out = new ArrayList<>();
@@ -61,9 +68,9 @@
     }
 
     @Override
-    public List<Command> search(RequestSpec spec, long nowMillis) {
+    public List<Command> search(RequestSpec spec, long timeoutMillis, long nowMillis) {
         List<Command> out = new ArrayList<>();
-        searches.start(spec, nowMillis, out);
+        searches.start(spec, timeoutMillis, nowMillis, out);
         return out;
     }
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointSearches.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointSearches.java
@@ -19,8 +19,8 @@
 
 /** Searches for the state of requests whose callers came to this router. */
 final class CheckpointSearches {
-    /** Time for a search; a returning caller waits for it. */
-    static final long SEARCH_MILLIS = 300;
+    /** Time for a live owner to hand over; an owner that is paused is superseded unasked. */
+    static final long HANDOVER_MILLIS = 500;
 
     private final MembershipView membership;
     private final OperationNumbers numbers;
@@ -33,8 +33,8 @@
         this.kept = kept;
     }
 
-    void start(RequestSpec spec, long now, List<Command> out) {
-        Search search = new Search(numbers.next(), spec, now);
+    void start(RequestSpec spec, long timeoutMillis, long now, List<Command> out) {
+        Search search = new Search(numbers.next(), spec, now + timeoutMillis);
         searches.put(search.query, search);
         Optional<Checkpoint> local = kept.find(spec.ledgerKey());
         if (local.isPresent()) {
@@ -93,13 +93,14 @@
             return;
         }
         search.handover = Optional.of(owner);
+        search.handoverAt = -1;
         send(live.get(), new PeerMessage.HandoverRequest(search.query, search.spec.ledgerKey()), out);
     }
 
     /** Ends searches that took too long; an owner that does not answer in time is superseded unasked. */
     void tick(long now, List<Command> out) {
         for (Search search : List.copyOf(searches.values())) {
-            if (now - search.startedAt >= SEARCH_MILLIS) {
+            if (search.late(now)) {
                 finish(search, out);
             }
         }
@@ -107,7 +108,8 @@
 
     private void finish(Search search, List<Command> out) {
         searches.remove(search.query);
-        out.add(new Command.Raise(new RequestEvent.CheckpointFound(search.spec.id(), search.found)));
+        boolean conclusive = search.awaited.isEmpty();
+        out.add(new Command.Raise(new RequestEvent.CheckpointFound(search.spec.id(), search.found, conclusive)));
         search.found.ifPresent(checkpoint -> dropFormer(search, checkpoint, out));
     }
 
@@ -132,15 +134,26 @@
     private static final class Search {
         private final long query;
         private final RequestSpec spec;
-        private final long startedAt;
+        private final long endsAt;
         private final Set<HostId> awaited = new LinkedHashSet<>();
         private Optional<Checkpoint> found = Optional.empty();
         private Optional<HostId> handover = Optional.empty();
+        private long handoverAt = -1;
 
-        Search(long query, RequestSpec spec, long startedAt) {
+        Search(long query, RequestSpec spec, long endsAt) {
             this.query = query;
             this.spec = spec;
-            this.startedAt = startedAt;
+            this.endsAt = endsAt;
+        }
+
+        boolean late(long now) {
+            if (handover.isEmpty()) {
+                return now >= endsAt;
+            }
+            if (handoverAt < 0) {
+                handoverAt = now;
+            }
+            return now - handoverAt >= HANDOVER_MILLIS;
         }
     }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointStore.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointStore.java
@@ -12,6 +12,14 @@
     /** Sends the whole present state of a request to its keeper at once. */
     List<Command> flush(CheckpointSource source, long nowMillis);
 
+    /**
+     * Sends the tokens that a request has received since the last time.
+     *
+     * <p>To be called before the tokens are delivered to the caller: a caller must not hold a token that dies with this
+     * router and its target, since another attempt could continue the answer differently.
+     */
+    List<Command> progressed(CheckpointSource source, long nowMillis);
+
     /** Ends the keeping of a request that is closed. */
     List<Command> closed(CheckpointSource source, long nowMillis);
 
@@ -22,6 +30,8 @@
      * Looks for the state of a request that other routers hold;
      * {@link org.amaranthlock.coordination.RequestEvent.CheckpointFound} brings the answer under the id of the
      * request given here. A live owner has stopped serving the request when its state is found.
+     *
+     * @param timeoutMillis time for all answers, in milliseconds
      */
-    List<Command> search(RequestSpec spec, long nowMillis);
+    List<Command> search(RequestSpec spec, long timeoutMillis, long nowMillis);
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
@@ -261,6 +261,7 @@
         current.progressed(fresh.size(), now);
         dispatcher.progressed(current.attempt(), fresh.size(), now);
         life.noteProgress(fresh.size(), now);
+        out.addAll(life.services().checkpoints().progressed(this, now));
         deliver(out);
     }
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OwnedCheckpoints.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OwnedCheckpoints.java
@@ -16,6 +16,7 @@
     /** Younger requests cost less to repeat than to keep. */
     static final long KEEP_AFTER_MILLIS = 500;
 
+    /** Pace of the deltas that carry no new token, such as a change of the attempt. */
     static final long DELTA_MILLIS = 250;
 
     private final MembershipView membership;
@@ -42,6 +43,21 @@
         }
     }
 
+    /** Sends new tokens of a kept-alive request before its caller gets them. */
+    void progressed(CheckpointSource source, long now, List<Command> out) {
+        Owned entry = owned.get(source.spec().ledgerKey());
+        boolean kept = entry != null && entry.source == source && source.keptAlive();
+        if (!kept || now - entry.openedAt < KEEP_AFTER_MILLIS) {
+            return;
+        }
+        // Called for every token, so it must not walk through the list of live routers.
+        boolean reachable =
+                entry.keeper.filter(keeper -> !membership.dead(keeper.host())).isPresent();
+        if (reachable) {
+            sendDelta(entry, now, out);
+        }
+    }
+
     /** Forgets a request, and drops its checkpoint unless another router carries the request on. */
     void closed(CheckpointSource source, boolean drop, List<Command> out) {
         String ledgerKey = source.spec().ledgerKey();
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -35,6 +35,15 @@
     /** Records waiting for the ledger above which no request is admitted, so that none has to be dropped. */
     static final int MAX_PENDING_OUTCOMES = 50_000;
 
+    /**
+     * Time for routers to tell what they hold of a returning caller's answer. It is well below the 6 s in which output
+     * must go on, and long enough for a router under load.
+     */
+    static final long RETURN_SEARCH_MILLIS = 1_500;
+
+    /** Time for the same search when a new request with a key arrives, whose first token is due within 1.1 s. */
+    static final long ARRIVAL_SEARCH_MILLIS = 300;
+
     /** Time after which a leaving router hands its kept-alive requests over. */
     static final long DRAIN_MILLIS = 120_000;
 
@@ -127,7 +136,8 @@
             reject(arrived, ErrorCode.PLATFORM_UNAVAILABLE, "Outcome records wait for the platform.", now, out);
         } else if (spec.work() instanceof Work.Generation && searchable(arrived)) {
             searches.put(spec.id(), new Search(arrived));
-            out.addAll(services.checkpoints().search(spec, now));
+            long timeout = arrived.resumeAt().isPresent() ? RETURN_SEARCH_MILLIS : ARRIVAL_SEARCH_MILLIS;
+            out.addAll(services.checkpoints().search(spec, timeout, now));
         } else {
             begin(create(spec, Optional.of(spec.id()), now), now, out);
         }
@@ -194,8 +204,8 @@
     }
 
     private static Command refusal(RequestSpec spec, ErrorCode code, Fate fate, String detail) {
-        OptionalLong retryAfter =
-                code == ErrorCode.KEY_REUSED ? OptionalLong.empty() : OptionalLong.of(RequestLife.RETRY_AFTER_MILLIS);
+        boolean repeatHelps = code != ErrorCode.KEY_REUSED && code != ErrorCode.RESUME_UNAVAILABLE;
+        OptionalLong retryAfter = repeatHelps ? OptionalLong.of(RequestLife.RETRY_AFTER_MILLIS) : OptionalLong.empty();
         return new RequestCommand.Refuse(spec.id(), new Refusal(code, fate, detail, retryAfter));
     }
 
@@ -230,6 +240,8 @@
             }
         } else if (found.checkpoint().isPresent()) {
             takeOver(search, found.checkpoint().get(), connection, now, out);
+        } else if (search.arrived.resumeAt().isPresent() && !found.conclusive()) {
+            searchAgain(search, out);
         } else if (search.arrived.resumeAt().isPresent()) {
             resumeUnavailable(search, now, out);
         } else if (search.gone) {
@@ -259,6 +271,15 @@
         settle(request);
     }
 
+    /** Sends the caller away for a moment; the request is still open at a router that did not answer. */
+    private void searchAgain(Search search, List<Command> out) {
+        if (!search.gone) {
+            String detail = "A router that may hold the answer does not respond; come back for the rest.";
+            RequestSpec spec = search.arrived.spec();
+            out.add(refusal(spec, ErrorCode.REQUEST_IN_PROGRESS, fateSeenBy(search.arrived), detail));
+        }
+    }
+
     private void resumeUnavailable(Search search, long now, List<Command> out) {
         RequestSpec spec = search.arrived.spec();
         Fate fate = fateSeenBy(search.arrived);
