Tell returning callers to come back while a router that may hold their answer is missing

Cause: a trace of bin/demo showed a router that saw both others as gone (one killed, one paused) take the absence of a checkpoint for proof and close a request that the paused router still held. Ruled out: a lost checkpoint message; the keeper had been killed and the owner was paused before it could choose another one. Change: for 30 s after a router left the membership an empty search is not conclusive; a returning caller of a retriable answer is refused at once, since only kept-alive answers have checkpoints.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointSearches.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointSearches.java
@@ -19,6 +19,12 @@
 
 /** Searches for the state of requests whose callers came to this router. */
 final class CheckpointSearches {
+    /**
+     * A router that left the membership may be paused, and may hold the only state of a request when the keeper died
+     * too. Absence proves nothing until its requests are closed by a keeper.
+     */
+    static final long LOST_ROUTER_MILLIS = KeptCheckpoints.RETURN_MILLIS;
+
     /** Time for a live owner to hand over; an owner that is paused is superseded unasked. */
     static final long HANDOVER_MILLIS = 500;
 
@@ -26,6 +32,9 @@
     private final OperationNumbers numbers;
     private final KeptCheckpoints kept;
     private final Map<Long, Search> searches = new LinkedHashMap<>();
+    private Set<HostId> lastLive = Set.of();
+    private long lastTick;
+    private long routerLostAt = -LOST_ROUTER_MILLIS;
 
     CheckpointSearches(MembershipView membership, OperationNumbers numbers, KeptCheckpoints kept) {
         this.membership = membership;
@@ -99,6 +108,7 @@
 
     /** Ends searches that took too long; an owner that does not answer in time is superseded unasked. */
     void tick(long now, List<Command> out) {
+        noteLostRouters(now);
         for (Search search : List.copyOf(searches.values())) {
             if (search.late(now)) {
                 finish(search, out);
@@ -106,9 +116,19 @@
         }
     }
 
+    private void noteLostRouters(long now) {
+        Set<HostId> live = new LinkedHashSet<>();
+        membership.live().forEach(member -> live.add(member.host()));
+        if (!live.containsAll(lastLive)) {
+            routerLostAt = now;
+        }
+        lastLive = live;
+        lastTick = now;
+    }
+
     private void finish(Search search, List<Command> out) {
         searches.remove(search.query);
-        boolean conclusive = search.awaited.isEmpty();
+        boolean conclusive = search.awaited.isEmpty() && lastTick - routerLostAt >= LOST_ROUTER_MILLIS;
         out.add(new Command.Raise(new RequestEvent.CheckpointFound(search.spec.id(), search.found, conclusive)));
         search.found.ifPresent(checkpoint -> dropFormer(search, checkpoint, out));
     }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -134,6 +134,9 @@
             reject(arrived, ErrorCode.DRAINING, "This router shuts down; connect to another one.", now, out);
         } else if (services.ledger().pendingOutcomes() >= MAX_PENDING_OUTCOMES) {
             reject(arrived, ErrorCode.PLATFORM_UNAVAILABLE, "Outcome records wait for the platform.", now, out);
+        } else if (spec.work() instanceof Work.Generation && arrived.resumeAt().isPresent() && !keptAlive(spec)) {
+            // Only kept-alive answers have checkpoints, so no other router can go on with this one.
+            resumeUnavailable(new Search(arrived), now, out);
         } else if (spec.work() instanceof Work.Generation && searchable(arrived)) {
             searches.put(spec.id(), new Search(arrived));
             long timeout = arrived.resumeAt().isPresent() ? RETURN_SEARCH_MILLIS : ARRIVAL_SEARCH_MILLIS;
@@ -146,8 +149,11 @@
     /** A repeat by key may find a kept-alive generation that is open elsewhere; other work has no tokens to find. */
     private static boolean searchable(RequestEvent.Arrived arrived) {
         boolean keyed = arrived.spec().key().isPresent();
-        return arrived.resumeAt().isPresent()
-                || (keyed && arrived.spec().profile().kind() != ProfileKind.RETRIABLE);
+        return keptAlive(arrived.spec()) && (keyed || arrived.resumeAt().isPresent());
+    }
+
+    private static boolean keptAlive(RequestSpec spec) {
+        return spec.profile().kind() != ProfileKind.RETRIABLE;
     }
 
     private static boolean joins(RequestSpec spec, OpenRequest present) {
