Close a dead router's order once all its targets have barred it

Ruled out: a partition without owner; the verdicts arrived at once. Change: the verdict Held names the request; when every target of the service has barred the fence and none knows the key, the router closes that request as not run, and the next repeat gets a fresh claim.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/LedgerState.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/LedgerState.java
@@ -123,7 +123,9 @@
         }
         boolean repeated =
                 entry.request().equals(claim.request()) && entry.holder().equals(from);
-        return repeated ? new ClaimVerdict.Granted(held.fence()) : new ClaimVerdict.Held(entry.holder(), held.fence());
+        return repeated
+                ? new ClaimVerdict.Granted(held.fence())
+                : new ClaimVerdict.Held(entry.holder(), held.fence(), entry.request());
     }
 
     private static Optional<ClaimVerdict> decideClosed(ClaimRequest claim, ClosedClaim past, long nowMillis) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
@@ -48,7 +48,7 @@
     private Optional<Reconciliation> reconciliation = Optional.empty();
     private ErrorCode undecidedCode = ErrorCode.OUTCOME_UNKNOWN;
     private Fate undecidedFate = Fate.UNKNOWN;
-    private ErrorCode neverExecutedCode = ErrorCode.TARGET_FAILED;
+    private Optional<RequestId> heldRequest = Optional.empty();
     private long claimedAt;
     private long grantedAt;
     private long fence;
@@ -134,7 +134,7 @@
             return;
         }
         undecidedCode = ErrorCode.OUTCOME_UNKNOWN;
-        neverExecutedCode = ErrorCode.REQUEST_IN_PROGRESS;
+        heldRequest = Optional.of(held.request());
         reconcile(targetsOfService(), OptionalLong.of(held.fence() + 1), now, out);
     }
 
@@ -286,8 +286,13 @@
         Reconciliation current = reconciliation.orElseThrow();
         switch (current.state(now)) {
             case PENDING -> {}
-            case NEVER_EXECUTED ->
-                refuse(neverExecutedCode, Fate.NOT_RUN, "The target did not run the request; repeat it.", now, out);
+            case NEVER_EXECUTED -> {
+                // Closing the dead router's request frees the key, so that the caller's repeat can be executed.
+                heldRequest.ifPresent(
+                        held -> RefusedArrival.closeNeverExecuted(life.services(), spec(), held, now, out));
+                String detail = "The target did not run the request; repeat it.";
+                refuse(ErrorCode.TARGET_FAILED, Fate.NOT_RUN, detail, now, out);
+            }
             default -> {
                 current.cancel(out);
                 String detail = undecidedFate == Fate.RAN
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RefusedArrival.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RefusedArrival.java
@@ -7,6 +7,7 @@
 import org.amaranthlock.model.Fate;
 import org.amaranthlock.model.Outcome;
 import org.amaranthlock.model.OutcomeRecord;
+import org.amaranthlock.model.RequestId;
 import org.amaranthlock.model.RequestSpec;
 import org.amaranthlock.protocol.peer.PeerMessage.FinalOutcome;
 
@@ -19,6 +20,27 @@
         close(services, spec, Outcome.REFUSED, fate, code.code(), code.status(), now, out);
     }
 
+    /**
+     * Closes a request of a router that died, after all targets of the service have barred its dispatch.
+     *
+     * @param spec a repeat of the request with the same key
+     * @param request the request that the dead router held
+     */
+    static void closeNeverExecuted(
+            RequestServices services, RequestSpec spec, RequestId request, long now, List<Command> out) {
+        RequestSpec held = new RequestSpec(
+                request,
+                spec.account(),
+                spec.service(),
+                spec.profile(),
+                spec.key(),
+                spec.fingerprint(),
+                spec.arrivedAtMillis(),
+                spec.deadlineMillis(),
+                spec.work());
+        close(services, held, Outcome.FAILED, Fate.NOT_RUN, ErrorCode.TARGET_FAILED.code(), 0, now, out);
+    }
+
     static void abandon(RequestServices services, RequestSpec spec, Fate fate, long now, List<Command> out) {
         close(services, spec, Outcome.ABANDONED, fate, "", 0, now, out);
     }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/protocol/peer/ClaimVerdict.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/protocol/peer/ClaimVerdict.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.amaranthlock.model.HostId;
 import org.amaranthlock.model.OutcomeRecord;
+import org.amaranthlock.model.RequestId;
 import org.amaranthlock.model.ServiceResponse;
 
 /** Decision of a ledger partition on the claim of an at-most-once request. */
@@ -20,10 +21,12 @@
      *
      * @param holder the router that may dispatch it
      * @param fence fencing number of its claim
+     * @param request the request that the claim was granted for
      */
-    record Held(HostId holder, long fence) implements ClaimVerdict {
+    record Held(HostId holder, long fence, RequestId request) implements ClaimVerdict {
         public Held {
             Objects.requireNonNull(holder, "holder");
+            Objects.requireNonNull(request, "request");
         }
     }
 
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/AtMostOnceProperties.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/AtMostOnceProperties.java
@@ -194,8 +194,9 @@
             fixture.now += 1;
             switch (step) {
                 case GRANT -> verdict(new ClaimVerdict.Granted(40));
-                case HELD -> verdict(new ClaimVerdict.Held(new HostId("router-1"), 39));
-                case HELD_BY_DEAD -> verdict(new ClaimVerdict.Held(new HostId("router-dead"), 39));
+                case HELD -> verdict(new ClaimVerdict.Held(new HostId("router-1"), 39, new RequestId("00-held")));
+                case HELD_BY_DEAD ->
+                    verdict(new ClaimVerdict.Held(new HostId("router-dead"), 39, new RequestId("00-held")));
                 case CLOSED_RAN -> closedWith(Fate.RAN);
                 case CLOSED_UNKNOWN -> closedWith(Fate.UNKNOWN);
                 case CLOSED_NOT_RUN -> closedWith(Fate.NOT_RUN);
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RecoveryTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RecoveryTest.java
@@ -19,6 +19,7 @@
 import org.amaranthlock.model.HostId;
 import org.amaranthlock.model.IdempotencyKey;
 import org.amaranthlock.model.ProfileKind;
+import org.amaranthlock.model.RequestId;
 import org.amaranthlock.model.RequestSpec;
 import org.amaranthlock.model.ServiceResponse;
 import org.amaranthlock.model.Target;
@@ -27,6 +28,8 @@
 import org.junit.jupiter.api.Test;
 
 class RecoveryTest {
+    private static final RequestId HELD_REQUEST = new RequestId("00-held");
+
     private final RequestFixture fixture = RequestFixture.withTargets(6, Capability.RESUME, Capability.ATTACH);
 
     /** Starts a retriable generation under a key of its own, which needs no search, and returns its attempt. */
@@ -230,13 +233,19 @@
         RequestFixture desk = RequestFixture.withTargets(2, capabilities);
         RequestSpec order = desk.order("a");
         desk.send(new RequestEvent.Arrived(order, OptionalInt.empty()));
-        desk.send(new RequestEvent.ClaimDecided(order.id(), new ClaimVerdict.Held(new HostId("router-dead"), 9)));
+        desk.send(new RequestEvent.ClaimDecided(
+                order.id(), new ClaimVerdict.Held(new HostId("router-dead"), 9, HELD_REQUEST)));
         for (RequestCommand.Reconcile query : desk.all(RequestCommand.Reconcile.class)) {
             assertThat(query.fence()).isEqualTo(OptionalLong.of(10));
             desk.send(new RequestEvent.Reconciled(query.attempt(), Optional.<ServiceResponse>empty()));
         }
         assertThat(desk.all(RequestCommand.CallService.class)).isEmpty();
-        return desk.last(RequestCommand.Refuse.class).refusal().fate();
+        Fate fate = desk.last(RequestCommand.Refuse.class).refusal().fate();
+        // Guards against a key that nobody can use any more although its order was never executed.
+        boolean freed = desk.records().stream()
+                .anyMatch(record -> record.request().equals(HELD_REQUEST) && record.fate() == Fate.NOT_RUN);
+        assertThat(freed).isEqualTo(fate == Fate.NOT_RUN);
+        return fate;
     }
 
     /** Guards against "not run" while a paused router may still dispatch under its claim. */
