--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/BenchMain.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/BenchMain.java
@@ -35,6 +35,12 @@
     @Option(names = "--policy", description = "part of the name of the policies to run (default: all)")
     private String policyFilter = "";
 
+    @Option(
+            names = "--prefill-chunk",
+            defaultValue = "" + Deployment.PREFILL_CHUNK_TOKENS,
+            description = "prompt tokens that an engine's step reads at most (default: ${DEFAULT-VALUE})")
+    private int prefillChunk;
+
     /** Runs the bench and exits. */
     public static void main(String[] args) {
         System.exit(new CommandLine(new BenchMain()).execute(args));
@@ -47,7 +53,8 @@
         out.printf(
                 "%-12s %-22s %-28s %-36s %12s %12s %10s %s%n",
                 "deployment", "measure", "policy", "figure", "median", "worst", "target", "verdict");
-        for (Deployment deployment : List.of(Deployment.frostwolle(), Deployment.association())) {
+        for (Deployment deployment :
+                List.of(Deployment.frostwolle(prefillChunk), Deployment.association(prefillChunk))) {
             MEASURES.forEach((title, measure) -> {
                 if (title.contains(measureFilter)) {
                     Map<String, List<Figure>> results = new LinkedHashMap<>();
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/scenario/Deployment.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/scenario/Deployment.java
@@ -31,17 +31,25 @@
         double stragglerFactor,
         long deadlineMillis,
         double clientMillis) {
+    /**
+     * Prompt tokens that a step reads at most. Engines with continuous batching read long prompts in chunks; 2,048 is
+     * at the upper end of usual limits, so a chunk still delays the batch by 307 ms.
+     */
+    public static final int PREFILL_CHUNK_TOKENS = 2_048;
+
     /** Load reports are two seconds late, as the fourth measure demands. */
-    private static final EngineSettings ENGINE = new EngineSettings(8, 30, 2.5, 0.15, 2_000, 500);
+    private static EngineSettings engine(int prefillChunkTokens) {
+        return new EngineSettings(8, 30, 2.5, 0.15, prefillChunkTokens, 2_000, 500);
+    }
 
     /** The franchise's ordering backbone: long drafts, patient staff. */
-    public static Deployment frostwolle() {
-        return new Deployment("Frostwolle", 8, 12, 3, 2, ENGINE, 300, 0.6, 800, 15, 90_000, 1);
+    public static Deployment frostwolle(int prefillChunkTokens) {
+        return new Deployment("Frostwolle", 8, 12, 3, 2, engine(prefillChunkTokens), 300, 0.6, 800, 15, 90_000, 1);
     }
 
     /** The fitters' association: short quotations, impatient callers. */
-    public static Deployment association() {
-        return new Deployment("Association", 8, 12, 3, 2, ENGINE, 120, 0.5, 400, 20, 30_000, 3);
+    public static Deployment association(int prefillChunkTokens) {
+        return new Deployment("Association", 8, 12, 3, 2, engine(prefillChunkTokens), 120, 0.5, 400, 20, 30_000, 3);
     }
 
     /** Returns the tokens per second of all engines with full batches. */
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/EngineSettings.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/EngineSettings.java
@@ -7,6 +7,7 @@
  * @param basePaceMillis time of a decoding step with an empty batch
  * @param paceMillisPerRequest additional time of a step per request in the batch
  * @param prefillMillisPerToken time to read a prompt token that is not cached
+ * @param prefillChunkTokens prompt tokens that one step reads at most, while the rest of the batch decodes
  * @param reportDelayMillis age of a load report when it arrives
  * @param reportIntervalMillis time between load reports
  */
@@ -15,6 +16,7 @@
         double basePaceMillis,
         double paceMillisPerRequest,
         double prefillMillisPerToken,
+        int prefillChunkTokens,
         long reportDelayMillis,
         long reportIntervalMillis) {
     /** Returns the tokens per second of a full batch. */
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/SimulatedEngine.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/SimulatedEngine.java
@@ -152,26 +152,36 @@
         if (!alive) {
             return;
         }
-        double prefillMillis = admitQueued();
+        admitQueued();
         if (running.isEmpty()) {
             stepping = false;
             return;
         }
+        double prefillMillis = prefillChunk() * settings.prefillMillisPerToken();
         double pace = settings.basePaceMillis() + settings.paceMillisPerRequest() * running.size();
         time.afterMillis((pace + prefillMillis) * slowFactor, this::completeStep);
     }
 
-    private double admitQueued() {
-        double prefillMillis = 0;
+    private void admitQueued() {
         while (running.size() < settings.slots() && !queue.isEmpty()) {
             Job job = queue.poll().job;
             int uncached = uncachedTokens(job);
             prefilledTokens += uncached;
             resumePrefillTokens += job.firstIndex() > 0 ? uncached : 0;
-            prefillMillis += uncached * settings.prefillMillisPerToken();
-            running.put(job.attempt(), new Running(job));
+            running.put(job.attempt(), new Running(job, uncached));
         }
-        return prefillMillis;
+    }
+
+    /** Reads prompts in the order of admission up to the limit of one step and returns the tokens read. */
+    private int prefillChunk() {
+        int budget = settings.prefillChunkTokens();
+        for (Running attempt : running.values()) {
+            int read = Math.min(budget, attempt.unread);
+            attempt.unread -= read;
+            attempt.decodes = attempt.unread == 0;
+            budget -= read;
+        }
+        return settings.prefillChunkTokens() - budget;
     }
 
     private int uncachedTokens(Job job) {
@@ -189,7 +199,7 @@
             return;
         }
         for (Running attempt : List.copyOf(running.values())) {
-            if (!running.containsKey(attempt.job.attempt())) {
+            if (!attempt.decodes || !running.containsKey(attempt.job.attempt())) {
                 continue;
             }
             generatedTokens++;
@@ -209,9 +219,12 @@
     private static final class Running {
         private final Job job;
         private int next;
+        private int unread;
+        private boolean decodes;
 
-        private Running(Job job) {
+        private Running(Job job, int unread) {
             this.job = job;
+            this.unread = unread;
             this.next = job.firstIndex();
         }
     }
