Spread resumes over regions and add noise to their choice of a target

Cause: the cost of another region (half a full target) also applied to resumes. After the loss of a domain all routers of the region resumed onto the two engines that were left there (trace: seven resumes queued on one engine with all slots taken, up to 3.9 s for a slot) while others had free slots. Routers with the same late reports also all chose the same target.

Change: a resume pays 0.05 for another region, 0.25 for each own attempt whose prompt the target still reads, and is sampled by softmax (temperature 0.15).

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/routing/DefaultTargetSelector.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/routing/DefaultTargetSelector.java
@@ -33,6 +33,21 @@
     /** Cost of another region, in units of a full target. */
     private static final double OTHER_REGION_COST = 0.5;
 
+    /**
+     * Cost of another region for a resume. A full target costs its caller seconds of silence and another region 24 ms,
+     * so resumes spread over the regions instead of crowding onto what is left of their own.
+     */
+    private static final double RESUME_OTHER_REGION_COST = 0.05;
+
+    /** Cost of an own attempt whose prompt the target still reads; prefills of one target run one after the other. */
+    private static final double PENDING_PREFILL_COST = 0.25;
+
+    /**
+     * Temperature of the choice for resumes. All routers lose streams in the same instant and see the same late reports;
+     * without noise they would choose the same target.
+     */
+    private static final double RESUME_TEMPERATURE = 0.15;
+
     /** Cost that a wholly cached prompt saves, in units of a full target. */
     private static final double CACHED_PREFIX_BONUS = 0.3;
 
@@ -72,13 +87,15 @@
         if (context.resumedTokens() == 0 && random.nextDouble() < PROBE_SHARE) {
             return Optional.of(candidates.get(random.nextInt(candidates.size())));
         }
-        return Optional.of(cheapest(candidates, spec, nowMillis));
+        List<PricedTarget> priced = priced(candidates, spec, context.resumedTokens() > 0, nowMillis);
+        return Optional.of(context.resumedTokens() > 0 ? sampled(priced) : cheapest(priced));
     }
 
     @Override
     public void started(AttemptId attempt, RequestSpec spec, Target target, int resumedTokens, long nowMillis) {
         TargetState state = state(target.id());
         state.load.started(attempt, nowMillis);
+        state.pendingPrefills++;
         if (spec.work() instanceof Work.Generation generation) {
             state.prefixes.add(generation.prefixHashes());
         }
@@ -97,6 +114,7 @@
             state.pace.add((double) elapsed / tokens, tokens, nowMillis);
         } else {
             state.firstToken.add(elapsed, 1, nowMillis);
+            state.pendingPrefills--;
         }
         running.hasTokens = true;
         running.lastProgressMillis = nowMillis;
@@ -106,6 +124,7 @@
     public void finished(AttemptId attempt, AttemptResult result, long nowMillis) {
         RunningAttempt running = attempts.remove(attempt);
         if (running != null) {
+            state(running.target).pendingPrefills -= running.hasTokens ? 0 : 1;
             state(running.target).load.finished(attempt, nowMillis);
         }
     }
@@ -192,25 +211,49 @@
         return preferred.isEmpty() ? suitable : preferred;
     }
 
-    private Target cheapest(List<Target> candidates, RequestSpec spec, long nowMillis) {
+    private List<PricedTarget> priced(List<Target> candidates, RequestSpec spec, boolean resume, long nowMillis) {
         double medianPace = medianPace(candidates, nowMillis);
         double meanOccupancy = candidates.stream()
                 .mapToDouble(target -> occupancy(target, nowMillis))
                 .average()
                 .orElse(0);
-        List<Target> best = new ArrayList<>();
-        double bestCost = Double.POSITIVE_INFINITY;
+        List<PricedTarget> priced = new ArrayList<>();
         for (Target target : candidates) {
             double cost = cost(target, spec, medianPace, meanOccupancy, nowMillis);
-            if (cost < bestCost - EQUAL_COST_MARGIN) {
-                best.clear();
-                bestCost = cost;
-            }
-            if (cost <= bestCost + EQUAL_COST_MARGIN) {
-                best.add(target);
+            priced.add(new PricedTarget(target, cost + (resume ? resumeCost(target) : firstCost(target))));
+        }
+        return priced;
+    }
+
+    private Target cheapest(List<PricedTarget> priced) {
+        double least = priced.stream().mapToDouble(PricedTarget::cost).min().orElseThrow();
+        List<PricedTarget> best = priced.stream()
+                .filter(candidate -> candidate.cost() <= least + EQUAL_COST_MARGIN)
+                .toList();
+        return best.get(random.nextInt(best.size())).target();
+    }
+
+    /** Samples from the softmax of the negative costs: the least cost after adding Gumbel noise to each. */
+    private Target sampled(List<PricedTarget> priced) {
+        Target chosen = priced.getFirst().target();
+        double least = Double.POSITIVE_INFINITY;
+        for (PricedTarget candidate : priced) {
+            double noisy = candidate.cost() + RESUME_TEMPERATURE * Math.log(-Math.log(random.nextDouble()));
+            if (noisy < least) {
+                least = noisy;
+                chosen = candidate.target();
             }
         }
-        return best.get(random.nextInt(best.size()));
+        return chosen;
+    }
+
+    private double firstCost(Target target) {
+        return target.region().equals(region) ? 0 : OTHER_REGION_COST;
+    }
+
+    private double resumeCost(Target target) {
+        double regionCost = target.region().equals(region) ? 0 : RESUME_OTHER_REGION_COST;
+        return regionCost + PENDING_PREFILL_COST * state(target.id()).pendingPrefills;
     }
 
     private double cost(Target target, RequestSpec spec, double medianPace, double meanOccupancy, long nowMillis) {
@@ -218,9 +261,6 @@
         double occupancy = occupancy(target, nowMillis);
         double slowness = Math.max(1, state.pace.pessimistic(medianPace, nowMillis) / medianPace);
         double cost = occupancy * slowness + (slowness - 1);
-        if (!target.region().equals(region)) {
-            cost += OTHER_REGION_COST;
-        }
         if (spec.work() instanceof Work.Generation generation && occupancy <= meanOccupancy * AFFINITY_LOAD_FACTOR) {
             cost -= CACHED_PREFIX_BONUS * state.prefixes.cachedPart(generation.prefixHashes());
         }
@@ -245,11 +285,14 @@
         return states.computeIfAbsent(target, _ -> new TargetState());
     }
 
+    private record PricedTarget(Target target, double cost) {}
+
     private static final class TargetState {
         private final TargetLoad load = new TargetLoad();
         private final TargetPace pace = new TargetPace();
         private final TargetPace firstToken = new TargetPace();
         private final PrefixHistory prefixes = new PrefixHistory(PREFIXES_PER_TARGET);
+        private int pendingPrefills;
     }
 
     private static final class RunningAttempt {
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/routing/DefaultTargetSelectorTest.java
@@ -0,0 +1,159 @@
+package org.amaranthlock.coordination.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthlock.coordination.TargetEvent;
+import org.amaranthlock.model.AccountId;
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.Capability;
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.model.Profile;
+import org.amaranthlock.model.ProfileKind;
+import org.amaranthlock.model.Region;
+import org.amaranthlock.model.RequestId;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.model.TargetId;
+import org.amaranthlock.model.Work;
+import org.amaranthlock.state.TargetDirectory;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+
+class DefaultTargetSelectorTest {
+    private static final ServiceName SERVICE = new ServiceName("generations");
+    private static final Region HOME = new Region("region-0");
+    private static final long NOW = 10_000;
+
+    private static final int SLOTS = 8;
+
+    private final List<Target> targets = new ArrayList<>();
+
+    /** Guards against resumes that wait for a slot in their own region while targets of other regions are free. */
+    @Test
+    void resumesGoToFreeTargetsOfOtherRegions() {
+        Target home = target(0, "region-0");
+        Target near = target(1, "region-1");
+        Target far = target(2, "region-2");
+        DefaultTargetSelector selector = selector(1);
+        report(selector, home, 5);
+        report(selector, near, 2);
+        report(selector, far, 2);
+
+        Map<TargetId, Integer> chosen = chosenForResume(selector, 100);
+
+        assertThat(chosen.getOrDefault(home.id(), 0)).isLessThan(20);
+    }
+
+    /** Guards against routers that lose streams together and all resume them on the target with the least reported load. */
+    @Test
+    void resumesOfManyRoutersSpreadOverEquallyLoadedTargets() {
+        for (int i = 0; i < 10; i++) {
+            target(i, "region-" + i % 3);
+        }
+        Map<TargetId, Integer> chosen = new LinkedHashMap<>();
+        for (int router = 0; router < 100; router++) {
+            DefaultTargetSelector selector = selector(router);
+            targets.forEach(target -> report(
+                    selector, target, target.id().equals(targets.getFirst().id()) ? 3 : 4));
+            chosenForResume(selector, 1).forEach((id, count) -> chosen.merge(id, count, Integer::sum));
+        }
+
+        assertThat(chosen.values().stream().mapToInt(Integer::intValue).max().orElseThrow())
+                .isLessThan(40);
+    }
+
+    /** Guards against several prefills of one router that wait for each other on one target. */
+    @Test
+    void nextResumeAvoidsTheTargetThatStillReadsThePromptOfTheLast() {
+        target(0, "region-0");
+        target(1, "region-0");
+        int together = 0;
+        for (int router = 0; router < 100; router++) {
+            DefaultTargetSelector selector = selector(router);
+            Target first = choose(selector, resume()).orElseThrow();
+            selector.started(new AttemptId(new RequestId("00-lost"), 2), spec(), first, 50, NOW);
+            Target second = choose(selector, resume()).orElseThrow();
+            together += first.equals(second) ? 1 : 0;
+        }
+
+        assertThat(together).isLessThan(20);
+    }
+
+    private Map<TargetId, Integer> chosenForResume(DefaultTargetSelector selector, int times) {
+        Map<TargetId, Integer> chosen = new LinkedHashMap<>();
+        for (int i = 0; i < times; i++) {
+            chosen.merge(choose(selector, resume()).orElseThrow().id(), 1, Integer::sum);
+        }
+        return chosen;
+    }
+
+    private static Optional<Target> choose(DefaultTargetSelector selector, SelectionContext context) {
+        return selector.select(spec(), context, NOW);
+    }
+
+    private static SelectionContext resume() {
+        return new SelectionContext(Set.of(), Optional.empty(), "v1", 50, false);
+    }
+
+    private static void report(DefaultTargetSelector selector, Target target, int running) {
+        selector.observed(new TargetEvent.LoadReported(target.id(), running, 0, 2_000), NOW);
+    }
+
+    private Target target(int index, String region) {
+        Target target = new Target(
+                new TargetId("engine-%02d".formatted(index)),
+                SERVICE,
+                "10.0.0." + (index + 1) + ":8000",
+                new Region(region),
+                new FailureDomain(region + "-a"),
+                "model-1",
+                "v1",
+                SLOTS,
+                Set.of(Capability.ATTACH, Capability.RESUME));
+        targets.add(target);
+        return target;
+    }
+
+    private DefaultTargetSelector selector(long seed) {
+        return new DefaultTargetSelector(
+                new FixedTargets(targets), HOME, RandomSource.XO_RO_SHI_RO_128_PP.create(seed));
+    }
+
+    private static RequestSpec spec() {
+        return new RequestSpec(
+                new RequestId("00-r1"),
+                new AccountId("account"),
+                SERVICE,
+                new Profile("kept", ProfileKind.KEPT_ALIVE, 6, 0, 600_000),
+                Optional.empty(),
+                1,
+                0,
+                90_000,
+                new Work.Generation("model-1", "", "prompt", List.of(), 1_000, 1));
+    }
+
+    /** Targets that are all available. */
+    private record FixedTargets(List<Target> all) implements TargetDirectory {
+        @Override
+        public List<Target> targets(ServiceName service) {
+            return all;
+        }
+
+        @Override
+        public Optional<Target> target(TargetId id) {
+            return all.stream().filter(target -> target.id().equals(id)).findFirst();
+        }
+
+        @Override
+        public Optional<String> unavailableReason(TargetId id) {
+            return Optional.empty();
+        }
+    }
+}
