--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/scenario/Demand.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/scenario/Demand.java
@@ -12,7 +12,7 @@
 public record Demand(
         double utilisation, double stragglerShare, double peakFactor, long peakFromMillis, long peakToMillis) {
     /** The demand rises to its peak within this time. */
-    private static final long RISE_MILLIS = 2_000;
+    static final long RISE_MILLIS = 2_000;
 
     /** Returns demand without a peak. */
     public static Demand steady(double utilisation, double stragglerShare) {
