Share slots between routers by reported load and bound the queue wait

Causes, from the refusal codes of the demand peak: - Admission counted free slots from reports that are 2 s late. All routers filled the same free slots, then none started work until the reports showed free slots again. Each router now keeps to the part of the slots that it had of the reported load, and at least to an equal part; 9 places per 8 slots. - Work that waited in a target's queue exceeded the first-token bound, was cancelled, repeated behind the others and finally refused because the retry budget was spent. The expected first token now includes the wait for a slot. - A failed request without tokens counted as a token that took 2.3 s, and a router's own throughput in quiet times as its capacity, so that later requests, also of small accounts, were refused as too late. The speed is now taken from tokens and times of requests that ran, the capacity from the slots. - The queue is bounded by a predicted wait of 5 s, so the excess is refused at once, by the account's fair share of the backlog.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/admission/DefaultAdmissionController.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/admission/DefaultAdmissionController.java
@@ -33,8 +33,12 @@
     /** Longest time that a refused caller is told to stay away. */
     private static final long MAX_RETRY_AFTER_MILLIS = 30_000;
 
+    /** Longest predicted wait that is admitted; callers wait a few seconds at most, and a short queue keeps slots full. */
+    private static final long MAX_WAIT_MILLIS = 5_000;
+
     private final CapacityView capacity;
     private final ConfigurationView configuration;
+    private final MembershipView membership;
     private final UniformRandomProvider random;
     private final AccountShares shares;
     private final LengthPredictor lengths = new LengthPredictor();
@@ -50,6 +54,7 @@
         this.capacity = Objects.requireNonNull(capacity, "capacity");
         this.configuration = Objects.requireNonNull(configuration, "configuration");
         this.random = Objects.requireNonNull(random, "random");
+        this.membership = Objects.requireNonNull(membership, "membership");
         this.shares = new AccountShares(configuration, membership);
     }
 
@@ -65,7 +70,7 @@
         double tokens = lengths.predict(spec);
         long waitMillis = expectedWaitMillis(spec, queue, nowMillis);
         long runMillis = (long) (tokens * queue.rate.millisPerToken());
-        if (nowMillis + waitMillis + runMillis > spec.deadlineMillis()) {
+        if (waitMillis > MAX_WAIT_MILLIS || nowMillis + waitMillis + runMillis > spec.deadlineMillis()) {
             return refuse(
                     ErrorCode.DEADLINE_UNREACHABLE,
                     "the answer can't be complete before the deadline; retry later or allow more time",
@@ -80,7 +85,7 @@
         }
         Admitted entry = new Admitted(spec, tokens);
         admitted.put(spec.id(), entry);
-        if (queue.waiting.size() == 0 && capacity.freeSlots(spec.service(), nowMillis) > 0) {
+        if (queue.waiting.size() == 0 && mayStart(spec.service(), nowMillis) > 0) {
             queue.waiting.charge(spec.account(), tokens, weight(spec.account()));
             entry.start(nowMillis);
             return new AdmissionDecision.Admitted();
@@ -119,9 +124,8 @@
         if (entry.startedAtMillis < 0) {
             queue.waiting.removeIf(spec -> spec.id().equals(request));
         } else {
-            int tokens = Math.max(1, entry.tokens);
             lengths.learn(entry.spec, entry.tokens);
-            queue.rate.finished(tokens, nowMillis - entry.startedAtMillis, nowMillis);
+            queue.rate.finished(entry.tokens, nowMillis - entry.startedAtMillis);
             queue.retries.succeeded();
         }
         forget(request);
@@ -145,7 +149,7 @@
         if (queue.waiting.size() == 0) {
             return;
         }
-        int free = capacity.freeSlots(service, nowMillis);
+        int free = mayStart(service, nowMillis);
         while (free > 0) {
             Optional<RequestSpec> next = queue.waiting.poll(_ -> true);
             if (next.isEmpty()) {
@@ -158,11 +162,27 @@
     }
 
     private long expectedWaitMillis(RequestSpec spec, ServiceQueue queue, long nowMillis) {
-        if (queue.waiting.size() == 0 && capacity.freeSlots(spec.service(), nowMillis) > 0) {
+        if (queue.waiting.size() == 0 && mayStart(spec.service(), nowMillis) > 0) {
             return 0;
         }
         double before = queue.waiting.workBefore(spec.account(), this::weight);
-        return (long) (before / queue.rate.tokensPerMilli(nowMillis));
+        double slots = capacity.slotShare(spec.service(), sharers(spec.service()), nowMillis);
+        return (long) (before * queue.rate.millisPerToken() / slots);
+    }
+
+    /** Returns the requests that may start now; 0 or less if this router uses its share of the slots. */
+    private int mayStart(ServiceName service, long nowMillis) {
+        double share = capacity.slotShare(service, sharers(service), nowMillis);
+        return (int) Math.ceil(share) - capacity.ownAttempts(service);
+    }
+
+    /** Returns the expected number of routers that use a target of this router's subset. */
+    private double sharers(ServiceName service) {
+        long all = configuration.targets().stream()
+                .filter(target -> target.service().equals(service))
+                .count();
+        double subset = Math.min(1.0, (double) capacity.targetCount(service) / Math.max(1, all));
+        return Math.max(1, membership.live().size() * subset);
     }
 
     private boolean cannotFinish(RequestSpec spec, ServiceQueue queue, long nowMillis) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/routing/DefaultTargetSelector.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/routing/DefaultTargetSelector.java
@@ -60,9 +60,23 @@
     /** Costs that differ by less than this are equal; the choice among equals is random. */
     private static final double EQUAL_COST_MARGIN = 0.02;
 
+    /**
+     * Places per slot that the routers fill together. Slots must not stay empty while a finished answer and the next
+     * request cross the network, and more would only wait at the target instead of in the fair queue.
+     */
+    private static final double QUEUE_FACTOR = 1.125;
+
     /** Reads an average as of its last sample. */
     private static final long NO_DECAY = Long.MIN_VALUE;
 
+    /** Expected time of an attempt before one was observed, in milliseconds. */
+    private static final double PRIOR_RUN_MILLIS = 5_000;
+
+    private static final double RUN_HALF_LIFE_MILLIS = 30_000;
+
+    /** Attempts of other routers that may have reached a target since its last report. */
+    private static final int UNREPORTED_ATTEMPTS = 4;
+
     private static final int PREFIXES_PER_TARGET = 4_096;
 
     private final TargetDirectory directory;
@@ -70,6 +84,7 @@
     private final UniformRandomProvider random;
     private final Map<TargetId, TargetState> states = new LinkedHashMap<>();
     private final Map<AttemptId, RunningAttempt> attempts = new LinkedHashMap<>();
+    private long chosenAtMillis;
 
     /** Creates a selector for a router in {@code region}. */
     public DefaultTargetSelector(TargetDirectory directory, Region region, UniformRandomProvider random) {
@@ -80,6 +95,7 @@
 
     @Override
     public Optional<Target> select(RequestSpec spec, SelectionContext context, long nowMillis) {
+        chosenAtMillis = nowMillis;
         List<Target> candidates = candidates(spec, context);
         if (candidates.isEmpty()) {
             return Optional.empty();
@@ -126,6 +142,9 @@
         if (running != null) {
             state(running.target).pendingPrefills -= running.hasTokens ? 0 : 1;
             state(running.target).load.finished(attempt, nowMillis);
+            if (result == AttemptResult.SUCCEEDED) {
+                state(running.target).run.add(nowMillis - running.startedAtMillis, 1, nowMillis);
+            }
         }
     }
 
@@ -162,18 +181,43 @@
     @Override
     public double expectedFirstTokenMillis(RequestSpec spec, TargetId target, int resumedTokens) {
         TargetState state = state(target);
-        return state.firstToken.middle(PRIOR_FIRST_TOKEN_MILLIS, NO_DECAY);
+        return state.firstToken.middle(PRIOR_FIRST_TOKEN_MILLIS, NO_DECAY) + queueMillis(target);
+    }
+
+    /** Returns the longest plausible wait for a slot, by the load when a target was last chosen. */
+    private double queueMillis(TargetId target) {
+        TargetState state = state(target);
+        int slots = directory.target(target).map(Target::slots).orElse(1);
+        int ahead = state.load.estimated(chosenAtMillis) + UNREPORTED_ATTEMPTS - slots;
+        double runMillis = state.run.valueWithPrior(PRIOR_RUN_MILLIS, 1, NO_DECAY);
+        return Math.max(0, ahead) * runMillis / slots;
     }
 
     @Override
-    public int freeSlots(ServiceName service, long nowMillis) {
-        int free = 0;
+    public double slotShare(ServiceName service, double sharers, long nowMillis) {
+        double places = 0;
+        double own = 0;
+        double others = 0;
         for (Target target : directory.targets(service)) {
             if (directory.available(target.id())) {
-                free += Math.max(0, target.slots() - state(target.id()).load.estimated(nowMillis));
+                TargetLoad load = state(target.id()).load;
+                places += target.slots() * QUEUE_FACTOR;
+                own += load.ownAtReport(nowMillis);
+                others += load.othersAtReport(nowMillis);
             }
         }
-        return free;
+        // One more attempt per router lets a router without load begin, and grow to all places if it is alone.
+        double ofLoad = places * (own + 1) / (own + others + sharers);
+        return Math.max(places / sharers, ofLoad);
+    }
+
+    @Override
+    public int ownAttempts(ServiceName service) {
+        int own = 0;
+        for (Target target : directory.targets(service)) {
+            own += directory.available(target.id()) ? state(target.id()).load.own() : 0;
+        }
+        return own;
     }
 
     @Override
@@ -187,6 +231,13 @@
         return slots;
     }
 
+    @Override
+    public int targetCount(ServiceName service) {
+        return (int) directory.targets(service).stream()
+                .filter(target -> directory.available(target.id()))
+                .count();
+    }
+
     private List<Target> candidates(RequestSpec spec, SelectionContext context) {
         List<Target> suitable = new ArrayList<>();
         for (Target target : directory.targets(spec.service())) {
@@ -292,16 +343,19 @@
         private final TargetPace pace = new TargetPace();
         private final TargetPace firstToken = new TargetPace();
         private final PrefixHistory prefixes = new PrefixHistory(PREFIXES_PER_TARGET);
+        private final DecayingAverage run = new DecayingAverage(RUN_HALF_LIFE_MILLIS);
         private int pendingPrefills;
     }
 
     private static final class RunningAttempt {
         private final TargetId target;
+        private final long startedAtMillis;
         private long lastProgressMillis;
         private boolean hasTokens;
 
         private RunningAttempt(TargetId target, long startedAtMillis) {
             this.target = target;
+            this.startedAtMillis = startedAtMillis;
             this.lastProgressMillis = startedAtMillis;
         }
     }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/routing/TargetLoad.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/routing/TargetLoad.java
@@ -21,6 +21,7 @@
     private final Map<AttemptId, Long> running = new LinkedHashMap<>();
     private final Deque<OwnLoad> history = new ArrayDeque<>();
     private int othersAtReport;
+    private int ownAtReport;
     private long reportedAtMillis = Long.MIN_VALUE / 2;
 
     void started(AttemptId attempt, long nowMillis) {
@@ -36,7 +37,8 @@
 
     void reported(int runningAndQueued, long ageMillis, long nowMillis) {
         long asOfMillis = nowMillis - ageMillis;
-        othersAtReport = Math.max(0, runningAndQueued - ownAt(asOfMillis));
+        ownAtReport = Math.min(runningAndQueued, ownAt(asOfMillis));
+        othersAtReport = runningAndQueued - ownAtReport;
         reportedAtMillis = asOfMillis;
     }
 
@@ -46,8 +48,21 @@
 
     /** Returns own attempts plus those of other routers as far as a report tells. */
     int estimated(long nowMillis) {
-        boolean fresh = nowMillis - reportedAtMillis <= REPORT_LIFETIME_MILLIS;
-        return own() + (fresh ? othersAtReport : 0);
+        return own() + othersAtReport(nowMillis);
+    }
+
+    /** Returns the attempts of other routers at the time of the last report; 0 without a recent report. */
+    int othersAtReport(long nowMillis) {
+        return fresh(nowMillis) ? othersAtReport : 0;
+    }
+
+    /** Returns the own attempts at the time of the last report; the present ones without a recent report. */
+    int ownAtReport(long nowMillis) {
+        return fresh(nowMillis) ? ownAtReport : own();
+    }
+
+    private boolean fresh(long nowMillis) {
+        return nowMillis - reportedAtMillis <= REPORT_LIFETIME_MILLIS;
     }
 
     private int ownAt(long asOfMillis) {
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/admission/ServiceRateTest.java
@@ -0,0 +1,32 @@
+package org.amaranthlock.coordination.admission;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class ServiceRateTest {
+    private final ServiceRate rate = new ServiceRate();
+
+    /** Guards against refusing work because failed requests without tokens look like very slow ones. */
+    @Test
+    void requestWithoutTokensDoesNotChangeTheSpeed() {
+        rate.finished(100, 5_000);
+        double before = rate.millisPerToken();
+
+        rate.finished(0, 2_300);
+
+        assertThat(rate.millisPerToken()).isEqualTo(before);
+    }
+
+    /** Guards against one short answer that waited long outweighing many long ones. */
+    @Test
+    void requestsCountByTheirTokens() {
+        for (int i = 0; i < 100; i++) {
+            rate.finished(300, 300 * 40);
+        }
+
+        rate.finished(1, 2_000);
+
+        assertThat(rate.millisPerToken()).isLessThan(41);
+    }
+}
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/routing/DefaultTargetSelectorTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/routing/DefaultTargetSelectorTest.java
@@ -86,6 +86,51 @@
         assertThat(together).isLessThan(20);
     }
 
+    /** Guards against all routers filling the same free slots by the same late report, and then none while all are taken. */
+    @Test
+    void routersWithEqualLoadShareFullTargetsEqually() {
+        DefaultTargetSelector selector = loaded(12, 8);
+
+        // 9 places for 8 slots at each of 12 targets, shared by 8 routers; a report of full targets changes nothing.
+        assertThat(selector.slotShare(SERVICE, 8, NOW)).isWithin(0.01).of(12 * 9 / 8.0);
+    }
+
+    /** Guards against slots that stay empty because a router without work keeps its share. */
+    @Test
+    void routerThatHasAllTheLoadGetsNearlyAllSlots() {
+        DefaultTargetSelector selector = loaded(12, 1);
+
+        assertThat(selector.slotShare(SERVICE, 8, NOW)).isGreaterThan(12 * 9 * 0.6);
+    }
+
+    /** Guards against counting work that waits in a target's queue as lost, which repeats it behind the others. */
+    @Test
+    void firstTokenOfAFullTargetIsExpectedLater() {
+        Target free = target(0, "region-0");
+        Target full = target(1, "region-0");
+        DefaultTargetSelector selector = selector(1);
+        report(selector, free, 1);
+        report(selector, full, 12);
+        choose(selector, SelectionContext.first());
+
+        double ofFree = selector.expectedFirstTokenMillis(spec(), free.id(), 0);
+        double ofFull = selector.expectedFirstTokenMillis(spec(), full.id(), 0);
+
+        // Eight requests are ahead or on the way; with a run time of 5 s and 8 slots they take 5 s.
+        assertThat(ofFull - ofFree).isWithin(1).of(5_000);
+    }
+
+    /** Returns a selector that runs one attempt at each of the targets, on which every router runs as many. */
+    private DefaultTargetSelector loaded(int targetCount, int running) {
+        DefaultTargetSelector selector = selector(1);
+        for (int i = 0; i < targetCount; i++) {
+            Target target = target(i, "region-0");
+            selector.started(new AttemptId(new RequestId("00-r" + i), 1), spec(), target, 0, 0);
+            report(selector, target, running);
+        }
+        return selector;
+    }
+
     private Map<TargetId, Integer> chosenForResume(DefaultTargetSelector selector, int times) {
         Map<TargetId, Integer> chosen = new LinkedHashMap<>();
         for (int i = 0; i < times; i++) {
