Move generations away from targets that have become much slower

Cause: the long answers that ran on the slowed engines at the fault, or were placed there before their router had seen a token from them, stayed there at a fifth of the speed; with 8 routers each has to learn of both engines alone. Better avoidance of slow targets cannot help them.

Change: when the last five deliveries of a kept-alive stream, without the two longest, are more than 2.5 times slower than the service's median target, it is resumed elsewhere. The new target is chosen before the old attempt is cancelled; at most two moves per request; prefills per target stay paced.

Ruled out: the moving averages of a target notice a fivefold slowdown only after about 2 s, because the tokens before it keep their weight.

--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/policy/BaselinePolicy.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/policy/BaselinePolicy.java
@@ -10,6 +10,7 @@
 import org.amaranthlock.coordination.routing.TargetSelector;
 import org.amaranthlock.model.AttemptId;
 import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.ServiceName;
 import org.amaranthlock.model.Target;
 import org.amaranthlock.model.TargetId;
 import org.amaranthlock.state.TargetDirectory;
@@ -136,6 +137,11 @@
             return PACE_MILLIS;
         }
 
+        @Override
+        public double typicalPaceMillis(ServiceName service, long nowMillis) {
+            return Double.POSITIVE_INFINITY;
+        }
+
         @Override
         public double expectedFirstTokenMillis(RequestSpec spec, TargetId target, int resumedTokens) {
             return FIRST_TOKEN_MILLIS;
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/ActiveStream.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/ActiveStream.java
@@ -15,6 +15,7 @@
     private final long firstTokenDeadline;
     private long firstTokenAt = -1;
     private long lastProgressAt;
+    private final RecentGaps gaps = new RecentGaps();
     private int received;
 
     ActiveStream(
@@ -50,6 +51,9 @@
         if (first) {
             firstTokenAt = now;
         }
+        if (!first) {
+            gaps.add((double) (now - lastProgressAt) / tokens);
+        }
         received += tokens;
         lastProgressAt = now;
         return first;
@@ -76,6 +80,11 @@
         lastProgressAt = now;
     }
 
+    /** Returns the time per token of the last deliveries, or 0 while they are too few. */
+    double recentPaceMillis() {
+        return gaps.millisPerToken();
+    }
+
     double paceMillis() {
         if (received < MIN_TOKENS_FOR_PACE || lastProgressAt <= firstTokenAt) {
             return expectedPaceMillis;
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
@@ -42,6 +42,12 @@
     /** Attempt numbers left free at a takeover for attempts of a paused former owner that no checkpoint shows. */
     private static final int TAKEOVER_NUMBERS = 16;
 
+    /** A stream that runs this many times slower than the median target's is moved; batching alone stays below it. */
+    private static final double MOVE_SLOWNESS = 2.5;
+
+    /** Moves of one request, so that changing speeds cannot keep it reading its prompt. */
+    private static final int MAX_MOVES = 2;
+
     /** Resumes run before new work, whose callers have seen no output stop. */
     private static final int RESUME_PRIORITY_BOOST = 1000;
 
@@ -65,6 +71,7 @@
     private String version = "";
     private String endReason = "";
     private int nextDelivery;
+    private int moves;
     private long waitingSince;
     private long goneAt;
 
@@ -353,6 +360,30 @@
         dispatch(now, out);
     }
 
+    /** Continues an answer elsewhere if its target has become much slower than the others and another is free. */
+    void moveIfSlow(long now, List<Command> out) {
+        if (stream.isEmpty() || moves >= MAX_MOVES || spec().profile().kind() != ProfileKind.KEPT_ALIVE) {
+            return;
+        }
+        ActiveStream current = stream.get();
+        double usual = life.services().selector().typicalPaceMillis(spec().service(), now);
+        if (current.recentPaceMillis() <= MOVE_SLOWNESS * usual
+                || life.executedAttempts() + 1 >= spec().profile().maxAttempts()) {
+            return;
+        }
+        life.bar(current.target().id(), now + LOST_TARGET_MILLIS);
+        dispatcher
+                .choose(spec(), life.barred(now), Optional.empty(), version, tokens.size(), now)
+                .filter(target -> life.services().selector().expectedPaceMillis(target.id())
+                        < current.recentPaceMillis() / MOVE_SLOWNESS)
+                .ifPresent(target -> {
+                    moves++;
+                    cancel(now, out);
+                    formerAttempts.put(current.attempt().number(), current.target());
+                    open(target, now, out);
+                });
+    }
+
     /** A begun answer is resumed always; a repeat from the start takes from the service's budget. */
     private boolean mayRetry(long now) {
         return !tokens.isEmpty() || life.services().admission().tryRetry(spec(), now);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -292,6 +292,7 @@
             generation.lose(stalled, now, out);
             settle(generation);
         }
+        streams.values().forEach(generation -> generation.moveIfSlow(now, out));
     }
 
     private void drain(long now, List<Command> out) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/routing/DefaultTargetSelector.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/routing/DefaultTargetSelector.java
@@ -74,6 +74,9 @@
 
     private static final double RUN_HALF_LIFE_MILLIS = 30_000;
 
+    /** Below this number of observed targets the median says little of what is usual. */
+    private static final int MIN_COMPARED_TARGETS = 3;
+
     /** Attempts of other routers that may have reached a target since its last report. */
     private static final int UNREPORTED_ATTEMPTS = 4;
 
@@ -178,6 +181,15 @@
         return state.pace.middle(PRIOR_PACE_MILLIS, NO_DECAY);
     }
 
+    @Override
+    public double typicalPaceMillis(ServiceName service, long nowMillis) {
+        List<Target> observed = directory.targets(service).stream()
+                .filter(target -> directory.available(target.id()))
+                .filter(target -> state(target.id()).pace.observed(nowMillis))
+                .toList();
+        return observed.size() < MIN_COMPARED_TARGETS ? Double.POSITIVE_INFINITY : medianPace(observed, nowMillis);
+    }
+
     @Override
     public double expectedFirstTokenMillis(RequestSpec spec, TargetId target, int resumedTokens) {
         TargetState state = state(target);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/routing/TargetSelector.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/routing/TargetSelector.java
@@ -4,6 +4,7 @@
 import org.amaranthlock.coordination.TargetEvent;
 import org.amaranthlock.model.AttemptId;
 import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.ServiceName;
 import org.amaranthlock.model.Target;
 import org.amaranthlock.model.TargetId;
 
@@ -37,6 +38,9 @@
     /** Returns the expected time between tokens at a target, in milliseconds. */
     double expectedPaceMillis(TargetId target);
 
+    /** Returns the time between tokens at the service's median target, in milliseconds; infinite if unknown. */
+    double typicalPaceMillis(ServiceName service, long nowMillis);
+
     /** Returns the expected time to the first token of an attempt at a target, in milliseconds. */
     double expectedFirstTokenMillis(RequestSpec spec, TargetId target, int resumedTokens);
 }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestFixture.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestFixture.java
@@ -59,6 +59,7 @@
     AdmissionDecision admission = new AdmissionDecision.Admitted();
     PoisonRegistry.Standing standing = PoisonRegistry.Standing.CLEAN;
     boolean retryAllowed = true;
+    double typicalPace = Double.POSITIVE_INFINITY;
     final RequestCoordinator coordinator = new RequestCoordinator(new RequestServices(
             membership,
             new Configuration(),
@@ -254,6 +255,11 @@
             return 50;
         }
 
+        @Override
+        public double typicalPaceMillis(ServiceName service, long nowMillis) {
+            return typicalPace;
+        }
+
         @Override
         public double expectedFirstTokenMillis(RequestSpec spec, TargetId target, int resumedTokens) {
             return 100;
