--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestFixture.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestFixture.java
@@ -60,6 +60,7 @@
     AdmissionDecision admission = new AdmissionDecision.Admitted();
     PoisonRegistry.Standing standing = PoisonRegistry.Standing.CLEAN;
     boolean retryAllowed = true;
+    double typicalPace = Double.POSITIVE_INFINITY;
     final RequestServices services = new RequestServices(
             membership,
             new Configuration(),
@@ -256,6 +257,11 @@
             return 50;
         }
 
+        @Override
+        public double typicalPaceMillis(ServiceName service, long nowMillis) {
+            return typicalPace;
+        }
+
         @Override
         public double expectedFirstTokenMillis(RequestSpec spec, TargetId target, int resumedTokens) {
             return 100;
