Add the capacity harness: fleets of router cores in virtual time

The design states a size that no run reaches with real processes, so the cost per router has to be measured at growing sizes and extrapolated. bin/capacity drives router cores with encoded messages, an object store in memory and constant-pace engines, and fits lines through the figures.

--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/CapacityMain.java
@@ -0,0 +1,45 @@
+package org.amaranthlock.bench.capacity;
+
+import java.io.PrintWriter;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Prints the measured costs of a router and their extrapolation to the stated size. */
+@Command(
+        name = "capacity",
+        mixinStandardHelpOptions = true,
+        description = "Measures what a router's work costs at growing sizes, in virtual time.")
+public final class CapacityMain implements Callable<Integer> {
+    @Option(names = "--series", description = "part of the name of the series to run (default: all)")
+    private String filter = "";
+
+    @Option(names = "--failures", description = "measure failures instead of steady fleets")
+    private boolean failures;
+
+    @Option(names = "--decision-cost", description = "measure select, admit and complete by targets instead")
+    private boolean decisionCost;
+
+    /** Runs the measurement and exits. */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new CapacityMain()).execute(args));
+    }
+
+    @Override
+    public Integer call() {
+        PrintWriter out = new PrintWriter(System.out, true);
+        if (decisionCost) {
+            new DecisionCost(out).run();
+            return 0;
+        }
+        Experiments.warmUp();
+        var series = failures ? new FailureExperiments(out).series() : new Experiments(out).series();
+        series.forEach((name, run) -> {
+            if (name.contains(filter)) {
+                run.run();
+            }
+        });
+        return 0;
+    }
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/FleetEntries.java
@@ -0,0 +1,75 @@
+package org.amaranthlock.bench.capacity;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationEntry;
+import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationVersion;
+
+/** Configuration entries of a measured fleet. */
+final class FleetEntries {
+    static final int SERVICES = 4;
+    static final int DOMAINS = 7;
+    static final int REGIONS = 3;
+    /** Enough slots for the stated rate and length of generations: 157,000 open streams on 6,200 targets. */
+    private static final int SLOTS = 64;
+
+    private FleetEntries() {}
+
+    /** Writes the entries of a fleet. */
+    static void write(FleetSize size, ObjectStore store) {
+        put(store, "profile", "kept", profile("kept-alive"));
+        put(store, "profile", "once", profile("at-most-once"));
+        for (int i = 0; i < SERVICES; i++) {
+            put(store, "service", service(i), "profile = \"kept\"\ngeneration = true\n");
+        }
+        for (int i = 0; i < size.targets(); i++) {
+            put(store, "target", "target-" + i, target(i));
+        }
+        for (int i = 0; i < size.accounts(); i++) {
+            put(store, "account", "account-" + i, account(i, 1));
+        }
+    }
+
+    static String service(int number) {
+        return "service-" + number % SERVICES;
+    }
+
+    static String domain(int number) {
+        return "domain-" + number % DOMAINS;
+    }
+
+    static String region(int number) {
+        return "region-" + number % DOMAINS % REGIONS;
+    }
+
+    static String account(int number, int weight) {
+        return String.format(
+                Locale.ROOT, "key-sha256 = \"%064x\"%nweight = %d%ntokens-per-second = 1000000%n", number + 1, weight);
+    }
+
+    private static String profile(String kind) {
+        return "kind = \"" + kind + "\"\nmax-attempts = 3\npriority = 5\ndeadline-ms = 600000\n";
+    }
+
+    private static String target(int number) {
+        return String.format(
+                Locale.ROOT,
+                "service = \"%s\"%naddress = \"10.1.%d.%d:8000\"%nregion = \"%s\"%nfailure-domain = \"%s\"%n"
+                        + "model = \"model-%d\"%nversion = \"v1\"%nslots = %d%ncapabilities = [\"attach\"]%n",
+                service(number),
+                number / 250,
+                number % 250,
+                region(number),
+                domain(number),
+                number % SERVICES,
+                SLOTS);
+    }
+
+    private static void put(ObjectStore store, String kind, String name, String text) {
+        ConfigurationVersion version =
+                new ConfigurationVersion(store.nextRevision(), Optional.of(text), "operator", "first-" + name, 1);
+        ConfigurationEntry entry = new ConfigurationEntry(kind, name, version, List.of());
+        store.put(entry.objectKey(), entry);
+    }
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/FleetRouter.java
@@ -0,0 +1,58 @@
+package org.amaranthlock.bench.capacity;
+
+import java.util.List;
+import java.util.Optional;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.membership.RouterMember;
+import org.amaranthlock.coordination.node.RouterCore;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Core of one router with the meter of its work. */
+final class FleetRouter {
+    private final RouterMember member;
+    private final Meter meter = new Meter();
+    private Optional<RouterCore> core;
+
+    FleetRouter(RouterMember member, List<String> seeds, long seed) {
+        this.member = member;
+        this.core = Optional.of(new RouterCore(member, seeds, RandomSource.XO_RO_SHI_RO_128_PP.create(seed)));
+    }
+
+    RouterMember member() {
+        return member;
+    }
+
+    Meter meter() {
+        return meter;
+    }
+
+    boolean running() {
+        return core.isPresent();
+    }
+
+    /** Ends the router and releases its memory. */
+    void stop() {
+        core = Optional.empty();
+    }
+
+    Optional<RouterCore> core() {
+        return core;
+    }
+
+    List<Command> handle(Event event, long nowMillis) {
+        if (core.isEmpty()) {
+            return List.of();
+        }
+        long start = System.nanoTime();
+        List<Command> commands = core.get().handle(event, nowMillis);
+        meter.handled(name(event), System.nanoTime() - start);
+        return commands;
+    }
+
+    private static String name(Event event) {
+        return event instanceof Event.PeerReceived received
+                ? received.message().getClass().getSimpleName()
+                : event.getClass().getSimpleName();
+    }
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/FleetSize.java
@@ -0,0 +1,30 @@
+package org.amaranthlock.bench.capacity;
+
+/**
+ * Size and load of a measured fleet.
+ *
+ * @param routers number of routers
+ * @param targets number of targets, all engines, spread over four services
+ * @param accounts number of client accounts, each with a limit
+ * @param requestsPerRouter requests per second and router
+ * @param tokens tokens of each generation
+ * @param changesPerSecond configuration changes per second in the whole fleet
+ */
+record FleetSize(
+        int routers, int targets, int accounts, double requestsPerRouter, int tokens, double changesPerSecond) {
+    /** The size that the design must reach. */
+    static final FleetSize STATED = new FleetSize(330, 6_200, 5_300, 6_100.0 / 330, 540, 6_200 / 86_400.0);
+
+    /** Returns a fleet without requests and configuration changes. */
+    static FleetSize idle(int routers, int targets, int accounts) {
+        return new FleetSize(routers, targets, accounts, 0, 1, 0);
+    }
+
+    FleetSize withRequests(double perRouter, int tokensEach) {
+        return new FleetSize(routers, targets, accounts, perRouter, tokensEach, changesPerSecond);
+    }
+
+    FleetSize withChanges(double perSecond) {
+        return new FleetSize(routers, targets, accounts, requestsPerRouter, tokens, perSecond);
+    }
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/Meter.java
@@ -0,0 +1,116 @@
+package org.amaranthlock.bench.capacity;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.amaranthlock.protocol.peer.PeerMessage;
+
+/** Counts what one router does: messages and bytes sent, platform calls, events and their processor time. */
+final class Meter {
+    private static final Set<Class<?>> CONTROL = Set.of(
+            PeerMessage.Ping.class,
+            PeerMessage.Ack.class,
+            PeerMessage.PingRequest.class,
+            PeerMessage.ConfigPush.class,
+            PeerMessage.ConfigPull.class,
+            PeerMessage.UsageReport.class,
+            PeerMessage.ShareGrant.class);
+
+    private final Map<String, Total> messages = new TreeMap<>();
+    private final Map<String, Total> platformCalls = new TreeMap<>();
+    private final Map<String, Total> events = new TreeMap<>();
+    private Total control = new Total();
+    private Total data = new Total();
+    private Total handled = new Total();
+
+    void sent(PeerMessage message, int bytes) {
+        messages.computeIfAbsent(message.getClass().getSimpleName(), _ -> new Total())
+                .add(bytes);
+        (isControl(message) ? control : data).add(bytes);
+    }
+
+    void calledPlatform(String kind, long bytes) {
+        platformCalls.computeIfAbsent(kind, _ -> new Total()).add(bytes);
+    }
+
+    void handled(String event, long nanos) {
+        events.computeIfAbsent(event, _ -> new Total()).add(nanos);
+        handled.add(nanos);
+    }
+
+    void clear() {
+        messages.clear();
+        platformCalls.clear();
+        events.clear();
+        control = new Total();
+        data = new Total();
+        handled = new Total();
+    }
+
+    /** Adds the totals of another meter to this one. */
+    void addAll(Meter other) {
+        merge(messages, other.messages);
+        merge(platformCalls, other.platformCalls);
+        merge(events, other.events);
+        control.addAll(other.control);
+        data.addAll(other.data);
+        handled.addAll(other.handled);
+    }
+
+    Map<String, Total> messages() {
+        return messages;
+    }
+
+    Map<String, Total> platformCalls() {
+        return platformCalls;
+    }
+
+    Map<String, Total> events() {
+        return events;
+    }
+
+    Total control() {
+        return control;
+    }
+
+    Total data() {
+        return data;
+    }
+
+    Total handled() {
+        return handled;
+    }
+
+    /** Tells whether a message belongs to membership, configuration or shares, and not to a request. */
+    static boolean isControl(PeerMessage message) {
+        return CONTROL.contains(message.getClass());
+    }
+
+    private static void merge(Map<String, Total> to, Map<String, Total> from) {
+        from.forEach((key, total) -> to.computeIfAbsent(key, _ -> new Total()).addAll(total));
+    }
+
+    /** Number of items and the sum of their sizes. */
+    static final class Total {
+        private long count;
+        private long sum;
+
+        private void add(long size) {
+            count++;
+            sum += size;
+        }
+
+        private void addAll(Total other) {
+            count += other.count;
+            sum += other.sum;
+        }
+
+        long count() {
+            return count;
+        }
+
+        long sum() {
+            return sum;
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/ObjectStore.java
@@ -0,0 +1,191 @@
+package org.amaranthlock.bench.capacity;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.amaranthlock.coordination.PlatformCommand;
+import org.amaranthlock.coordination.PlatformEvent;
+import org.amaranthlock.protocol.PlatformValueCodec;
+import org.amaranthlock.protocol.platform.HostEntry;
+import org.amaranthlock.protocol.platform.PlatformValue;
+import org.amaranthlock.protocol.platform.Versioned;
+
+/** Object API in memory; each reader gets its own copy of a value, as over a network. */
+final class ObjectStore {
+    /** A row of the host list as JSON without its values. */
+    private static final String EMPTY_HOST_ROW =
+            "{\"name\":\"\",\"role\":\"\",\"address\":\"\",\"region\":\"\",\"failureDomain\":\"\",\"leaving\":false},";
+
+    private final PlatformValueCodec codec = new PlatformValueCodec();
+    private final TreeMap<String, Stored> objects = new TreeMap<>();
+    private final Map<Long, Waiting> watches = new LinkedHashMap<>();
+    private final EventQueue queue;
+    private List<HostEntry> hosts = List.of();
+    private long hostListBytes;
+    private long revision;
+    private long watchNumber;
+    private boolean down;
+
+    ObjectStore(EventQueue queue) {
+        this.queue = queue;
+    }
+
+    void hosts(List<HostEntry> list) {
+        hosts = list;
+        hostListBytes = list.stream().mapToLong(ObjectStore::rowBytes).sum();
+    }
+
+    long hostListBytes() {
+        return hostListBytes;
+    }
+
+    void down(boolean value) {
+        down = value;
+    }
+
+    long revision(String key) {
+        return objects.get(key).revision();
+    }
+
+    long nextRevision() {
+        return revision + 1;
+    }
+
+    void put(String key, PlatformValue value) {
+        revision++;
+        Stored old = objects.get(key);
+        objects.put(key, new Stored(old == null ? 1 : old.version() + 1, revision, codec.encode(value)));
+        for (var waiting : List.copyOf(watches.entrySet())) {
+            if (key.startsWith(waiting.getValue().watch().prefix())) {
+                finishWatch(waiting.getKey());
+            }
+        }
+    }
+
+    /** Carries a command out and hands the answer over after 2 ms in each direction. */
+    void execute(PlatformCommand command, Meter meter, Consumer<PlatformEvent> receiver) {
+        queue.after(2, () -> perform(command, meter, answer -> queue.after(2, () -> receiver.accept(answer))));
+    }
+
+    private void perform(PlatformCommand command, Meter meter, Consumer<PlatformEvent> receiver) {
+        String kind = command.getClass().getSimpleName();
+        if (down) {
+            meter.calledPlatform(kind, 0);
+            receiver.accept(new PlatformEvent.OperationFailed(command.operation(), "outage"));
+            return;
+        }
+        switch (command) {
+            case PlatformCommand.Read read -> {
+                meter.calledPlatform(kind, size(read.key()));
+                receiver.accept(new PlatformEvent.ReadDone(read.operation(), copy(read.key())));
+            }
+            case PlatformCommand.ListObjects list -> list(list, meter, receiver);
+            case PlatformCommand.Write write -> {
+                meter.calledPlatform(kind, codec.encode(write.value()).length);
+                receiver.accept(write(write));
+            }
+            case PlatformCommand.Delete delete -> {
+                meter.calledPlatform(kind, 0);
+                objects.remove(delete.key());
+                revision++;
+                receiver.accept(new PlatformEvent.WriteApplied(delete.operation(), 0, revision));
+            }
+            case PlatformCommand.Watch watch -> {
+                meter.calledPlatform(kind, 0);
+                long number = watchNumber++;
+                watches.put(number, new Waiting(watch, meter, receiver));
+                boolean changed = !changedAfter(watch).isEmpty();
+                queue.after(changed ? 0 : watch.timeoutMillis(), () -> finishWatch(number));
+            }
+            case PlatformCommand.ListHosts _ -> {
+                meter.calledPlatform(kind, hostListBytes);
+                receiver.accept(new PlatformEvent.HostsListed(hosts));
+            }
+        }
+    }
+
+    private void list(PlatformCommand.ListObjects list, Meter meter, Consumer<PlatformEvent> receiver) {
+        List<Versioned> found = new ArrayList<>();
+        long bytes = 0;
+        for (String key : objects.tailMap(list.prefix()).keySet()) {
+            if (!key.startsWith(list.prefix()) || found.size() == list.limit()) {
+                break;
+            }
+            found.add(copy(key).orElseThrow());
+            bytes += size(key);
+        }
+        meter.calledPlatform("ListObjects", bytes);
+        receiver.accept(new PlatformEvent.ListDone(list.operation(), found, revision));
+    }
+
+    private PlatformEvent write(PlatformCommand.Write write) {
+        Stored present = objects.get(write.key());
+        long version = present == null ? 0 : present.version();
+        if (version != write.expectedVersion()) {
+            return new PlatformEvent.WriteConflicted(write.operation());
+        }
+        put(write.key(), write.value());
+        return new PlatformEvent.WriteApplied(write.operation(), version + 1, revision);
+    }
+
+    private void finishWatch(long number) {
+        Waiting waiting = watches.remove(number);
+        if (waiting == null) {
+            return;
+        }
+        PlatformCommand.Watch watch = waiting.watch();
+        if (down) {
+            waiting.receiver().accept(new PlatformEvent.OperationFailed(watch.operation(), "outage"));
+            return;
+        }
+        List<Versioned> changed = changedAfter(watch).stream()
+                .map(key -> copy(key).orElseThrow())
+                .sorted(Comparator.comparingLong(Versioned::revision))
+                .toList();
+        long bytes = changed.stream().mapToLong(object -> size(object.key())).sum();
+        waiting.meter().calledPlatform("WatchAnswer", bytes);
+        waiting.receiver().accept(new PlatformEvent.WatchReturned(watch.operation(), changed, List.of(), revision));
+    }
+
+    private List<String> changedAfter(PlatformCommand.Watch watch) {
+        List<String> keys = new ArrayList<>();
+        objects.tailMap(watch.prefix()).forEach((key, stored) -> {
+            if (key.startsWith(watch.prefix()) && stored.revision() > watch.afterRevision()) {
+                keys.add(key);
+            }
+        });
+        return keys;
+    }
+
+    private Optional<Versioned> copy(String key) {
+        return Optional.ofNullable(objects.get(key))
+                .map(stored -> new Versioned(
+                        new String(key.toCharArray()),
+                        stored.version(),
+                        stored.revision(),
+                        codec.decode(stored.bytes())));
+    }
+
+    private static long rowBytes(HostEntry host) {
+        return EMPTY_HOST_ROW.length()
+                + host.name().length()
+                + host.role().length()
+                + host.address().length()
+                + host.region().value().length()
+                + host.failureDomain().value().length();
+    }
+
+    private int size(String key) {
+        Stored stored = objects.get(key);
+        return stored == null ? 0 : stored.bytes().length;
+    }
+
+    private record Stored(long version, long revision, byte[] bytes) {}
+
+    private record Waiting(PlatformCommand.Watch watch, Meter meter, Consumer<PlatformEvent> receiver) {}
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/Sample.java
@@ -0,0 +1,115 @@
+package org.amaranthlock.bench.capacity;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.amaranthlock.bench.capacity.Meter.Total;
+
+/**
+ * Steady state of a fleet.
+ *
+ * @param size the fleet
+ * @param seconds measured virtual seconds
+ * @param meter totals of all routers over the measured time
+ * @param busiest the most control bytes that one router sent, per second
+ * @param handleMicros processor time of the decision core per router and second, median of the passes
+ * @param codecMicros processor time to encode and decode peer messages per router and second, median of the passes
+ * @param heapBytes memory that one router holds
+ */
+record Sample(
+        FleetSize size,
+        double seconds,
+        Meter meter,
+        double busiest,
+        double handleMicros,
+        double codecMicros,
+        double heapBytes) {
+    private static final int PASSES = 5;
+
+    /** Warms a fleet up, measures it in several passes and lets go of it. */
+    static Sample measure(FleetSize size, int warmUpSeconds, int passSeconds) {
+        Fleet fleet = new Fleet(size);
+        fleet.load(true);
+        fleet.advance(warmUpSeconds * 1_000L);
+        fleet.takeMeters();
+        Meter sum = new Meter();
+        List<Double> handle = new ArrayList<>();
+        List<Double> codec = new ArrayList<>();
+        Map<FleetRouter, Long> control = new HashMap<>();
+        double perRouter = 1_000.0 * size.routers() * passSeconds;
+        for (int i = 0; i < PASSES; i++) {
+            fleet.advance(passSeconds * 1_000L);
+            codec.add(fleet.codecNanos() / perRouter);
+            fleet.routers()
+                    .forEach(router ->
+                            control.merge(router, router.meter().control().sum(), Long::sum));
+            Meter pass = fleet.takeMeters();
+            handle.add(pass.handled().sum() / perRouter);
+            sum.addAll(pass);
+        }
+        double seconds = PASSES * passSeconds;
+        double busiest =
+                control.values().stream().mapToLong(Long::longValue).max().orElse(0) / seconds;
+        if (fleet.changeErrors() > 0) {
+            throw new IllegalStateException("configuration changes failed: " + fleet.changeErrors());
+        }
+        long before = Heap.usedBytes();
+        fleet.release();
+        double heap = (double) (before - Heap.usedBytes()) / size.routers();
+        return new Sample(size, seconds, sum, busiest, median(handle), median(codec), heap);
+    }
+
+    static double median(List<Double> values) {
+        List<Double> sorted = values.stream().sorted().toList();
+        return sorted.get(sorted.size() / 2);
+    }
+
+    double controlMessages() {
+        return perRouterSecond(meter.control().count());
+    }
+
+    double controlBytes() {
+        return perRouterSecond(meter.control().sum());
+    }
+
+    double dataMessages() {
+        return perRouterSecond(meter.data().count());
+    }
+
+    double dataBytes() {
+        return perRouterSecond(meter.data().sum());
+    }
+
+    /** Returns the calls of a kind per second of the whole fleet. */
+    double calls(String kind) {
+        Total total = meter.platformCalls().get(kind);
+        return total == null ? 0 : total.count() / seconds;
+    }
+
+    double callBytes(String kind) {
+        Total total = meter.platformCalls().get(kind);
+        return total == null ? 0 : total.sum() / seconds;
+    }
+
+    /** Returns all platform calls per second of the whole fleet that are writes, or that are not. */
+    double platform(boolean writes) {
+        double sum = 0;
+        for (String kind : new TreeMap<>(meter.platformCalls()).keySet()) {
+            boolean isCall = !kind.equals("target poll") && !kind.equals("WatchAnswer");
+            boolean isWrite = kind.equals("Write") || kind.equals("Delete");
+            sum += isCall && isWrite == writes ? calls(kind) : 0;
+        }
+        return sum;
+    }
+
+    double eventMicros(String event) {
+        Total total = meter.events().get(event);
+        return total == null ? 0 : perRouterSecond(total.sum()) / 1_000;
+    }
+
+    double perRouterSecond(double sum) {
+        return sum / seconds / size.routers();
+    }
+}
--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/SlopeTable.java
@@ -0,0 +1,102 @@
+package org.amaranthlock.bench.capacity;
+
+import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+
+/** Prints the measured points of a series, the lines through them and the values at the stated size. */
+final class SlopeTable {
+    private final PrintWriter out;
+
+    SlopeTable(PrintWriter out) {
+        this.out = out;
+    }
+
+    /** A figure of a series; no limit is written as {@link Double#NaN}. */
+    record Figure(String title, ToDoubleFunction<Sample> value, double limit) {}
+
+    void print(String series, ToDoubleFunction<FleetSize> varied, List<Sample> samples, List<Figure> figures) {
+        out.println();
+        out.println("series: " + series);
+        StringBuilder head = new StringBuilder(String.format(Locale.ROOT, "%-38s", "figure"));
+        for (Sample sample : samples) {
+            head.append(String.format(Locale.ROOT, " %10.4g", varied.applyAsDouble(sample.size())));
+        }
+        double stated = varied.applyAsDouble(FleetSize.STATED);
+        out.println(head
+                + String.format(
+                        Locale.ROOT,
+                        " | %10s %10s %6s %10s %8s",
+                        "slope",
+                        "intercept",
+                        "R2",
+                        "at " + round(stated),
+                        "limit"));
+        for (Figure figure : figures) {
+            List<Slope.Point> points = new ArrayList<>();
+            StringBuilder line = new StringBuilder(String.format(Locale.ROOT, "%-38s", figure.title()));
+            for (Sample sample : samples) {
+                double value = figure.value().applyAsDouble(sample);
+                points.add(new Slope.Point(varied.applyAsDouble(sample.size()), value));
+                line.append(String.format(Locale.ROOT, " %10.1f", value));
+            }
+            Slope slope = Slope.fit(points);
+            String limit = Double.isNaN(figure.limit()) ? "-" : String.format(Locale.ROOT, "%.0f", figure.limit());
+            out.println(line
+                    + String.format(
+                            Locale.ROOT,
+                            " | %10.4g %10.1f %6.3f %10.1f %8s",
+                            slope.slope(),
+                            slope.intercept(),
+                            slope.r2(),
+                            slope.at(stated),
+                            limit));
+        }
+        out.flush();
+    }
+
+    /** Prints the messages, platform calls and events of one sample by kind. */
+    void printKinds(String title, Sample sample) {
+        out.println();
+        out.println("by kind, " + title + " (messages and bytes sent, events and their time: per router and second)");
+        sample.meter()
+                .messages()
+                .forEach((kind, total) -> row(
+                        "message " + kind,
+                        sample.perRouterSecond(total.count()),
+                        sample.perRouterSecond(total.sum()),
+                        "bytes/s"));
+        sample.meter()
+                .platformCalls()
+                .forEach((kind, total) -> row(
+                        "call " + kind + " (whole fleet)",
+                        total.count() / sample.seconds(),
+                        total.sum() / sample.seconds(),
+                        "bytes/s"));
+        sample.meter()
+                .events()
+                .forEach((kind, total) -> row(
+                        "event " + kind,
+                        sample.perRouterSecond(total.count()),
+                        sample.perRouterSecond(total.sum()) / 1_000,
+                        "us/s"));
+        out.flush();
+    }
+
+    private void row(String name, double count, double sum, String unit) {
+        out.printf(
+                Locale.ROOT,
+                "%-38s %10.2f /s %12.1f %s%s%n",
+                name,
+                count,
+                sum,
+                unit,
+                count == 0 ? "" : String.format(Locale.ROOT, " (%.1f each)", sum / count));
+    }
+
+    private static String round(double value) {
+        return String.format(Locale.ROOT, "%.4g", value);
+    }
+}
