Start measured fleets idle and split control traffic by kind

A fleet that starts at once fills its gossip for minutes (each router passes on the news of all others, 8 per message), so a measurement 30 s after the start showed 1,969 bytes/s per router at 330 routers instead of the steady state. Fleets now run idle for 20 s plus 1 s per router first.

--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/CapacityMain.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/CapacityMain.java
@@ -12,7 +12,7 @@
         mixinStandardHelpOptions = true,
         description = "Measures what a router's work costs at growing sizes, in virtual time.")
 public final class CapacityMain implements Callable<Integer> {
-    @Option(names = "--series", description = "part of the name of the series to run (default: all)")
+    @Option(names = "--series", description = "start of the name of the series to run (default: all)")
     private String filter = "";
 
     @Option(names = "--failures", description = "measure failures instead of steady fleets")
@@ -36,7 +36,7 @@
         Experiments.warmUp();
         var series = failures ? new FailureExperiments(out).series() : new Experiments(out).series();
         series.forEach((name, run) -> {
-            if (name.contains(filter)) {
+            if (name.startsWith(filter)) {
                 run.run();
             }
         });
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/Sample.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/Sample.java
@@ -28,9 +28,16 @@
         double heapBytes) {
     private static final int PASSES = 5;
 
-    /** Warms a fleet up, measures it in several passes and lets go of it. */
+    /**
+     * Seconds without load until the start of a fleet no longer fills the gossip: each router passes on the news of
+     * all others, and its messages hold only 8 of them.
+     */
+    private static final int START_SECONDS = 20;
+
+    /** Lets a fleet start, warms it up under load, measures it in several passes and lets go of it. */
     static Sample measure(FleetSize size, int warmUpSeconds, int passSeconds) {
         Fleet fleet = new Fleet(size);
+        fleet.advance((START_SECONDS + size.routers()) * 1_000L);
         fleet.load(true);
         fleet.advance(warmUpSeconds * 1_000L);
         fleet.takeMeters();
@@ -74,6 +81,16 @@
         return perRouterSecond(meter.control().sum());
     }
 
+    /** Returns the bytes of some kinds of messages that a router sends per second. */
+    double bytes(String... kinds) {
+        double sum = 0;
+        for (String kind : kinds) {
+            Total total = meter.messages().get(kind);
+            sum += total == null ? 0 : perRouterSecond(total.sum());
+        }
+        return sum;
+    }
+
     double dataMessages() {
         return perRouterSecond(meter.data().count());
     }
