Choose the subset of targets without a quadratic list removal

far.removeAll(near) compared each target of a service with each near one, on every configuration change and every change of a leaving mark. One pass now splits the targets.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/TargetSubset.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/TargetSubset.java
@@ -33,10 +33,12 @@
             List<Target> order = new ArrayList<>(RendezvousOrder.order(
                     self.host().value(), group, target -> target.id().value()));
             order.sort(Comparator.comparing(target -> news.leaving(target.id())));
-            List<Target> near = new ArrayList<>(order);
-            near.removeIf(target -> !target.region().equals(self.region()) || news.leaving(target.id()));
-            List<Target> far = new ArrayList<>(order);
-            far.removeAll(near);
+            List<Target> near = new ArrayList<>();
+            List<Target> far = new ArrayList<>();
+            for (Target target : order) {
+                boolean isNear = target.region().equals(self.region()) && !news.leaving(target.id());
+                (isNear ? near : far).add(target);
+            }
             int fromFar = Math.max(SPARES_IN_OTHER_REGIONS, SIZE - near.size());
             int fromNear = Math.max(SIZE - far.size(), SIZE - fromFar);
             chosen.addAll(near.subList(0, Math.min(near.size(), fromNear)));
