--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/configuration/ConfigurationTable.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/configuration/ConfigurationTable.java
@@ -128,7 +128,7 @@
         return accountsByKey;
     }
 
-    /** Returns the targets; the same list as long as no entry changes. */
+    /** Returns the targets; the same list as long as no target changes. */
     List<Target> targets() {
         rebuild();
         return targets;
@@ -159,7 +159,11 @@
             }
         }
         found.sort(Comparator.comparing(Target::id));
-        targets = List.copyOf(found);
+        // The target directory chooses its subset anew whenever the list is another object, which takes milliseconds
+        // with thousands of targets; most changes concern no target.
+        if (!found.equals(targets)) {
+            targets = List.copyOf(found);
+        }
     }
 
     private Optional<Profile> profile(String name) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/configuration/DefaultConfiguration.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/configuration/DefaultConfiguration.java
@@ -63,7 +63,7 @@
         return Optional.ofNullable(table.accountsByKey().get(keySha256));
     }
 
-    /** {@inheritDoc} The list is the same object as long as no entry changes. */
+    /** {@inheritDoc} The list is the same object as long as no target changes. */
     @Override
     public List<Target> targets() {
         return table.targets();
