--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/Experiments.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/Experiments.java
@@ -39,6 +39,7 @@
         series.put("change-entries", this::changesByEntries);
         series.put("fleet", this::fleet);
         series.put("whole", this::whole);
+        series.put("stated", this::stated);
     }
 
     Map<String, Runnable> series() {
@@ -114,7 +115,7 @@
         List<Sample> samples =
                 run(n -> FleetSize.idle(n, FEW_TARGETS, n * 4).withRequests(rate, SHORT_TOKENS), 8, 2, 9, 30, 60, 120);
         table.print("routers with 18.5 short requests/s each", FleetSize::routers, samples, loadFigures());
-        table.printKinds("90 routers, 18.5 short requests/s each", samples.getLast());
+        table.printKinds("120 routers, 18.5 short requests/s each", samples.getLast());
     }
 
     private void whole() {
@@ -125,11 +126,18 @@
                         .withChanges(FleetSize.STATED.changesPerSecond()),
                 8,
                 1);
-        table.print(
-                "330 routers, 18.5 short requests/s each", FleetSize::routers, List.of(sample, sample), loadFigures());
+        table.print("330 routers, 18.5 short requests/s each", FleetSize::routers, List.of(sample), loadFigures());
         table.printKinds("330 routers, 18.5 short requests/s each", sample);
     }
 
+    /** The stated size except for the length of generations; the gossip of the start is still under way. */
+    private void stated() {
+        FleetSize stated = FleetSize.STATED;
+        Sample sample = Sample.measure(stated.withRequests(stated.requestsPerRouter(), SHORT_TOKENS), 40, 5, 1);
+        table.print("stated size, 8 tokens per generation", FleetSize::routers, List.of(sample), loadFigures());
+        table.printKinds("stated size, 8 tokens per generation", sample);
+    }
+
     private static List<Sample> run(IntFunction<FleetSize> size, int warmUp, int pass, int... numbers) {
         return Arrays.stream(numbers)
                 .mapToObj(number -> Sample.measure(size.apply(number), warmUp, pass))
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/FailureExperiments.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/FailureExperiments.java
@@ -40,12 +40,21 @@
         for (int i = 1; i <= 15; i++) {
             second(fleet, i);
         }
-        long live = fleet.routers().stream()
+        printAgreement(fleet, 15);
+        fleet.advance(15 * SECOND);
+        printAgreement(fleet, 30);
+        fleet.advance(30 * SECOND);
+        printAgreement(fleet, 60);
+    }
+
+    private void printAgreement(Fleet fleet, int seconds) {
+        long live = fleet.routers().stream().filter(FleetRouter::running).count();
+        long exact = fleet.routers().stream()
                 .filter(FleetRouter::running)
                 .filter(router ->
-                        router.core().orElseThrow().membership().live().size() == 283)
+                        router.core().orElseThrow().membership().live().size() == live)
                 .count();
-        out.println("routers that see exactly the 283 live ones after 15 s: " + live);
+        out.println("routers that see exactly the " + live + " live ones after " + seconds + " s: " + exact);
     }
 
     private void partition() {
@@ -76,26 +85,40 @@
     }
 
     private void restarts() {
-        int routers = 90;
-        int restarts = 30;
-        Fleet fleet = new Fleet(FleetSize.idle(routers, 1_550, 1_325));
-        fleet.advance(110 * SECOND);
+        out.println();
+        out.println("one restart in 2 s, idle routers; growth over the quiet fleet per restart, whole fleet");
+        out.println("routers  targets  control KB  core ms  lists  list KB");
+        restarts(FleetSize.idle(30, 1_550, 1_325));
+        restarts(FleetSize.idle(60, 1_550, 1_325));
+        restarts(FleetSize.idle(90, 1_550, 1_325));
+        restarts(FleetSize.idle(30, 3_100, 2_650));
+        restarts(FleetSize.idle(30, 6_200, 5_300));
+    }
+
+    private void restarts(FleetSize size) {
+        int restarts = 15;
+        Fleet fleet = new Fleet(size);
+        fleet.advance((20L + size.routers()) * SECOND);
         fleet.takeMeters();
-        fleet.advance(60 * SECOND);
+        fleet.advance(2L * restarts * SECOND);
         Meter quiet = fleet.takeMeters();
         for (int i = 0; i < restarts; i++) {
             fleet.start(10 + i, i + 1);
             fleet.advance(2 * SECOND);
         }
         Meter busy = fleet.takeMeters();
-        out.println();
-        out.println("one restart in 2 s, 90 idle routers, 2,875 entries; growth over the quiet fleet per restart");
         long bytes = busy.control().sum() - quiet.control().sum();
         long nanos = busy.handled().sum() - quiet.handled().sum();
-        double lists = total(busy, "ListObjects") - total(quiet, "ListObjects");
-        out.printf(Locale.ROOT, "control bytes, whole fleet %12.0f%n", (double) bytes / restarts);
-        out.printf(Locale.ROOT, "core us, whole fleet       %12.1f%n", nanos / 1_000.0 / restarts);
-        out.printf(Locale.ROOT, "platform lists             %12.1f%n", lists / restarts);
+        Meter.Total lists = busy.platformCalls().get("ListObjects");
+        out.printf(
+                Locale.ROOT,
+                "%7d  %7d  %10.1f  %7.1f  %5.1f  %7.1f%n",
+                size.routers(),
+                size.targets(),
+                bytes / 1_024.0 / restarts,
+                nanos / 1_000_000.0 / restarts,
+                (double) lists.count() / restarts,
+                lists.sum() / 1_024.0 / restarts);
     }
 
     private void outage() {
@@ -195,9 +218,4 @@
                 busiest / 1_000.0,
                 calls);
     }
-
-    private static double total(Meter meter, String call) {
-        Meter.Total total = meter.platformCalls().get(call);
-        return total == null ? 0 : total.count();
-    }
 }
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/Sample.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/Sample.java
@@ -36,8 +36,13 @@
 
     /** Lets a fleet start, warms it up under load, measures it in several passes and lets go of it. */
     static Sample measure(FleetSize size, int warmUpSeconds, int passSeconds) {
+        return measure(size, START_SECONDS + size.routers(), warmUpSeconds, passSeconds);
+    }
+
+    /** Measures a fleet after a given time to start. */
+    static Sample measure(FleetSize size, int startSeconds, int warmUpSeconds, int passSeconds) {
         Fleet fleet = new Fleet(size);
-        fleet.advance((START_SECONDS + size.routers()) * 1_000L);
+        fleet.advance(startSeconds * 1_000L);
         fleet.load(true);
         fleet.advance(warmUpSeconds * 1_000L);
         fleet.takeMeters();
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/SlopeTable.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/SlopeTable.java
@@ -42,21 +42,28 @@
                 points.add(new Slope.Point(varied.applyAsDouble(sample.size()), value));
                 line.append(String.format(Locale.ROOT, " %10.1f", value));
             }
-            Slope slope = Slope.fit(points);
-            String limit = Double.isNaN(figure.limit()) ? "-" : String.format(Locale.ROOT, "%.0f", figure.limit());
-            out.println(line
-                    + String.format(
-                            Locale.ROOT,
-                            " | %10.4g %10.1f %6.3f %10.1f %8s",
-                            slope.slope(),
-                            slope.intercept(),
-                            slope.r2(),
-                            slope.at(stated),
-                            limit));
+            out.println(line + extrapolation(points, stated, figure.limit()));
         }
         out.flush();
     }
 
+    /** Returns the line through the points, its value at the stated size and the limit; no line through one point. */
+    private static String extrapolation(List<Slope.Point> points, double stated, double limit) {
+        String limitText = Double.isNaN(limit) ? "-" : String.format(Locale.ROOT, "%.0f", limit);
+        if (points.size() < 2) {
+            return String.format(Locale.ROOT, " | %10s %10s %6s %10s %8s", "-", "-", "-", "-", limitText);
+        }
+        Slope slope = Slope.fit(points);
+        return String.format(
+                Locale.ROOT,
+                " | %10.4g %10.1f %6.3f %10.1f %8s",
+                slope.slope(),
+                slope.intercept(),
+                slope.r2(),
+                slope.at(stated),
+                limitText);
+    }
+
     /** Prints the messages, platform calls and events of one sample by kind. */
     void printKinds(String title, Sample sample) {
         out.println();
