Tell the life of a request in the timeline

Cause: the request package emitted no Command.Trace, so an operator could not see where a request ran, why an attempt ended or which router took it over. Ruled out: an entry per token or per search of a new request; a router keeps 10,000 entries, and those would push everything else out. A search without result is told only where it matters: a returning caller, or an inconclusive search. Change: RequestTrace builds the entries; an attempt that a target turned away unexecuted is told as attempt-lost with its reason, so that each attempt-started has an end. The dispatcher compares the poison standing before and after a death. Before: no entry.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
@@ -135,6 +135,8 @@
         }
         undecidedCode = ErrorCode.OUTCOME_UNKNOWN;
         neverExecutedCode = ErrorCode.REQUEST_IN_PROGRESS;
+        String why = "the holder of its claim, " + held.holder().value() + ", is dead";
+        out.add(RequestTrace.orderInDoubt(spec().id(), why));
         reconcile(targetsOfService(), OptionalLong.of(held.fence() + 1), now, out);
     }
 
@@ -198,6 +200,7 @@
         dispatcher.started(id, spec(), chosen, 0, now);
         long timeout = Math.max(1, spec().deadlineMillis() - now);
         out.add(new RequestCommand.CallService(id, chosen, spec(), OptionalLong.of(fence), timeout));
+        out.add(RequestTrace.orderDispatched(spec().id(), chosen, fence));
     }
 
     @Override
@@ -240,7 +243,7 @@
                 String detail = "A later request with this key took its place; repeat it for its outcome.";
                 refuse(ErrorCode.SUPERSEDED, Fate.NOT_RUN, detail, now, out);
             }
-            default -> uncertain(now, out);
+            default -> uncertain(kind + " " + failed.detail(), now, out);
         }
     }
 
@@ -251,7 +254,8 @@
     }
 
     /** The call may have been executed: only the target can tell. */
-    private void uncertain(long now, List<Command> out) {
+    private void uncertain(String why, long now, List<Command> out) {
+        out.add(RequestTrace.orderInDoubt(spec().id(), why));
         life.attemptUncertain();
         dispatcher.lost(attempt.orElseThrow(), now);
         attempt = Optional.empty();
@@ -273,6 +277,7 @@
             Optional<ServiceResponse> response = reconciled.response();
             if (response.isPresent()) {
                 current.cancel(out);
+                out.add(RequestTrace.orderReconciled(spec().id(), Fate.RAN));
                 life.answer(this, response.get(), now, out);
                 return;
             }
@@ -286,10 +291,15 @@
         Reconciliation current = reconciliation.orElseThrow();
         switch (current.state(now)) {
             case PENDING -> {}
-            case NEVER_EXECUTED ->
+            case NEVER_EXECUTED -> {
+                out.add(RequestTrace.orderReconciled(spec().id(), Fate.NOT_RUN));
                 refuse(neverExecutedCode, Fate.NOT_RUN, "The target did not run the request; repeat it.", now, out);
+            }
             default -> {
                 current.cancel(out);
+                if (undecidedFate == Fate.UNKNOWN) {
+                    out.add(RequestTrace.orderInDoubt(spec().id(), "the targets did not settle it"));
+                }
                 String detail = undecidedFate == Fate.RAN
                         ? "The request ran, but its answer was not stored; ask the service for it."
                         : "It is unknown whether the request ran; ask the service before sending it with a new key.";
@@ -319,7 +329,7 @@
                 tellLate(late, out);
                 if (now >= spec().deadlineMillis() + TIMEOUT_REPORT_MILLIS) {
                     out.add(new RequestCommand.CancelAttempt(attempt.orElseThrow(), target.orElseThrow()));
-                    uncertain(now, out);
+                    uncertain("the call did not end at its deadline", now, out);
                 }
             }
             default -> {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/Dispatcher.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/Dispatcher.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.amaranthlock.coordination.Command;
 import org.amaranthlock.coordination.poison.PoisonRegistry;
 import org.amaranthlock.coordination.poison.PoisonRegistry.Standing;
 import org.amaranthlock.coordination.routing.SelectionContext;
@@ -121,7 +122,7 @@
     }
 
     /** Counts the death of a target against the requests that ran there, each attempt at most once. */
-    void unreachable(TargetId target, long now) {
+    void unreachable(TargetId target, long now, List<Command> out) {
         List<PoisonRegistry.Running> victims = new ArrayList<>();
         for (Running entry : running.values()) {
             if (entry.target.id().equals(target) && !entry.counted) {
@@ -136,7 +137,25 @@
             }
         }
         if (!victims.isEmpty()) {
-            services.poison().targetDied(target, victims, now);
+            blame(target, victims, now, out);
+        }
+    }
+
+    private void blame(TargetId target, List<PoisonRegistry.Running> victims, long now, List<Command> out) {
+        List<Standing> before =
+                victims.stream().map(victim -> standing(victim.spec(), now)).toList();
+        services.poison().targetDied(target, victims, now);
+        for (int i = 0; i < victims.size(); i++) {
+            RequestSpec spec = victims.get(i).spec();
+            Standing after = standing(spec, now);
+            if (after == before.get(i)) {
+                continue;
+            }
+            if (after == Standing.SUSPECT) {
+                out.add(RequestTrace.poisonSuspected(spec.id(), target));
+            } else if (after == Standing.CONDEMNED) {
+                out.add(RequestTrace.poisonCondemned(spec.id(), target));
+            }
         }
     }
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
@@ -110,6 +110,7 @@
                         life.continueAfter(attempt.number(), checkpoint.target().orElseThrow()));
         out.addAll(life.services().checkpoints().opened(this, now));
         life.skipAttempts(TAKEOVER_NUMBERS);
+        out.add(RequestTrace.takenOver(spec().id(), checkpoint.owner(), tokens.size()));
         deliver(out);
         Optional<Target> target =
                 checkpoint.target().flatMap(id -> life.services().targets().target(id));
@@ -131,6 +132,7 @@
         phase = Phase.RUNNING;
         dispatcher.started(attempt, spec(), target, 0, now);
         out.add(new RequestCommand.AttachStream(attempt, target, tokens.size()));
+        out.add(RequestTrace.resumedByAttaching(spec().id(), target, tokens.size()));
     }
 
     @Override
@@ -213,6 +215,10 @@
         int boost = tokens.isEmpty() ? 0 : RESUME_PRIORITY_BOOST;
         out.add(new RequestCommand.OpenStream(
                 attempt, target, spec(), tokens, spec().profile().priority() + boost));
+        out.add(RequestTrace.attemptStarted(spec().id(), attempt.number(), target));
+        if (!tokens.isEmpty()) {
+            out.add(RequestTrace.resumedByNewAttempt(spec().id(), target, tokens.size()));
+        }
     }
 
     @Override
@@ -242,7 +248,7 @@
     private void append(ActiveStream current, RequestEvent.TokensReceived received, long now, List<Command> out) {
         int position = tokens.size();
         if (received.firstIndex() > position) {
-            lose(current, now, out);
+            lose(current, "the stream skipped tokens", now, out);
             return;
         }
         int end = received.firstIndex() + received.tokens().size();
@@ -276,7 +282,7 @@
 
     private void streamEnded(ActiveStream current, RequestEvent.StreamEnded end, long now, List<Command> out) {
         if (end.count() != tokens.size()) {
-            lose(current, now, out);
+            lose(current, "the stream ended with another number of tokens", now, out);
             return;
         }
         dispatcher.ended(current.attempt(), AttemptResult.SUCCEEDED, now);
@@ -310,11 +316,12 @@
             return;
         }
         if (!kind.certainlyNotRun() || current.hasTokens()) {
-            lose(current, now, out);
+            lose(current, reason(failed), now, out);
             return;
         }
         dispatcher.ended(current.attempt(), AttemptResult.FAILED, now);
         stream = Optional.empty();
+        traceLost(current, reason(failed), out);
         life.attemptNotRun();
         if (kind == FailureKind.INVALID) {
             refuse(ErrorCode.INVALID_REQUEST, "The target can't run the request: " + failed.detail(), now, out);
@@ -334,12 +341,14 @@
     private void streamGone(ActiveStream current, long now, List<Command> out) {
         dispatcher.ended(current.attempt(), AttemptResult.FAILED, now);
         stream = Optional.empty();
+        traceLost(current, "the target does not know the stream", out);
         life.attemptUncertain();
         dispatch(now, out);
     }
 
     /** Ends the present attempt without its end event and resumes the answer elsewhere. */
-    void lose(ActiveStream current, long now, List<Command> out) {
+    void lose(ActiveStream current, String why, long now, List<Command> out) {
+        traceLost(current, why, out);
         out.add(new RequestCommand.CancelAttempt(current.attempt(), current.target()));
         formerAttempts.put(current.attempt().number(), current.target());
         dispatcher.lost(current.attempt(), now);
@@ -354,6 +363,15 @@
         dispatch(now, out);
     }
 
+    private void traceLost(ActiveStream current, String why, List<Command> out) {
+        int number = current.attempt().number();
+        out.add(RequestTrace.attemptLost(spec().id(), number, current.target(), tokens.size(), why));
+    }
+
+    private static String reason(RequestEvent.AttemptFailed failed) {
+        return failed.kind() + " " + failed.detail();
+    }
+
     /** A begun answer is resumed always; a repeat from the start takes from the service's budget. */
     private boolean mayRetry(long now) {
         return !tokens.isEmpty() || life.services().admission().tryRetry(spec(), now);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/KeptCheckpoints.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/KeptCheckpoints.java
@@ -159,6 +159,7 @@
                 0,
                 spec.arrivedAtMillis(),
                 now);
+        out.add(RequestTrace.abandonedByKeeper(spec.id(), checkpoint.owner(), fate));
         out.addAll(ledger.close(new FinalOutcome(record, Optional.empty()), now));
     }
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -87,7 +87,7 @@
             case RequestEvent.TakenOver taken -> with(taken.request(), request -> request.takenOver(nowMillis, out));
             case RequestEvent.OfAttempt ofAttempt ->
                 with(ofAttempt.request(), request -> request.attemptEvent(ofAttempt, nowMillis, out));
-            case TargetEvent.Unreachable unreachable -> dispatcher.unreachable(unreachable.target(), nowMillis);
+            case TargetEvent.Unreachable unreachable -> dispatcher.unreachable(unreachable.target(), nowMillis, out);
             default -> {}
         }
         return out;
@@ -129,7 +129,7 @@
         if (present != null && joins(spec, present)) {
             join(arrived, present, now, out);
         } else if (requests.containsKey(spec.id()) || searches.containsKey(spec.id())) {
-            out.add(refusal(spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, "The request is in progress."));
+            refuse(spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, "The request is in progress.", out);
         } else if (services.membership().leaving()) {
             reject(arrived, ErrorCode.DRAINING, "This router shuts down; connect to another one.", now, out);
         } else if (services.ledger().pendingOutcomes() >= MAX_PENDING_OUTCOMES) {
@@ -181,7 +181,7 @@
 
     private void inProgress(RequestSpec spec, AtMostOnceRequest order, long now, List<Command> out) {
         String detail = "A request with this key is in progress; repeat it later for its outcome.";
-        out.add(refusal(spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, detail));
+        refuse(spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, detail, out);
         if (!spec.id().equals(order.spec().id())) {
             RefusedArrival.close(services, spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, now, out);
         }
@@ -191,9 +191,9 @@
         RequestSpec spec = arrived.spec();
         if (arrived.resumeAt().isPresent()) {
             // The request began elsewhere, and its owner or keeper writes its record.
-            out.add(refusal(spec, code, fateSeenBy(arrived), detail));
+            refuse(spec, code, fateSeenBy(arrived), detail, out);
         } else {
-            out.add(refusal(spec, code, Fate.NOT_RUN, detail));
+            refuse(spec, code, Fate.NOT_RUN, detail, out);
             RefusedArrival.close(services, spec, code, Fate.NOT_RUN, now, out);
         }
     }
@@ -203,10 +203,11 @@
         return arrived.resumeAt().orElse(0) > 0 ? Fate.RAN : Fate.UNKNOWN;
     }
 
-    private static Command refusal(RequestSpec spec, ErrorCode code, Fate fate, String detail) {
+    private static void refuse(RequestSpec spec, ErrorCode code, Fate fate, String detail, List<Command> out) {
         boolean repeatHelps = code != ErrorCode.KEY_REUSED && code != ErrorCode.RESUME_UNAVAILABLE;
         OptionalLong retryAfter = repeatHelps ? OptionalLong.of(RequestLife.RETRY_AFTER_MILLIS) : OptionalLong.empty();
-        return new RequestCommand.Refuse(spec.id(), new Refusal(code, fate, detail, retryAfter));
+        out.add(new RequestCommand.Refuse(spec.id(), new Refusal(code, fate, detail, retryAfter)));
+        out.add(RequestTrace.refused(spec.id(), code, fate));
     }
 
     private void begin(OpenRequest request, long now, List<Command> out) {
@@ -238,7 +239,13 @@
             if (!search.gone) {
                 join(search.arrived, present, now, out);
             }
-        } else if (found.checkpoint().isPresent()) {
+            return;
+        }
+        if (found.checkpoint().isEmpty() && (search.arrived.resumeAt().isPresent() || !found.conclusive())) {
+            // A new request normally has no checkpoint, so only an absence that matters is told.
+            out.add(RequestTrace.checkpointMissing(spec, found.conclusive()));
+        }
+        if (found.checkpoint().isPresent()) {
             takeOver(search, found.checkpoint().get(), connection, now, out);
         } else if (search.arrived.resumeAt().isPresent() && !found.conclusive()) {
             searchAgain(search, out);
@@ -276,7 +283,7 @@
         if (!search.gone) {
             String detail = "A router that may hold the answer does not respond; come back for the rest.";
             RequestSpec spec = search.arrived.spec();
-            out.add(refusal(spec, ErrorCode.REQUEST_IN_PROGRESS, fateSeenBy(search.arrived), detail));
+            refuse(spec, ErrorCode.REQUEST_IN_PROGRESS, fateSeenBy(search.arrived), detail, out);
         }
     }
 
@@ -285,7 +292,7 @@
         Fate fate = fateSeenBy(search.arrived);
         if (!search.gone) {
             String detail = "No router holds the answer any more; read its outcome record or send the request anew.";
-            out.add(refusal(spec, ErrorCode.RESUME_UNAVAILABLE, fate, detail));
+            refuse(spec, ErrorCode.RESUME_UNAVAILABLE, fate, detail, out);
         }
         RefusedArrival.close(services, spec, ErrorCode.RESUME_UNAVAILABLE, fate, now, out);
     }
@@ -331,7 +338,7 @@
         }
         for (ActiveStream stalled : StallDetector.stalled(List.copyOf(streams.keySet()), now)) {
             GenerationRequest generation = streams.get(stalled);
-            generation.lose(stalled, now, out);
+            generation.lose(stalled, "the stream made no progress", now, out);
             settle(generation);
         }
     }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestLife.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestLife.java
@@ -90,6 +90,7 @@
         connection.ifPresent(id -> out.add(new RequestCommand.Supersede(id)));
         leave(now);
         services.checkpoints().handedOver(source);
+        out.add(RequestTrace.handedOver(spec.id(), source.tokens().size()));
     }
 
     private void leave(long now) {
@@ -189,6 +190,7 @@
     void complete(CheckpointSource source, String reason, long now, List<Command> out) {
         OutcomeRecord record = record(Outcome.COMPLETED, Fate.RAN, "", OK, now);
         connection.ifPresent(id -> out.add(new RequestCommand.CompleteAnswer(id, reason, record)));
+        out.add(RequestTrace.completed(spec.id(), source.tokens().size(), attempts));
         close(source, record, Optional.empty(), now, out);
     }
 
@@ -201,6 +203,7 @@
         String code = told.map(ErrorCode::code).orElse("");
         OutcomeRecord record = record(outcome, Fate.RAN, code, response.status(), now);
         connection.ifPresent(id -> out.add(new RequestCommand.DeliverResponse(id, response, record)));
+        out.add(RequestTrace.completed(spec.id(), 0, attempts));
         Optional<ServiceResponse> stored =
                 Optional.of(response).filter(answer -> answer.body().length <= MAX_STORED_BODY_BYTES);
         close(source, record, stored, now, out);
@@ -208,6 +211,7 @@
 
     void abandon(CheckpointSource source, Fate fate, long now, List<Command> out) {
         OutcomeRecord record = record(Outcome.ABANDONED, fate, "", 0, now);
+        out.add(RequestTrace.abandoned(spec.id(), fate));
         close(source, record, Optional.empty(), now, out);
     }
 
@@ -228,6 +232,7 @@
         Refusal refusal = new Refusal(code, fate, detail, retryAfterMillis);
         if (connection.isPresent()) {
             out.add(new RequestCommand.Refuse(connection.get(), refusal));
+            out.add(RequestTrace.refused(spec.id(), code, fate));
             connection = Optional.empty();
             told = Optional.of(code);
         }
@@ -238,6 +243,7 @@
         Outcome outcome = attempts > 0 && fate != Fate.NOT_RUN ? Outcome.FAILED : Outcome.REFUSED;
         if (told.isEmpty()) {
             outcome = Outcome.ABANDONED;
+            out.add(RequestTrace.abandoned(spec.id(), fate));
         }
         close(source, record(outcome, fate, code.code(), code.status(), now), Optional.empty(), now, out);
     }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/ServiceRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/ServiceRequest.java
@@ -98,6 +98,7 @@
         dispatcher.started(id, spec(), chosen, 0, now);
         long timeout = Math.max(1, spec().deadlineMillis() - now);
         out.add(new RequestCommand.CallService(id, chosen, spec(), OptionalLong.empty(), timeout));
+        out.add(RequestTrace.attemptStarted(spec().id(), id.number(), chosen));
     }
 
     @Override
@@ -121,6 +122,8 @@
         Target failedTarget = target.orElseThrow();
         attempt = Optional.empty();
         target = Optional.empty();
+        String why = kind + " " + failed.detail();
+        out.add(RequestTrace.attemptLost(spec().id(), failed.attempt().number(), failedTarget, 0, why));
         long pause = kind == FailureKind.BUSY ? BUSY_TARGET_MILLIS : LOST_TARGET_MILLIS;
         life.bar(failedTarget.id(), now + failed.retryAfterMillis().orElse(pause));
         if (kind.certainlyNotRun()) {
