Keep a completed answer for a caller that lost its end

Ruled out: closing the request only after the caller has returned or 30 s have passed, because its record would then be late for every request; reading the stream again from the engine, which may be gone. Change: the router that completes a kept-alive generation and its keeper keep tokens, end reason and record for 30 s, at most 1 million tokens each, the oldest dropped first. AnswerSave carries only what the keeper lacks; AnswerFound answers a search or a handover that crossed the completion. A caller that names tokens gets the rest only under an id of that generation. No record is written when the rest is delivered. A repeat of the key within 30 s gets the same answer; with another content it is refused as KEY_REUSED, as for an open request. Conclusion: the end is lost only if the completing router and its keeper are both gone. The record itself still waits in the memory of the completing router until the ledger has acknowledged it.

--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/NoCheckpoints.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/NoCheckpoints.java
@@ -7,6 +7,7 @@
 import org.amaranthlock.coordination.request.CheckpointSource;
 import org.amaranthlock.coordination.request.CheckpointStore;
 import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.protocol.peer.CompletedAnswer;
 
 /** Keeps no checkpoints; routers do not die in this model. */
 public final class NoCheckpoints implements CheckpointStore {
@@ -30,13 +31,18 @@
         return List.of();
     }
 
+    @Override
+    public List<Command> completed(CheckpointSource source, CompletedAnswer answer, long nowMillis) {
+        return List.of();
+    }
+
     @Override
     public void handedOver(CheckpointSource source) {
         // Nothing is kept.
     }
 
     @Override
-    public List<Command> search(RequestSpec spec, long timeoutMillis, long nowMillis) {
+    public List<Command> search(RequestSpec spec, int resumeAt, long timeoutMillis, long nowMillis) {
         return List.of(new Command.Raise(new RequestEvent.CheckpointFound(spec.id(), Optional.empty(), true)));
     }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/RequestEvent.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/RequestEvent.java
@@ -11,6 +11,7 @@
 import org.amaranthlock.model.ServiceResponse;
 import org.amaranthlock.protocol.peer.Checkpoint;
 import org.amaranthlock.protocol.peer.ClaimVerdict;
+import org.amaranthlock.protocol.peer.CompletedAnswer;
 
 /** Event in the life of a request. */
 public sealed interface RequestEvent extends Event {
@@ -51,6 +52,9 @@
     record CheckpointFound(RequestId request, Optional<Checkpoint> checkpoint, boolean conclusive)
             implements RequestEvent {}
 
+    /** The search for the state of a returning caller's request found that it is complete. */
+    record AnswerFound(RequestId request, CompletedAnswer answer) implements RequestEvent {}
+
     /** An admitted request that was queued may start now. */
     record Released(RequestId request) implements RequestEvent {}
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointKeeper.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointKeeper.java
@@ -14,6 +14,7 @@
 import org.amaranthlock.model.HostId;
 import org.amaranthlock.model.RequestSpec;
 import org.amaranthlock.protocol.peer.Checkpoint;
+import org.amaranthlock.protocol.peer.CompletedAnswer;
 import org.amaranthlock.protocol.peer.PeerMessage;
 import org.amaranthlock.state.TargetDirectory;
 
@@ -22,6 +23,7 @@
     private final MembershipView membership;
     private final OwnedCheckpoints owned;
     private final KeptCheckpoints kept;
+    private final CompletedAnswers completed = new CompletedAnswers();
     private final CheckpointSearches searches;
 
     /** Creates a keeper without checkpoints. */
@@ -31,7 +33,7 @@
         this.owned = new OwnedCheckpoints(membership);
         this.kept = new KeptCheckpoints(
                 membership, Objects.requireNonNull(targets, "targets"), Objects.requireNonNull(ledger, "ledger"));
-        this.searches = new CheckpointSearches(membership, Objects.requireNonNull(numbers, "numbers"), kept);
+        this.searches = new CheckpointSearches(membership, Objects.requireNonNull(numbers, "numbers"), kept, completed);
     }
 
     @Override
@@ -62,15 +64,23 @@
         return out;
     }
 
+    @Override
+    public List<Command> completed(CheckpointSource source, CompletedAnswer answer, long nowMillis) {
+        List<Command> out = new ArrayList<>();
+        owned.completed(source, answer, out);
+        completed.add(answer, nowMillis);
+        return out;
+    }
+
     @Override
     public void handedOver(CheckpointSource source) {
         owned.closed(source, false, new ArrayList<>());
     }
 
     @Override
-    public List<Command> search(RequestSpec spec, long timeoutMillis, long nowMillis) {
+    public List<Command> search(RequestSpec spec, int resumeAt, long timeoutMillis, long nowMillis) {
         List<Command> out = new ArrayList<>();
-        searches.start(spec, timeoutMillis, nowMillis, out);
+        searches.start(spec, resumeAt, timeoutMillis, nowMillis, out);
         return out;
     }
 
@@ -81,16 +91,17 @@
             case Event.Tick tick -> {
                 owned.tick(nowMillis, out);
                 kept.tick(nowMillis, out);
+                completed.tick(nowMillis);
                 searches.tick(nowMillis, out);
             }
             case Event.PeerUnreachable unreachable -> searches.unreachable(unreachable.host(), out);
-            case Event.PeerReceived received -> received(received.from(), received.message(), out);
+            case Event.PeerReceived received -> received(received.from(), received.message(), nowMillis, out);
             default -> {}
         }
         return out;
     }
 
-    private void received(HostId from, PeerMessage message, List<Command> out) {
+    private void received(HostId from, PeerMessage message, long now, List<Command> out) {
         switch (message) {
             case PeerMessage.CheckpointSave save -> kept.save(save.checkpoint(), out);
             case PeerMessage.CheckpointAppend append -> kept.append(from, append, out);
@@ -100,8 +111,11 @@
                         .filter(CheckpointSource::keptAlive)
                         .map(CheckpointSource::checkpoint)
                         .or(() -> kept.find(query.ledgerKey()));
-                answer(from, query.query(), known, out);
+                answer(from, query.query(), query.ledgerKey(), known, out);
             }
+            case PeerMessage.AnswerSave save ->
+                kept.complete(from, save).ifPresent(answer -> completed.add(answer, now));
+            case PeerMessage.AnswerFound found -> searches.completed(from, found, out);
             case PeerMessage.CheckpointAnswer answer -> searches.answered(from, answer, out);
             case PeerMessage.HandoverRequest request -> handOver(from, request, out);
             default -> {}
@@ -110,15 +124,17 @@
 
     private void handOver(HostId from, PeerMessage.HandoverRequest request, List<Command> out) {
         Optional<CheckpointSource> source = owned.source(request.ledgerKey()).filter(CheckpointSource::keptAlive);
-        answer(from, request.query(), source.map(CheckpointSource::checkpoint), out);
+        answer(from, request.query(), request.ledgerKey(), source.map(CheckpointSource::checkpoint), out);
         source.ifPresent(present -> out.add(
                 new Command.Raise(new RequestEvent.TakenOver(present.spec().id()))));
     }
 
-    private void answer(HostId to, long query, Optional<Checkpoint> checkpoint, List<Command> out) {
+    private void answer(HostId to, long query, String ledgerKey, Optional<Checkpoint> checkpoint, List<Command> out) {
+        Optional<CompletedAnswer> complete = checkpoint.isPresent() ? Optional.empty() : completed.find(ledgerKey);
+        PeerMessage message = complete.<PeerMessage>map(answer -> new PeerMessage.AnswerFound(query, answer))
+                .orElseGet(() -> new PeerMessage.CheckpointAnswer(query, checkpoint));
         membership
                 .member(to)
-                .ifPresent(member -> out.add(new Command.SendPeer(
-                        member.host(), member.address(), new PeerMessage.CheckpointAnswer(query, checkpoint))));
+                .ifPresent(member -> out.add(new Command.SendPeer(member.host(), member.address(), message)));
     }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointSearches.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointSearches.java
@@ -15,6 +15,7 @@
 import org.amaranthlock.model.RequestId;
 import org.amaranthlock.model.RequestSpec;
 import org.amaranthlock.protocol.peer.Checkpoint;
+import org.amaranthlock.protocol.peer.CompletedAnswer;
 import org.amaranthlock.protocol.peer.PeerMessage;
 
 /** Searches for the state of requests whose callers came to this router. */
@@ -25,22 +26,30 @@
     private final MembershipView membership;
     private final OperationNumbers numbers;
     private final KeptCheckpoints kept;
+    private final CompletedAnswers completed;
     private final Map<Long, Search> searches = new LinkedHashMap<>();
 
-    CheckpointSearches(MembershipView membership, OperationNumbers numbers, KeptCheckpoints kept) {
+    CheckpointSearches(
+            MembershipView membership, OperationNumbers numbers, KeptCheckpoints kept, CompletedAnswers completed) {
         this.membership = membership;
         this.numbers = numbers;
         this.kept = kept;
+        this.completed = completed;
     }
 
-    void start(RequestSpec spec, long timeoutMillis, long now, List<Command> out) {
-        Search search = new Search(numbers.next(), spec, now + timeoutMillis);
+    void start(RequestSpec spec, int resumeAt, long timeoutMillis, long now, List<Command> out) {
+        Search search = new Search(numbers.next(), spec, resumeAt, now + timeoutMillis);
         searches.put(search.query, search);
         Optional<Checkpoint> local = kept.find(spec.ledgerKey());
         if (local.isPresent()) {
             found(search, local.get(), out);
             return;
         }
+        Optional<CompletedAnswer> answer = completed.find(spec.ledgerKey(), spec.id(), resumeAt);
+        if (answer.isPresent()) {
+            finish(search, answer.get(), out);
+            return;
+        }
         for (RouterMember member : KeeperOrder.candidates(membership, spec.ledgerKey())) {
             search.awaited.add(member.host());
             send(member, new PeerMessage.CheckpointQuery(search.query, spec.ledgerKey()), out);
@@ -67,6 +76,24 @@
         }
     }
 
+    /** Ends a search whose request is complete; an answer to another request of the same key counts as absence. */
+    void completed(HostId from, PeerMessage.AnswerFound found, List<Command> out) {
+        Search search = searches.get(found.query());
+        if (search == null) {
+            return;
+        }
+        if (found.answer().answers(search.spec.id(), search.resumeAt)) {
+            finish(search, found.answer(), out);
+        } else {
+            answered(from, new PeerMessage.CheckpointAnswer(found.query(), Optional.empty()), out);
+        }
+    }
+
+    private void finish(Search search, CompletedAnswer answer, List<Command> out) {
+        searches.remove(search.query);
+        out.add(new Command.Raise(new RequestEvent.AnswerFound(search.spec.id(), answer)));
+    }
+
     void unreachable(HostId host, List<Command> out) {
         for (Search search : List.copyOf(searches.values())) {
             if (search.handover.equals(Optional.of(host))) {
@@ -134,15 +161,17 @@
     private static final class Search {
         private final long query;
         private final RequestSpec spec;
+        private final int resumeAt;
         private final long endsAt;
         private final Set<HostId> awaited = new LinkedHashSet<>();
         private Optional<Checkpoint> found = Optional.empty();
         private Optional<HostId> handover = Optional.empty();
         private long handoverAt = -1;
 
-        Search(long query, RequestSpec spec, long endsAt) {
+        Search(long query, RequestSpec spec, int resumeAt, long endsAt) {
             this.query = query;
             this.spec = spec;
+            this.resumeAt = resumeAt;
             this.endsAt = endsAt;
         }
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointStore.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointStore.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.amaranthlock.coordination.Command;
 import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.protocol.peer.CompletedAnswer;
 
 /** Keeps the state of this router's open requests at other routers and finds that of others. */
 public interface CheckpointStore {
@@ -23,15 +24,20 @@
     /** Ends the keeping of a request that is closed. */
     List<Command> closed(CheckpointSource source, long nowMillis);
 
+    /** Keeps the answer of a completed request for a while, here and at its keeper, for a caller that lost its end. */
+    List<Command> completed(CheckpointSource source, CompletedAnswer answer, long nowMillis);
+
     /** Ends the keeping of a request that another router carries on; its checkpoint stays with the keeper. */
     void handedOver(CheckpointSource source);
 
     /**
      * Looks for the state of a request that other routers hold;
-     * {@link org.amaranthlock.coordination.RequestEvent.CheckpointFound} brings the answer under the id of the
-     * request given here. A live owner has stopped serving the request when its state is found.
+     * {@link org.amaranthlock.coordination.RequestEvent.CheckpointFound}, or
+     * {@link org.amaranthlock.coordination.RequestEvent.AnswerFound} if it is complete, brings the answer under the id
+     * of the request given here. A live owner has stopped serving the request when its state is found.
      *
+     * @param resumeAt position of the first token that the caller lacks
      * @param timeoutMillis time for all answers, in milliseconds
      */
-    List<Command> search(RequestSpec spec, long timeoutMillis, long nowMillis);
+    List<Command> search(RequestSpec spec, int resumeAt, long timeoutMillis, long nowMillis);
 }
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CompletedAnswers.java
@@ -0,0 +1,72 @@
+package org.amaranthlock.coordination.request;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.amaranthlock.model.RequestId;
+import org.amaranthlock.protocol.peer.CompletedAnswer;
+
+/** Answers that were completed lately, for callers whose connection lost the last tokens; the oldest is dropped first. */
+final class CompletedAnswers {
+    /** Time for a caller to come back for the end of its answer, equal to that for the rest of an open one. */
+    static final long KEEP_MILLIS = 30_000;
+
+    /**
+     * Bound of all answers. A short token takes about 64 bytes of memory, so this is 64 MB; 330 routers at 2.8 million
+     * tokens/s need 510,000 for 30 s of own answers and as many of others.
+     */
+    static final int MAX_TOKENS = 1_000_000;
+
+    /** Memory of an answer besides its tokens, about 1 KB, counted as tokens so that empty answers are bounded too. */
+    static final int TOKENS_PER_ANSWER = 16;
+
+    private final Map<String, Entry> byLedgerKey = new LinkedHashMap<>();
+    private long size;
+
+    void add(CompletedAnswer answer, long now) {
+        String ledgerKey = answer.record().ledgerKey();
+        remove(ledgerKey);
+        byLedgerKey.put(ledgerKey, new Entry(answer, now + KEEP_MILLIS));
+        size += cost(answer);
+        Iterator<Entry> oldest = byLedgerKey.values().iterator();
+        while (size > MAX_TOKENS) {
+            size -= cost(oldest.next().answer);
+            oldest.remove();
+        }
+    }
+
+    /** Returns the answer to a caller, if it is kept. */
+    Optional<CompletedAnswer> find(String ledgerKey, RequestId caller, int resumeAt) {
+        return find(ledgerKey).filter(answer -> answer.answers(caller, resumeAt));
+    }
+
+    Optional<CompletedAnswer> find(String ledgerKey) {
+        return Optional.ofNullable(byLedgerKey.get(ledgerKey)).map(Entry::answer);
+    }
+
+    void tick(long now) {
+        Iterator<Entry> oldest = byLedgerKey.values().iterator();
+        while (oldest.hasNext()) {
+            Entry entry = oldest.next();
+            if (entry.endsAt > now) {
+                return;
+            }
+            size -= cost(entry.answer);
+            oldest.remove();
+        }
+    }
+
+    private void remove(String ledgerKey) {
+        Entry former = byLedgerKey.remove(ledgerKey);
+        if (former != null) {
+            size -= cost(former.answer);
+        }
+    }
+
+    private static int cost(CompletedAnswer answer) {
+        return answer.tokens().size() + TOKENS_PER_ANSWER;
+    }
+
+    private record Entry(CompletedAnswer answer, long endsAt) {}
+}
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/KeptCheckpoints.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/KeptCheckpoints.java
@@ -20,6 +20,7 @@
 import org.amaranthlock.model.RequestSpec;
 import org.amaranthlock.model.Work;
 import org.amaranthlock.protocol.peer.Checkpoint;
+import org.amaranthlock.protocol.peer.CompletedAnswer;
 import org.amaranthlock.protocol.peer.PeerMessage;
 import org.amaranthlock.protocol.peer.PeerMessage.FinalOutcome;
 import org.amaranthlock.state.TargetDirectory;
@@ -93,6 +94,27 @@
         }
     }
 
+    /** Ends the keeping of a checkpoint whose answer is complete, and returns the whole answer if it is known. */
+    Optional<CompletedAnswer> complete(HostId from, PeerMessage.AnswerSave save) {
+        CompletedAnswer end = save.answer();
+        Kept entry = kept.get(end.record().ledgerKey());
+        List<String> tokens = new ArrayList<>();
+        if (entry != null) {
+            boolean same = entry.base.spec().id().equals(end.record().request());
+            if (!same || entry.formerOwners.contains(from)) {
+                return Optional.empty();
+            }
+            kept.remove(end.record().ledgerKey());
+            tokens.addAll(entry.tokens.subList(0, Math.min(save.firstIndex(), entry.tokens.size())));
+        }
+        if (tokens.size() < save.firstIndex()) {
+            return Optional.empty();
+        }
+        tokens.addAll(end.tokens());
+        return Optional.of(
+                new CompletedAnswer(end.record(), end.connection(), end.fingerprint(), end.reason(), tokens));
+    }
+
     private void tellSuperseded(HostId owner, String ledgerKey, List<Command> out) {
         membership
                 .member(owner)
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OwnedCheckpoints.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OwnedCheckpoints.java
@@ -9,6 +9,7 @@
 import org.amaranthlock.coordination.membership.RouterMember;
 import org.amaranthlock.model.AttemptId;
 import org.amaranthlock.model.HostId;
+import org.amaranthlock.protocol.peer.CompletedAnswer;
 import org.amaranthlock.protocol.peer.PeerMessage;
 
 /** The owner's side: sends the state of this router's open requests to their keepers. */
@@ -74,6 +75,29 @@
         }
     }
 
+    /** Forgets a request and hands the rest of its answer to the keeper. */
+    void completed(CheckpointSource source, CompletedAnswer answer, List<Command> out) {
+        Owned entry = owned.get(source.spec().ledgerKey());
+        if (entry == null || entry.source != source) {
+            return;
+        }
+        boolean live = keeperLive(entry);
+        int firstIndex = live ? entry.sentTokens : 0;
+        Optional<RouterMember> keeper = live
+                ? entry.keeper
+                : KeeperOrder.keeper(membership, source.spec().ledgerKey(), membership.self());
+        CompletedAnswer rest = new CompletedAnswer(
+                answer.record(),
+                answer.connection(),
+                answer.fingerprint(),
+                answer.reason(),
+                answer.tokens().subList(firstIndex, answer.tokens().size()));
+        PeerMessage message = new PeerMessage.AnswerSave(firstIndex, rest);
+        keeper.ifPresent(member -> out.add(new Command.SendPeer(member.host(), member.address(), message)));
+        // The drop frees the checkpoint also where the answer is not understood or exceeds a frame.
+        closed(source, true, out);
+    }
+
     void tick(long now, List<Command> out) {
         for (Owned entry : owned.values()) {
             if (!keeperLive(entry)) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -23,6 +23,7 @@
 import org.amaranthlock.model.RequestSpec;
 import org.amaranthlock.model.Work;
 import org.amaranthlock.protocol.peer.Checkpoint;
+import org.amaranthlock.protocol.peer.CompletedAnswer;
 
 /**
  * Serves the callers' requests from arrival to the final answer.
@@ -47,6 +48,8 @@
     /** Time after which a leaving router hands its kept-alive requests over. */
     static final long DRAIN_MILLIS = 120_000;
 
+    private static final String KEY_REUSED_DETAIL = "The idempotency key was used with another content; use a new key.";
+
     private final RequestServices services;
     private final Dispatcher dispatcher;
     private final PauseDetector pauses = new PauseDetector();
@@ -76,6 +79,7 @@
             case RequestEvent.Arrived arrived -> arrived(arrived, nowMillis, out);
             case RequestEvent.CallerGone gone -> callerGone(gone.request(), nowMillis, out);
             case RequestEvent.CheckpointFound found -> searched(found, nowMillis, out);
+            case RequestEvent.AnswerFound found -> answerFound(found, nowMillis, out);
             case RequestEvent.ClaimDecided decided -> {
                 if (requests.get(decided.request()) instanceof AtMostOnceRequest request) {
                     request.claimDecided(decided.verdict(), nowMillis, out);
@@ -137,7 +141,7 @@
         } else if (spec.work() instanceof Work.Generation && searchable(arrived)) {
             searches.put(spec.id(), new Search(arrived));
             long timeout = arrived.resumeAt().isPresent() ? RETURN_SEARCH_MILLIS : ARRIVAL_SEARCH_MILLIS;
-            out.addAll(services.checkpoints().search(spec, timeout, now));
+            out.addAll(services.checkpoints().search(spec, arrived.resumeAt().orElse(0), timeout, now));
         } else {
             begin(create(spec, Optional.of(spec.id()), now), now, out);
         }
@@ -159,12 +163,7 @@
     private void join(RequestEvent.Arrived arrived, OpenRequest present, long now, List<Command> out) {
         RequestSpec spec = arrived.spec();
         if (spec.fingerprint() != present.spec().fingerprint()) {
-            reject(
-                    arrived,
-                    ErrorCode.KEY_REUSED,
-                    "The idempotency key was used with another content; use a new key.",
-                    now,
-                    out);
+            reject(arrived, ErrorCode.KEY_REUSED, KEY_REUSED_DETAIL, now, out);
             return;
         }
         if (present instanceof GenerationRequest generation) {
@@ -258,6 +257,31 @@
         }
     }
 
+    /** Gives a caller the rest of an answer that is complete and has its record already. */
+    private void answerFound(RequestEvent.AnswerFound found, long now, List<Command> out) {
+        Search search = searches.remove(found.request());
+        if (search == null || search.gone) {
+            return;
+        }
+        RequestSpec spec = search.arrived.spec();
+        CompletedAnswer answer = found.answer();
+        int position = search.arrived.resumeAt().orElse(0);
+        int size = answer.tokens().size();
+        if (answer.fingerprint() != spec.fingerprint()) {
+            reject(search.arrived, ErrorCode.KEY_REUSED, KEY_REUSED_DETAIL, now, out);
+        } else if (position > size) {
+            String detail = "The answer ended before the position in Last-Event-ID; send the request anew.";
+            refuse(spec, ErrorCode.RESUME_UNAVAILABLE, Fate.RAN, detail, out);
+        } else {
+            if (position < size) {
+                List<String> rest = answer.tokens().subList(position, size);
+                out.add(new RequestCommand.Deliver(spec.id(), position, rest));
+            }
+            out.add(new RequestCommand.CompleteAnswer(spec.id(), answer.reason(), answer.record()));
+            out.add(RequestTrace.resumedFromCompletedAnswer(answer.record().request(), position));
+        }
+    }
+
     private void takeOver(
             Search search, Checkpoint checkpoint, Optional<RequestId> connection, long now, List<Command> out) {
         RequestSpec spec = search.arrived.spec();
@@ -265,12 +289,7 @@
         if (checkpoint.spec().fingerprint() != spec.fingerprint()) {
             // The state is this router's now, so the request is kept open for its true caller.
             served = Optional.empty();
-            connection.ifPresent(id -> reject(
-                    search.arrived,
-                    ErrorCode.KEY_REUSED,
-                    "The idempotency key was used with another content; use a new key.",
-                    now,
-                    out));
+            connection.ifPresent(id -> reject(search.arrived, ErrorCode.KEY_REUSED, KEY_REUSED_DETAIL, now, out));
         }
         GenerationRequest request = new GenerationRequest(services, dispatcher, checkpoint.spec(), served, now);
         int resumeAt = served.isPresent() ? search.arrived.resumeAt().orElse(0) : 0;
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestLife.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestLife.java
@@ -22,6 +22,7 @@
 import org.amaranthlock.model.ServiceResponse;
 import org.amaranthlock.model.Target;
 import org.amaranthlock.model.TargetId;
+import org.amaranthlock.protocol.peer.CompletedAnswer;
 import org.amaranthlock.protocol.peer.PeerMessage.FinalOutcome;
 
 /** What all kinds of requests have in common: admission, attempts made, the caller's connection and the final record. */
@@ -191,7 +192,15 @@
         OutcomeRecord record = record(Outcome.COMPLETED, Fate.RAN, "", OK, now);
         connection.ifPresent(id -> out.add(new RequestCommand.CompleteAnswer(id, reason, record)));
         out.add(RequestTrace.completed(spec.id(), source.tokens().size(), attempts));
-        close(source, record, Optional.empty(), now, out);
+        if (!source.keptAlive()) {
+            close(source, record, Optional.empty(), now, out);
+            return;
+        }
+        RequestId served = connection.orElse(spec.id());
+        CompletedAnswer answer = new CompletedAnswer(record, served, spec.fingerprint(), reason, source.tokens());
+        leave(now);
+        out.addAll(services.ledger().close(new FinalOutcome(record, Optional.empty()), now));
+        out.addAll(services.checkpoints().completed(source, answer, now));
     }
 
     /** Ends a service call with its answer; a caller that has left makes it abandoned. */
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestTrace.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestTrace.java
@@ -32,6 +32,11 @@
         return trace("answer-resumed", request, text + name(target) + ".");
     }
 
+    static Command resumedFromCompletedAnswer(RequestId request, int position) {
+        String text = "A returned caller gets the answer from token " + position + " on; it was complete already.";
+        return trace("answer-resumed", request, text);
+    }
+
     static Command takenOver(RequestId request, HostId owner, int tokens) {
         String text = "This router took the request over from " + owner.value() + " with " + tokens + " tokens.";
         return trace("request-taken-over", request, text);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/protocol/peer/PeerMessage.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/protocol/peer/PeerMessage.java
@@ -147,4 +147,15 @@
             shares = List.copyOf(shares);
         }
     }
+
+    /**
+     * Marks a stored checkpoint as complete.
+     *
+     * @param firstIndex position of the answer's first token in this message; the checkpoint holds those before
+     * @param answer the answer with only the tokens from that position on
+     */
+    record AnswerSave(int firstIndex, CompletedAnswer answer) implements PeerMessage {}
+
+    /** Answers a {@link CheckpointQuery} or {@link HandoverRequest} for a request that is complete. */
+    record AnswerFound(long query, CompletedAnswer answer) implements PeerMessage {}
 }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/CheckpointKeeperTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/CheckpointKeeperTest.java
@@ -194,7 +194,7 @@
         open();
         tokens.add("t1");
         Router third = new Router(new HostId("router-3"));
-        third.commands.addAll(third.keeper.search(spec, TIMEOUT_MILLIS, fixture.now));
+        third.commands.addAll(third.keeper.search(spec, 0, TIMEOUT_MILLIS, fixture.now));
         List<Command> queries = List.copyOf(third.commands);
         third.passTo(keeper);
         keeper.passTo(third);
@@ -213,7 +213,7 @@
     void aSearchEndsAtItsTimeoutAndAHandoverAfterHalfASecond() {
         open();
         Router third = new Router(new HostId("router-3"));
-        third.commands.addAll(third.keeper.search(spec, TIMEOUT_MILLIS, fixture.now));
+        third.commands.addAll(third.keeper.search(spec, 0, TIMEOUT_MILLIS, fixture.now));
         third.passTo(keeper);
         keeper.passTo(third);
         assertThat(third.sent(PeerMessage.HandoverRequest.class)).hasSize(1);
@@ -222,7 +222,7 @@
         assertThat(third.found().orElseThrow().tokens()).containsExactly("t0");
 
         Router fourth = new Router(new HostId("router-2"));
-        fourth.commands.addAll(fourth.keeper.search(spec, TIMEOUT_MILLIS, fixture.now));
+        fourth.commands.addAll(fourth.keeper.search(spec, 0, TIMEOUT_MILLIS, fixture.now));
         fourth.tick(TIMEOUT_MILLIS - 50);
         assertThat(fourth.searchesEnded()).isEmpty();
         fourth.tick(50);
@@ -259,7 +259,7 @@
         owner.passTo(keeper);
 
         Router third = new Router(new HostId("router-3"));
-        third.commands.addAll(third.keeper.search(spec, TIMEOUT_MILLIS, fixture.now));
+        third.commands.addAll(third.keeper.search(spec, 0, TIMEOUT_MILLIS, fixture.now));
         third.passTo(keeper);
         keeper.passTo(third);
         third.tick(50);
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestFixture.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestFixture.java
@@ -36,6 +36,7 @@
 import org.amaranthlock.model.Target;
 import org.amaranthlock.model.TargetId;
 import org.amaranthlock.model.Work;
+import org.amaranthlock.protocol.peer.CompletedAnswer;
 import org.amaranthlock.protocol.peer.PeerMessage.FinalOutcome;
 import org.amaranthlock.protocol.peer.PoisonMark;
 import org.amaranthlock.state.TargetDirectory;
@@ -359,11 +360,16 @@
             return List.of();
         }
 
+        @Override
+        public List<Command> completed(CheckpointSource source, CompletedAnswer answer, long nowMillis) {
+            return List.of();
+        }
+
         @Override
         public void handedOver(CheckpointSource source) {}
 
         @Override
-        public List<Command> search(RequestSpec spec, long timeoutMillis, long nowMillis) {
+        public List<Command> search(RequestSpec spec, int resumeAt, long timeoutMillis, long nowMillis) {
             searched.add(spec);
             return List.of();
         }
--- a/amaranthlock-net/src/main/java/org/amaranthlock/protocol/PeerMessageCodec.java
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/protocol/PeerMessageCodec.java
@@ -46,7 +46,9 @@
             PeerMessage.ConfigPush.class,
             PeerMessage.ConfigPull.class,
             PeerMessage.UsageReport.class,
-            PeerMessage.ShareGrant.class);
+            PeerMessage.ShareGrant.class,
+            PeerMessage.AnswerSave.class,
+            PeerMessage.AnswerFound.class);
 
     private final Map<Class<?>, Integer> numbers = new HashMap<>();
     private final List<WireFormat> bodies = new ArrayList<>();
