Index poison marks by ledger key and by content

Cause: DefaultPoisonRegistry.standing walked through up to 10,000 marks and runs several times for every request; completed did the same for every completed request. Ruled out: one index with the content as a second entry of the same table, because the bound and the spread would count each mark twice. Change: PoisonMarks holds the marks by ledger key and, for each content, the few marks that share it. Rules unchanged. Conclusion: the lookup no longer grows with the number of marks. Expiry and spreading still walk through all marks, once per heartbeat.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/poison/DefaultPoisonRegistry.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/poison/DefaultPoisonRegistry.java
@@ -1,10 +1,12 @@
 package org.amaranthlock.coordination.poison;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.amaranthlock.coordination.poison.PoisonMarks.Mark;
 import org.amaranthlock.model.RequestSpec;
 import org.amaranthlock.model.TargetId;
 import org.amaranthlock.protocol.peer.PoisonMark;
@@ -26,14 +28,14 @@
     /** A mark sent this often has reached every router with high probability at 330 routers. */
     private static final int MAX_SENDS = 24;
 
-    private final Map<String, Mark> marks = new LinkedHashMap<>();
+    private final PoisonMarks marks = new PoisonMarks(MAX_MARKS);
     private final Map<String, Long> cleared = new LinkedHashMap<>();
 
     @Override
     public Standing standing(RequestSpec spec, long nowMillis) {
         Standing standing = Standing.CLEAN;
-        for (Mark mark : marks.values()) {
-            if (mark.concerns(spec.ledgerKey(), spec.fingerprint()) && nowMillis - mark.atMillis < MARK_MILLIS) {
+        for (Mark mark : marks.concerning(spec.ledgerKey(), spec.fingerprint())) {
+            if (nowMillis - mark.atMillis < MARK_MILLIS) {
                 if (mark.condemned) {
                     return Standing.CONDEMNED;
                 }
@@ -51,19 +53,18 @@
             RequestSpec spec = victim.spec();
             boolean alone = running.size() == 1;
             boolean suspect = standing(spec, nowMillis) != Standing.CLEAN;
-            Mark mark = marks.computeIfAbsent(
-                    spec.ledgerKey(), key -> new Mark(spec.fingerprint(), key, inherited(spec, nowMillis)));
+            int inherited = inherited(spec, nowMillis);
+            Mark mark = marks.obtain(spec.ledgerKey(), spec.fingerprint(), inherited);
             mark.blame += share;
             mark.condemned |= (suspect && alone) || mark.blame >= CONDEMNED_BLAME;
             mark.atMillis = nowMillis;
             mark.sends = 0;
         }
-        bound(marks);
+        marks.trim();
     }
 
     private int inherited(RequestSpec spec, long nowMillis) {
-        return marks.values().stream()
-                .filter(mark -> mark.concerns(spec.ledgerKey(), spec.fingerprint()))
+        return marks.concerning(spec.ledgerKey(), spec.fingerprint()).stream()
                 .filter(mark -> nowMillis - mark.atMillis < MARK_MILLIS)
                 .mapToInt(mark -> mark.blame)
                 .max()
@@ -72,8 +73,9 @@
 
     @Override
     public void completed(RequestSpec spec, long nowMillis) {
-        boolean removed = marks.values().removeIf(mark -> mark.concerns(spec.ledgerKey(), spec.fingerprint()));
-        if (removed) {
+        Collection<Mark> concerned = marks.concerning(spec.ledgerKey(), spec.fingerprint());
+        if (!concerned.isEmpty()) {
+            marks.remove(concerned);
             cleared.put(spec.ledgerKey(), nowMillis);
             cleared.put(contentKey(spec.fingerprint()), nowMillis);
             bound(cleared);
@@ -83,7 +85,7 @@
     @Override
     public List<PoisonMark> marksToSpread(int limit, long nowMillis) {
         expire(nowMillis);
-        List<Mark> due = new ArrayList<>(marks.values());
+        List<Mark> due = new ArrayList<>(marks.all());
         due.removeIf(mark -> mark.sends >= MAX_SENDS);
         due.sort(Comparator.comparing((Mark mark) -> !mark.condemned).thenComparingInt(mark -> mark.sends));
         List<PoisonMark> result = new ArrayList<>();
@@ -101,7 +103,7 @@
             if (nowMillis - news.atMillis() >= MARK_MILLIS || clearedSince(news)) {
                 continue;
             }
-            Mark mark = marks.computeIfAbsent(news.ledgerKey(), key -> new Mark(news.fingerprint(), key, 0));
+            Mark mark = marks.obtain(news.ledgerKey(), news.fingerprint(), 0);
             boolean changed = news.blameMillis() > mark.blame || (news.condemned() && !mark.condemned);
             mark.blame = Math.max(mark.blame, news.blameMillis());
             mark.condemned |= news.condemned();
@@ -110,7 +112,7 @@
                 mark.sends = 0;
             }
         }
-        bound(marks);
+        marks.trim();
     }
 
     private boolean clearedSince(PoisonMark news) {
@@ -125,7 +127,7 @@
     }
 
     private void expire(long nowMillis) {
-        marks.values().removeIf(mark -> nowMillis - mark.atMillis >= MARK_MILLIS);
+        marks.expire(nowMillis - MARK_MILLIS);
         cleared.values().removeIf(at -> nowMillis - at >= MARK_MILLIS);
     }
 
@@ -136,23 +138,4 @@
             keys.remove();
         }
     }
-
-    private static final class Mark {
-        private final long fingerprint;
-        private final String ledgerKey;
-        private int blame;
-        private boolean condemned;
-        private long atMillis;
-        private int sends;
-
-        Mark(long fingerprint, String ledgerKey, int blame) {
-            this.fingerprint = fingerprint;
-            this.ledgerKey = ledgerKey;
-            this.blame = blame;
-        }
-
-        boolean concerns(String key, long content) {
-            return ledgerKey.equals(key) || fingerprint == content;
-        }
-    }
 }
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/poison/PoisonMarksProperties.java
@@ -0,0 +1,37 @@
+package org.amaranthlock.coordination.poison;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.amaranthlock.coordination.poison.PoisonMarks.Mark;
+
+class PoisonMarksProperties {
+    private static final int BOUND = 12;
+
+    /** Guards against an index that misses a mark or still holds a removed one. */
+    @Property(seed = "31", tries = 300)
+    void theIndexFindsWhatAWalkThroughAllMarksFinds(@ForAll long seed) {
+        Random random = new Random(seed);
+        PoisonMarks marks = new PoisonMarks(BOUND);
+        for (int time = 0; time < 100; time++) {
+            marks.obtain("key-" + random.nextInt(20), random.nextInt(6), 0).atMillis = time;
+            marks.trim();
+            if (random.nextInt(5) == 0) {
+                marks.remove(marks.concerning("key-" + random.nextInt(20), random.nextInt(6)));
+            }
+            if (random.nextInt(20) == 0) {
+                marks.expire(time - random.nextInt(30));
+            }
+            String key = "key-" + random.nextInt(20);
+            long content = random.nextInt(6);
+            List<Mark> walked = new ArrayList<>(marks.all());
+            assertThat(walked.size()).isAtMost(BOUND);
+            walked.removeIf(mark -> !mark.ledgerKey.equals(key) && mark.fingerprint != content);
+            assertThat(marks.concerning(key, content)).containsExactlyElementsIn(walked);
+        }
+    }
+}
