--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -23,6 +23,7 @@
 import org.amaranthlock.model.RequestSpec;
 import org.amaranthlock.model.Work;
 import org.amaranthlock.protocol.peer.Checkpoint;
+import org.amaranthlock.protocol.peer.CompletedAnswer;
 
 /**
  * Serves the callers' requests from arrival to the final answer.
@@ -47,6 +48,8 @@
     /** Time after which a leaving router hands its kept-alive requests over. */
     static final long DRAIN_MILLIS = 120_000;
 
+    private static final String KEY_REUSED_DETAIL = "The idempotency key was used with another content; use a new key.";
+
     private final RequestServices services;
     private final Dispatcher dispatcher;
     private final PauseDetector pauses = new PauseDetector();
@@ -76,6 +79,7 @@
             case RequestEvent.Arrived arrived -> arrived(arrived, nowMillis, out);
             case RequestEvent.CallerGone gone -> callerGone(gone.request(), nowMillis, out);
             case RequestEvent.CheckpointFound found -> searched(found, nowMillis, out);
+            case RequestEvent.AnswerFound found -> answerFound(found, nowMillis, out);
             case RequestEvent.ClaimDecided decided -> {
                 if (requests.get(decided.request()) instanceof AtMostOnceRequest request) {
                     request.claimDecided(decided.verdict(), nowMillis, out);
@@ -87,7 +91,7 @@
             case RequestEvent.TakenOver taken -> with(taken.request(), request -> request.takenOver(nowMillis, out));
             case RequestEvent.OfAttempt ofAttempt ->
                 with(ofAttempt.request(), request -> request.attemptEvent(ofAttempt, nowMillis, out));
-            case TargetEvent.Unreachable unreachable -> dispatcher.unreachable(unreachable.target(), nowMillis);
+            case TargetEvent.Unreachable unreachable -> dispatcher.unreachable(unreachable.target(), nowMillis, out);
             default -> {}
         }
         return out;
@@ -129,7 +133,7 @@
         if (present != null && joins(spec, present)) {
             join(arrived, present, now, out);
         } else if (requests.containsKey(spec.id()) || searches.containsKey(spec.id())) {
-            out.add(refusal(spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, "The request is in progress."));
+            refuse(spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, "The request is in progress.", out);
         } else if (services.membership().leaving()) {
             reject(arrived, ErrorCode.DRAINING, "This router shuts down; connect to another one.", now, out);
         } else if (services.ledger().pendingOutcomes() >= MAX_PENDING_OUTCOMES) {
@@ -140,7 +144,7 @@
         } else if (spec.work() instanceof Work.Generation && searchable(arrived)) {
             searches.put(spec.id(), new Search(arrived));
             long timeout = arrived.resumeAt().isPresent() ? RETURN_SEARCH_MILLIS : ARRIVAL_SEARCH_MILLIS;
-            out.addAll(services.checkpoints().search(spec, timeout, now));
+            out.addAll(services.checkpoints().search(spec, arrived.resumeAt().orElse(0), timeout, now));
         } else {
             begin(create(spec, Optional.of(spec.id()), now), now, out);
         }
@@ -165,12 +169,7 @@
     private void join(RequestEvent.Arrived arrived, OpenRequest present, long now, List<Command> out) {
         RequestSpec spec = arrived.spec();
         if (spec.fingerprint() != present.spec().fingerprint()) {
-            reject(
-                    arrived,
-                    ErrorCode.KEY_REUSED,
-                    "The idempotency key was used with another content; use a new key.",
-                    now,
-                    out);
+            reject(arrived, ErrorCode.KEY_REUSED, KEY_REUSED_DETAIL, now, out);
             return;
         }
         if (present instanceof GenerationRequest generation) {
@@ -187,7 +186,7 @@
 
     private void inProgress(RequestSpec spec, AtMostOnceRequest order, long now, List<Command> out) {
         String detail = "A request with this key is in progress; repeat it later for its outcome.";
-        out.add(refusal(spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, detail));
+        refuse(spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, detail, out);
         if (!spec.id().equals(order.spec().id())) {
             RefusedArrival.close(services, spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, now, out);
         }
@@ -197,9 +196,9 @@
         RequestSpec spec = arrived.spec();
         if (arrived.resumeAt().isPresent()) {
             // The request began elsewhere, and its owner or keeper writes its record.
-            out.add(refusal(spec, code, fateSeenBy(arrived), detail));
+            refuse(spec, code, fateSeenBy(arrived), detail, out);
         } else {
-            out.add(refusal(spec, code, Fate.NOT_RUN, detail));
+            refuse(spec, code, Fate.NOT_RUN, detail, out);
             RefusedArrival.close(services, spec, code, Fate.NOT_RUN, now, out);
         }
     }
@@ -209,10 +208,11 @@
         return arrived.resumeAt().orElse(0) > 0 ? Fate.RAN : Fate.UNKNOWN;
     }
 
-    private static Command refusal(RequestSpec spec, ErrorCode code, Fate fate, String detail) {
+    private static void refuse(RequestSpec spec, ErrorCode code, Fate fate, String detail, List<Command> out) {
         boolean repeatHelps = code != ErrorCode.KEY_REUSED && code != ErrorCode.RESUME_UNAVAILABLE;
         OptionalLong retryAfter = repeatHelps ? OptionalLong.of(RequestLife.RETRY_AFTER_MILLIS) : OptionalLong.empty();
-        return new RequestCommand.Refuse(spec.id(), new Refusal(code, fate, detail, retryAfter));
+        out.add(new RequestCommand.Refuse(spec.id(), new Refusal(code, fate, detail, retryAfter)));
+        out.add(RequestTrace.refused(spec.id(), code, fate));
     }
 
     private void begin(OpenRequest request, long now, List<Command> out) {
@@ -244,7 +244,13 @@
             if (!search.gone) {
                 join(search.arrived, present, now, out);
             }
-        } else if (found.checkpoint().isPresent()) {
+            return;
+        }
+        if (found.checkpoint().isEmpty() && (search.arrived.resumeAt().isPresent() || !found.conclusive())) {
+            // A new request normally has no checkpoint, so only an absence that matters is told.
+            out.add(RequestTrace.checkpointMissing(spec, found.conclusive()));
+        }
+        if (found.checkpoint().isPresent()) {
             takeOver(search, found.checkpoint().get(), connection, now, out);
         } else if (search.arrived.resumeAt().isPresent() && !found.conclusive()) {
             searchAgain(search, out);
@@ -257,6 +263,31 @@
         }
     }
 
+    /** Gives a caller the rest of an answer that is complete and has its record already. */
+    private void answerFound(RequestEvent.AnswerFound found, long now, List<Command> out) {
+        Search search = searches.remove(found.request());
+        if (search == null || search.gone) {
+            return;
+        }
+        RequestSpec spec = search.arrived.spec();
+        CompletedAnswer answer = found.answer();
+        int position = search.arrived.resumeAt().orElse(0);
+        int size = answer.tokens().size();
+        if (answer.fingerprint() != spec.fingerprint()) {
+            reject(search.arrived, ErrorCode.KEY_REUSED, KEY_REUSED_DETAIL, now, out);
+        } else if (position > size) {
+            String detail = "The answer ended before the position in Last-Event-ID; send the request anew.";
+            refuse(spec, ErrorCode.RESUME_UNAVAILABLE, Fate.RAN, detail, out);
+        } else {
+            if (position < size) {
+                List<String> rest = answer.tokens().subList(position, size);
+                out.add(new RequestCommand.Deliver(spec.id(), position, rest));
+            }
+            out.add(new RequestCommand.CompleteAnswer(spec.id(), answer.reason(), answer.record()));
+            out.add(RequestTrace.resumedFromCompletedAnswer(answer.record().request(), position));
+        }
+    }
+
     private void takeOver(
             Search search, Checkpoint checkpoint, Optional<RequestId> connection, long now, List<Command> out) {
         RequestSpec spec = search.arrived.spec();
@@ -264,12 +295,7 @@
         if (checkpoint.spec().fingerprint() != spec.fingerprint()) {
             // The state is this router's now, so the request is kept open for its true caller.
             served = Optional.empty();
-            connection.ifPresent(id -> reject(
-                    search.arrived,
-                    ErrorCode.KEY_REUSED,
-                    "The idempotency key was used with another content; use a new key.",
-                    now,
-                    out));
+            connection.ifPresent(id -> reject(search.arrived, ErrorCode.KEY_REUSED, KEY_REUSED_DETAIL, now, out));
         }
         GenerationRequest request = new GenerationRequest(services, dispatcher, checkpoint.spec(), served, now);
         int resumeAt = served.isPresent() ? search.arrived.resumeAt().orElse(0) : 0;
@@ -282,7 +308,7 @@
         if (!search.gone) {
             String detail = "A router that may hold the answer does not respond; come back for the rest.";
             RequestSpec spec = search.arrived.spec();
-            out.add(refusal(spec, ErrorCode.REQUEST_IN_PROGRESS, fateSeenBy(search.arrived), detail));
+            refuse(spec, ErrorCode.REQUEST_IN_PROGRESS, fateSeenBy(search.arrived), detail, out);
         }
     }
 
@@ -291,7 +317,7 @@
         Fate fate = fateSeenBy(search.arrived);
         if (!search.gone) {
             String detail = "No router holds the answer any more; read its outcome record or send the request anew.";
-            out.add(refusal(spec, ErrorCode.RESUME_UNAVAILABLE, fate, detail));
+            refuse(spec, ErrorCode.RESUME_UNAVAILABLE, fate, detail, out);
         }
         RefusedArrival.close(services, spec, ErrorCode.RESUME_UNAVAILABLE, fate, now, out);
     }
@@ -337,7 +363,7 @@
         }
         for (ActiveStream stalled : StallDetector.stalled(List.copyOf(streams.keySet()), now)) {
             GenerationRequest generation = streams.get(stalled);
-            generation.lose(stalled, now, out);
+            generation.lose(stalled, "the stream made no progress", now, out);
             settle(generation);
         }
         streams.values().forEach(generation -> generation.moveIfSlow(now, out));
