--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/Caller.java
@@ -0,0 +1,327 @@
+package org.amaranthlock.faults;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.amaranthlock.coordination.RequestCommand;
+import org.amaranthlock.coordination.RequestEvent;
+import org.amaranthlock.coordination.ledger.LedgerPartitions;
+import org.amaranthlock.model.AccountId;
+import org.amaranthlock.model.ErrorCode;
+import org.amaranthlock.model.Fate;
+import org.amaranthlock.model.IdempotencyKey;
+import org.amaranthlock.model.OutcomeRecord;
+import org.amaranthlock.model.Profile;
+import org.amaranthlock.model.ProfileKind;
+import org.amaranthlock.model.Refusal;
+import org.amaranthlock.model.RequestId;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.ServiceResponse;
+import org.amaranthlock.model.Work;
+import org.amaranthlock.simulation.SimulatedRouter;
+
+/** A caller that checks its answer and comes back on another router when the connection ends or falls silent. */
+final class Caller {
+    /** Callers wait a few seconds at most before they go to another router. */
+    static final long PATIENCE_MILLIS = 2_500;
+
+    private static final long RECONNECT_MILLIS = 100;
+    private static final long REPEAT_MILLIS = 400;
+    private static final int MAX_CONNECTIONS = 40;
+    private static final Set<ErrorCode> TRANSIENT = Set.of(ErrorCode.DRAINING, ErrorCode.REQUEST_IN_PROGRESS);
+
+    /** A refusal as the caller of one connection read it. */
+    record Told(RequestId connection, Refusal refusal, long atMillis) {}
+
+    final List<Told> refusals = new ArrayList<>();
+    final List<RequestId> ids = new ArrayList<>();
+    private final Cluster cluster;
+    private final ServiceName service;
+    private final Profile profile;
+    private final AccountId account;
+    private final Optional<IdempotencyKey> key;
+    private final Work work;
+    private final long fingerprint;
+    private final List<String> tokens = new ArrayList<>();
+    private SimulatedRouter router;
+    private RequestId connection;
+    private RequestId streamId;
+    private boolean connecting;
+    private int connections;
+    private long startedAt;
+    private long waitingSince;
+    private long lastProgressAt;
+    private long longestGap;
+    private long finishedAt = -1;
+    private Optional<Fate> fate = Optional.empty();
+    private Optional<ErrorCode> code = Optional.empty();
+
+    private Caller(Cluster cluster, String account, String service, Profile profile, Work work) {
+        this.cluster = cluster;
+        this.service = new ServiceName(service);
+        this.profile = profile;
+        this.account = new AccountId(account);
+        this.work = work;
+        String unique = cluster.unique();
+        this.key = profile.kind() == ProfileKind.RETRIABLE
+                ? Optional.empty()
+                : Optional.of(new IdempotencyKey("key-" + unique));
+        this.fingerprint = Integer.toUnsignedLong(unique.hashCode());
+        cluster.callers.add(this);
+    }
+
+    private static Profile profile(String name, ProfileKind kind) {
+        boolean order = kind == ProfileKind.AT_MOST_ONCE;
+        return new Profile(name, kind, 6, 5, order ? Deployment.ORDER_MILLIS : Deployment.DEADLINE_MILLIS);
+    }
+
+    static Caller generation(Cluster cluster, int maxTokens) {
+        Work work = new Work.Generation("model", "", "prompt", List.of(1L), maxTokens, 1);
+        return new Caller(cluster, "shop", Deployment.DRAFTS, profile("draft", ProfileKind.KEPT_ALIVE), work);
+    }
+
+    static Caller order(Cluster cluster, String service) {
+        return new Caller(cluster, "shop", service, profile("order", ProfileKind.AT_MOST_ONCE), call("/orders"));
+    }
+
+    static Caller lookup(Cluster cluster) {
+        return new Caller(
+                cluster, "shop", Deployment.LOOKUPS, profile("lookup", ProfileKind.RETRIABLE), call("/stock"));
+    }
+
+    /** Returns a caller whose request crashes every target that runs it. */
+    static Caller poison(Cluster cluster, String service) {
+        if (service.equals(Deployment.DRAFTS)) {
+            Work work = new Work.Generation("model", "", SimulatedTarget.POISON, List.of(2L), 50, 1);
+            return new Caller(cluster, "other", service, profile("draft", ProfileKind.KEPT_ALIVE), work);
+        }
+        boolean lookup = service.equals(Deployment.LOOKUPS);
+        Profile profile =
+                lookup ? profile("lookup", ProfileKind.RETRIABLE) : profile("order", ProfileKind.AT_MOST_ONCE);
+        return new Caller(cluster, "other", service, profile, call(SimulatedTarget.POISON));
+    }
+
+    private static Work call(String path) {
+        return new Work.ServiceCall("POST", path, Map.of(), new byte[] {1});
+    }
+
+    void connect(int number) {
+        connect(cluster.node(number).router());
+    }
+
+    private void connect(SimulatedRouter to) {
+        boolean first = connections == 0;
+        connections++;
+        connecting = false;
+        if (first) {
+            startedAt = cluster.now();
+        }
+        lastProgressAt = first ? startedAt : lastProgressAt;
+        waitingSince = cluster.now();
+        router = to;
+        boolean resumes = !tokens.isEmpty();
+        String unique = cluster.unique();
+        String ledgerKey = account + "/" + key.map(IdempotencyKey::value).orElse(unique);
+        connection = resumes ? streamId : LedgerPartitions.requestId(LedgerPartitions.ofKey(ledgerKey), unique);
+        ids.add(connection);
+        RequestSpec spec = new RequestSpec(
+                connection,
+                account,
+                service,
+                profile,
+                key,
+                fingerprint,
+                to.clock(),
+                to.clock() + profile.deadlineMillis(),
+                work);
+        OptionalInt resumeAt = resumes ? OptionalInt.of(tokens.size()) : OptionalInt.empty();
+        cluster.connected(to, connection, this);
+        cluster.simulation.schedule(1, () -> to.offer(new RequestEvent.Arrived(spec, resumeAt)));
+    }
+
+    void connectionLost() {
+        reconnect(RECONNECT_MILLIS);
+    }
+
+    void superseded() {
+        reconnect(RECONNECT_MILLIS);
+    }
+
+    private void reconnect(long delay) {
+        if (done() || connecting) {
+            return;
+        }
+        connecting = true;
+        SimulatedRouter old = router;
+        router = null;
+        cluster.simulation.schedule(delay, () -> {
+            if (!done()) {
+                another(old);
+            }
+        });
+    }
+
+    private void another(SimulatedRouter old) {
+        List<Cluster.Node> others = cluster.running().stream()
+                .filter(node -> node.router() != old && !cluster.draining(node.router()))
+                .toList();
+        if (others.isEmpty() || connections >= MAX_CONNECTIONS) {
+            finish(Optional.empty(), Optional.of(ErrorCode.INTERNAL));
+            return;
+        }
+        connect(others.get(connections % others.size()).router());
+    }
+
+    /** Goes to another router when this one is silent for too long. */
+    void watch() {
+        if (connections == 0 || done() || connecting) {
+            return;
+        }
+        if (cluster.now() - Math.max(lastProgressAt, waitingSince) > PATIENCE_MILLIS) {
+            SimulatedRouter old = router;
+            RequestId left = connection;
+            cluster.simulation.schedule(1, () -> old.offer(new RequestEvent.CallerGone(left)));
+            reconnect(1);
+        }
+    }
+
+    boolean servedBy(SimulatedRouter from, RequestId id) {
+        return !done() && router == from && id.equals(connection);
+    }
+
+    void delivered(RequestCommand.Deliver deliver) {
+        progressed();
+        streamId = deliver.request();
+        if (deliver.firstIndex() != tokens.size()) {
+            violate("tokens from " + deliver.firstIndex() + " at position " + tokens.size());
+        }
+        for (String token : deliver.tokens()) {
+            if (!GeneratedText.follows(fingerprint, tokens, token)) {
+                violate("token of another generation at " + tokens.size() + ": " + token);
+            }
+            tokens.add(token);
+        }
+    }
+
+    private void progressed() {
+        longestGap = Math.max(longestGap, cluster.now() - lastProgressAt);
+        lastProgressAt = cluster.now();
+    }
+
+    void completed(OutcomeRecord record) {
+        progressed();
+        if (tokens.size() != ((Work.Generation) work).maxTokens()) {
+            violate("answer ended after " + tokens.size() + " tokens");
+        }
+        finish(Optional.of(record.fate()), Optional.empty());
+    }
+
+    void answered(ServiceResponse response) {
+        progressed();
+        String expected = ledgerKey();
+        if (!new String(response.body(), StandardCharsets.UTF_8).equals(expected)) {
+            violate("answer to another request");
+        }
+        finish(Optional.of(Fate.RAN), Optional.empty());
+    }
+
+    void noteRefusal(RequestId id, Refusal refusal) {
+        refusals.add(new Told(id, refusal, cluster.now()));
+    }
+
+    void refused(Refusal refusal) {
+        // "In progress" with fate "not run" tells that the earlier call of a lost router never ran: that is final.
+        boolean lostCall = refusal.code() == ErrorCode.REQUEST_IN_PROGRESS && refusal.fate() == Fate.NOT_RUN;
+        if (TRANSIENT.contains(refusal.code()) && !lostCall) {
+            reconnect(REPEAT_MILLIS);
+        } else {
+            progressed();
+            finish(Optional.of(refusal.fate()), Optional.of(refusal.code()));
+        }
+    }
+
+    private void finish(Optional<Fate> told, Optional<ErrorCode> reason) {
+        fate = told;
+        code = reason;
+        finishedAt = cluster.now();
+    }
+
+    private void violate(String text) {
+        cluster.violations.add(ledgerKey() + ": " + text);
+    }
+
+    String ledgerKey() {
+        return account + "/" + key.map(IdempotencyKey::value).orElseGet(() -> ids.isEmpty() ? "" : unkeyed());
+    }
+
+    private String unkeyed() {
+        return ids.getLast().value();
+    }
+
+    SimulatedRouter router() {
+        return router;
+    }
+
+    String service() {
+        return service.value();
+    }
+
+    boolean done() {
+        return finishedAt >= 0;
+    }
+
+    boolean completed() {
+        return done() && code.isEmpty();
+    }
+
+    Optional<Fate> fate() {
+        return fate;
+    }
+
+    Optional<ErrorCode> code() {
+        return code;
+    }
+
+    int tokens() {
+        return tokens.size();
+    }
+
+    int length() {
+        return ((Work.Generation) work).maxTokens();
+    }
+
+    long startedAt() {
+        return startedAt;
+    }
+
+    boolean isOrder() {
+        return profile.kind() == ProfileKind.AT_MOST_ONCE;
+    }
+
+    boolean streams() {
+        return work instanceof Work.Generation;
+    }
+
+    int connections() {
+        return connections;
+    }
+
+    long longestGap() {
+        return longestGap;
+    }
+
+    long tookMillis() {
+        return finishedAt - startedAt;
+    }
+
+    @Override
+    public String toString() {
+        return service + " " + ledgerKey() + " ids=" + ids + " fate=" + fate + " code=" + code + " tokens="
+                + tokens.size() + " gap=" + longestGap + " took=" + tookMillis() + " connections=" + connections;
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/Invariants.java
@@ -0,0 +1,126 @@
+package org.amaranthlock.faults;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.amaranthlock.coordination.OperatorCommand;
+import org.amaranthlock.model.Fate;
+import org.amaranthlock.model.OutcomeRecord;
+import org.amaranthlock.model.RequestId;
+
+/** Checks of the invariants after the faults have healed and every caller has its answer. */
+final class Invariants {
+    /** Bound on new work at a target that leaves. */
+    static final long LEAVING_MILLIS = 5_000;
+    /** Bound on the spread of a configuration change. */
+    static final long CONFIGURATION_MILLIS = 3_000;
+    /** An abandoned request is closed 30 s after its caller left; its router's death is noticed seconds before that. */
+    private static final long LAST_RECORD_MILLIS = 45_000;
+
+    private Invariants() {}
+
+    /** Runs the cluster until all is quiet and returns what does not hold. */
+    static List<String> check(Cluster cluster) {
+        cluster.heal();
+        cluster.run(CONFIGURATION_MILLIS + 3_000);
+        List<String> problems = new ArrayList<>(cluster.violations);
+        for (Cluster.Node node : cluster.running()) {
+            if (!Operators.current(cluster, node)) {
+                problems.add("router " + node.number() + " holds weight " + Operators.weight(node) + " instead of "
+                        + Operators.weight(cluster));
+            }
+        }
+        long end = cluster.now() + LAST_RECORD_MILLIS;
+        while (cluster.now() < end && !settled(cluster)) {
+            cluster.run(500);
+        }
+        cluster.run(1_000);
+        problems.addAll(cluster.violations.subList(0, cluster.violations.size()));
+        callers(cluster, problems);
+        records(cluster, problems);
+        targets(cluster, problems);
+        return problems.stream().distinct().toList();
+    }
+
+    private static boolean settled(Cluster cluster) {
+        return cluster.callers.stream()
+                .allMatch(caller ->
+                        caller.done() && !cluster.records(caller.ledgerKey()).isEmpty());
+    }
+
+    private static void callers(Cluster cluster, List<String> problems) {
+        for (Caller caller : cluster.callers) {
+            if (!caller.done()) {
+                problems.add("no final answer: " + caller);
+            }
+            if (caller.isOrder()) {
+                int executions = cluster.book.executions(caller.ledgerKey()).size();
+                if (executions > 1) {
+                    problems.add("executed " + executions + " times: " + caller);
+                }
+                if (caller.fate().equals(java.util.Optional.of(Fate.RAN)) && executions == 0) {
+                    problems.add("told as run but never executed: " + caller);
+                }
+            }
+            for (Caller.Told told : caller.refusals) {
+                if (told.refusal().fate() == Fate.NOT_RUN && cluster.book.executedRequest(told.connection())) {
+                    problems.add("refused as not run but executed: " + told + " of " + caller);
+                }
+            }
+        }
+    }
+
+    private static void records(Cluster cluster, List<String> problems) {
+        Map<RequestId, Integer> counts = new HashMap<>();
+        Set<String> keys = new HashSet<>();
+        for (OutcomeRecord record : cluster.records()) {
+            counts.merge(record.request(), 1, Integer::sum);
+            keys.add(record.ledgerKey());
+            if (record.fate() == Fate.NOT_RUN && cluster.book.executedRequest(record.request())) {
+                problems.add("recorded as not run but executed: " + record);
+            }
+        }
+        counts.forEach((request, count) -> {
+            if (count > 1) {
+                problems.add(count + " records of " + request);
+            }
+        });
+        for (Caller caller : cluster.callers) {
+            if (!keys.contains(caller.ledgerKey())) {
+                problems.add("no record: " + caller);
+            }
+            long completed = cluster.records(caller.ledgerKey()).stream()
+                    .filter(record -> record.outcome() == org.amaranthlock.model.Outcome.COMPLETED)
+                    .count();
+            if (caller.streams() && completed > 1) {
+                problems.add(completed + " completed records: " + caller);
+            }
+        }
+        readable(cluster, counts.keySet(), problems);
+    }
+
+    private static void readable(Cluster cluster, Set<RequestId> requests, List<String> problems) {
+        Map<RequestId, Long> calls = new HashMap<>();
+        int reader = cluster.running().getLast().number();
+        requests.stream().sorted().forEach(request -> calls.put(request, cluster.ask(reader, request)));
+        cluster.run(3_000);
+        calls.forEach((request, call) -> {
+            boolean shown = cluster.operatorAnswers.get(call) instanceof OperatorCommand.OutcomeShown answer
+                    && answer.record().isPresent();
+            if (!shown) {
+                problems.add("record of " + request + " can't be read: " + cluster.operatorAnswers.get(call));
+            }
+        });
+    }
+
+    private static void targets(Cluster cluster, List<String> problems) {
+        cluster.leavingSince.forEach((id, since) -> cluster.allTargets().stream()
+                .filter(target -> target.target().id().equals(id))
+                .flatMap(target -> target.newWork().stream())
+                .filter(at -> at > since + LEAVING_MILLIS)
+                .forEach(at -> problems.add("new work at leaving target " + id + " after " + (at - since) + " ms")));
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/Operators.java
@@ -0,0 +1,60 @@
+package org.amaranthlock.faults;
+
+import java.util.List;
+import java.util.Optional;
+import org.amaranthlock.model.AccountId;
+import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationEntry;
+import org.amaranthlock.protocol.platform.Versioned;
+
+/** Operators that change the weight of an account. */
+final class Operators {
+    private static final String KIND = "account";
+    private static final String NAME = "shop";
+
+    private Operators() {}
+
+    /** Two operators who saw the same revision change the entry through different routers. */
+    static List<Long> race(Cluster cluster) {
+        long revision = revision(cluster);
+        List<Cluster.Node> nodes = cluster.running();
+        return List.of(
+                cluster.operate(nodes.getFirst().number(), KIND, NAME, revision, text(3)),
+                cluster.operate(nodes.getLast().number(), KIND, NAME, revision, text(4)));
+    }
+
+    static long change(Cluster cluster, int router, int weight) {
+        return cluster.operate(router, KIND, NAME, revision(cluster), text(weight));
+    }
+
+    static long revision(Cluster cluster) {
+        return present(cluster).revision();
+    }
+
+    private static Versioned present(Cluster cluster) {
+        return cluster.simulation
+                .platform()
+                .object("config/" + KIND + "/" + NAME)
+                .orElseThrow();
+    }
+
+    /** Returns the weight that the platform holds. */
+    static double weight(Cluster cluster) {
+        String text =
+                ((ConfigurationEntry) present(cluster).value()).version().text().orElseThrow();
+        return Double.parseDouble(text.substring(text.lastIndexOf('=') + 1).trim());
+    }
+
+    /** Returns the weight that a router has in force. */
+    static Optional<Double> weight(Cluster.Node node) {
+        return node.core().configuration().account(new AccountId(NAME)).map(account -> account.weight());
+    }
+
+    /** Tells whether a router has the newest weight in force. */
+    static boolean current(Cluster cluster, Cluster.Node node) {
+        return weight(node).equals(Optional.of(weight(cluster)));
+    }
+
+    private static String text(int weight) {
+        return "key-sha256 = \"" + "ab".repeat(32) + "\"\nweight = " + weight + "\n";
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/SimulatedTarget.java
@@ -0,0 +1,318 @@
+package org.amaranthlock.faults;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.RequestCommand;
+import org.amaranthlock.coordination.RequestEvent;
+import org.amaranthlock.coordination.RequestEvent.FailureKind;
+import org.amaranthlock.coordination.TargetEvent;
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.Capability;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.ServiceResponse;
+import org.amaranthlock.model.Target;
+import org.amaranthlock.model.Work;
+import org.amaranthlock.simulation.SimulatedRouter;
+import org.amaranthlock.simulation.Simulation;
+
+/** An engine or an order desk that can die, fall silent, pause and leave. */
+final class SimulatedTarget {
+    static final long TOKEN_MILLIS = 20;
+    static final long PREFILL_MILLIS = 60;
+    static final long EXECUTION_MILLIS = 100;
+    static final long ANSWER_MILLIS = 100;
+    /** A request with this prompt or path crashes the process that runs it. */
+    static final String POISON = "/poison";
+
+    private static final long CRASH_MILLIS = 40;
+
+    private final Simulation simulation;
+    private final Target target;
+    private final OrderBook book;
+    private final Map<AttemptId, Stream> streams = new LinkedHashMap<>();
+    private final Map<AttemptId, SimulatedRouter> calls = new LinkedHashMap<>();
+    private final Deque<Runnable> waiting = new ArrayDeque<>();
+    private final List<Long> newWork = new ArrayList<>();
+    private int life;
+    private boolean alive = true;
+    private boolean silent;
+    private boolean paused;
+    private boolean leaving;
+
+    SimulatedTarget(Simulation simulation, Target target, OrderBook book) {
+        this.simulation = simulation;
+        this.target = target;
+        this.book = book;
+    }
+
+    Target target() {
+        return target;
+    }
+
+    boolean runs(String ledgerKey) {
+        return streams.values().stream()
+                .anyMatch(stream -> stream.spec.ledgerKey().equals(ledgerKey));
+    }
+
+    /** Returns the times at which new work arrived. */
+    List<Long> newWork() {
+        return newWork;
+    }
+
+    void kill() {
+        alive = false;
+        paused = false;
+        life++;
+        waiting.clear();
+        for (Stream stream : streams.values()) {
+            stream.subscribers.forEach(router -> lost(router, stream.attempt));
+        }
+        calls.forEach((attempt, router) -> lost(router, attempt));
+        streams.clear();
+        calls.clear();
+    }
+
+    void restart() {
+        alive = true;
+        silent = false;
+    }
+
+    void silent(boolean value) {
+        silent = value;
+    }
+
+    void leave() {
+        leaving = true;
+    }
+
+    boolean leaving() {
+        return leaving;
+    }
+
+    void pause(long millis) {
+        paused = true;
+        int present = life;
+        simulation.schedule(millis, () -> {
+            if (present == life) {
+                paused = false;
+                List<Runnable> late = List.copyOf(waiting);
+                waiting.clear();
+                late.forEach(Runnable::run);
+            }
+        });
+    }
+
+    private void lost(SimulatedRouter router, AttemptId attempt) {
+        fail(router, attempt, FailureKind.LOST);
+        send(router, new TargetEvent.Unreachable(target.id()));
+    }
+
+    private void fail(SimulatedRouter router, AttemptId attempt, FailureKind kind) {
+        send(router, new RequestEvent.AttemptFailed(attempt, kind, "simulated", OptionalLong.empty()));
+    }
+
+    private void send(SimulatedRouter router, Event event) {
+        simulation.schedule(1, () -> router.offer(event));
+    }
+
+    /** Runs an action when the process gets to it: not before the end of a pause, never after its death. */
+    private void later(long millis, Runnable action) {
+        int present = life;
+        simulation.schedule(millis, () -> {
+            if (present != life || !alive) {
+                return;
+            }
+            if (paused) {
+                waiting.add(action);
+            } else {
+                action.run();
+            }
+        });
+    }
+
+    private boolean refuses(SimulatedRouter router, AttemptId attempt) {
+        if (!alive) {
+            fail(router, attempt, FailureKind.NOT_SENT);
+            send(router, new TargetEvent.Unreachable(target.id()));
+        }
+        return !alive;
+    }
+
+    private boolean refusesNewWork(SimulatedRouter router, AttemptId attempt) {
+        if (refuses(router, attempt)) {
+            return true;
+        }
+        if (!paused && !silent && leaving) {
+            fail(router, attempt, FailureKind.DRAINING);
+            send(router, new TargetEvent.Leaving(target.id()));
+            return true;
+        }
+        return false;
+    }
+
+    void poll(SimulatedRouter router) {
+        if (!alive) {
+            send(router, new TargetEvent.Unreachable(target.id()));
+        } else if (!paused && !silent) {
+            send(router, new TargetEvent.LoadReported(target.id(), streams.size(), 0, 500));
+        }
+    }
+
+    void open(SimulatedRouter router, RequestCommand.OpenStream open) {
+        newWork.add(simulation.now());
+        if (refusesNewWork(router, open.attempt())) {
+            return;
+        }
+        Work.Generation work = (Work.Generation) open.spec().work();
+        Stream stream = new Stream(open.attempt(), open.spec(), work.maxTokens());
+        stream.tokens.addAll(open.prefix());
+        stream.subscribers.add(router);
+        streams.put(open.attempt(), stream);
+        if (work.prompt().equals(POISON)) {
+            later(CRASH_MILLIS, this::kill);
+        }
+        later(PREFILL_MILLIS, () -> generate(stream));
+    }
+
+    private void generate(Stream stream) {
+        if (!streams.containsKey(stream.attempt)) {
+            return;
+        }
+        if (!silent) {
+            int position = stream.tokens.size();
+            if (position < stream.length) {
+                stream.tokens.add(GeneratedText.token(
+                        stream.spec.fingerprint(),
+                        stream.tokens,
+                        simulation.random().nextLong(1_000_000_000)));
+                List<String> token = List.of(stream.tokens.getLast());
+                stream.subscribers.forEach(
+                        router -> send(router, new RequestEvent.TokensReceived(stream.attempt, position, token)));
+            }
+            if (stream.tokens.size() >= stream.length) {
+                stream.ended = true;
+                stream.subscribers.forEach(
+                        router -> send(router, new RequestEvent.StreamEnded(stream.attempt, "length", stream.length)));
+                return;
+            }
+        }
+        later(TOKEN_MILLIS, () -> generate(stream));
+    }
+
+    void attach(SimulatedRouter router, RequestCommand.AttachStream attach) {
+        if (refuses(router, attach.attempt())) {
+            return;
+        }
+        later(1, () -> {
+            Stream stream = streams.get(attach.attempt());
+            if (stream == null || attach.fromIndex() > stream.tokens.size()) {
+                fail(router, attach.attempt(), FailureKind.STREAM_GONE);
+                return;
+            }
+            stream.subscribers.add(router);
+            if (attach.fromIndex() < stream.tokens.size()) {
+                List<String> rest = List.copyOf(stream.tokens.subList(attach.fromIndex(), stream.tokens.size()));
+                send(router, new RequestEvent.TokensReceived(attach.attempt(), attach.fromIndex(), rest));
+            }
+            if (stream.ended) {
+                send(router, new RequestEvent.StreamEnded(stream.attempt, "length", stream.length));
+            }
+        });
+    }
+
+    void cancel(AttemptId attempt) {
+        later(1, () -> {
+            streams.remove(attempt);
+            calls.remove(attempt);
+        });
+    }
+
+    void call(SimulatedRouter router, RequestCommand.CallService call) {
+        newWork.add(simulation.now());
+        AttemptId attempt = call.attempt();
+        if (refusesNewWork(router, attempt)) {
+            return;
+        }
+        calls.put(attempt, router);
+        simulation.schedule(call.timeoutMillis(), () -> {
+            if (calls.remove(attempt) != null) {
+                fail(router, attempt, FailureKind.TIMED_OUT);
+            }
+        });
+        if (((Work.ServiceCall) call.spec().work()).path().equals(POISON)) {
+            later(CRASH_MILLIS, this::kill);
+        }
+        later(EXECUTION_MILLIS, () -> execute(call));
+    }
+
+    /** Executes a call also when its caller has gone, as a service does that notices this only at the answer. */
+    private void execute(RequestCommand.CallService call) {
+        String key = call.spec().ledgerKey();
+        boolean fencing = target.can(Capability.FENCING);
+        if (fencing && book.fenced(target.id(), key, call.fence())) {
+            finish(
+                    call.attempt(),
+                    new RequestEvent.AttemptFailed(call.attempt(), FailureKind.FENCED, "", OptionalLong.empty()));
+            return;
+        }
+        book.raise(target.id(), key, call.fence());
+        book.execute(new OrderBook.Execution(target.id(), key, call.spec().id(), simulation.now()));
+        later(
+                ANSWER_MILLIS,
+                () -> finish(call.attempt(), new RequestEvent.ServiceAnswered(call.attempt(), response(key))));
+    }
+
+    private static ServiceResponse response(String key) {
+        return new ServiceResponse(201, Map.of(), key.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    }
+
+    private void finish(AttemptId attempt, Event event) {
+        if (silent) {
+            return;
+        }
+        SimulatedRouter router = calls.remove(attempt);
+        if (router != null) {
+            send(router, event);
+        }
+    }
+
+    void reconcile(SimulatedRouter router, RequestCommand.Reconcile query) {
+        if (refuses(router, query.attempt())) {
+            return;
+        }
+        later(2, () -> {
+            if (silent) {
+                return;
+            }
+            String key = query.spec().ledgerKey();
+            if (target.can(Capability.FENCING)) {
+                book.raise(target.id(), key, query.fence());
+            }
+            Optional<ServiceResponse> answer =
+                    book.executed(target.id(), key) ? Optional.of(response(key)) : Optional.empty();
+            send(router, new RequestEvent.Reconciled(query.attempt(), answer));
+        });
+    }
+
+    private static final class Stream {
+        private final AttemptId attempt;
+        private final RequestSpec spec;
+        private final int length;
+        private final List<String> tokens = new ArrayList<>();
+        private final List<SimulatedRouter> subscribers = new ArrayList<>();
+        private boolean ended;
+
+        Stream(AttemptId attempt, RequestSpec spec, int length) {
+            this.attempt = attempt;
+            this.spec = spec;
+            this.length = length;
+        }
+    }
+}
--- a/amaranthlock-core/src/test/java/org/amaranthlock/simulation/InMemoryPlatform.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/simulation/InMemoryPlatform.java
@@ -25,6 +25,7 @@
     private long oldRevision;
     private Predicate<HostId> reachable = host -> true;
     private boolean down;
+    private long slowMillis;
     private double lostAnswerRate;
     private double staleListRate;
     private long revision;
@@ -39,6 +40,11 @@
         down = value;
     }
 
+    /** Adds latency to every operation. */
+    public void slow(long millis) {
+        slowMillis = millis;
+    }
+
     public void reachableFrom(Predicate<HostId> routers) {
         reachable = routers;
     }
@@ -67,7 +73,7 @@
     }
 
     void execute(SimulatedRouter router, PlatformCommand command) {
-        long latency = 1 + random.nextLong(8);
+        long latency = 1 + random.nextLong(8) + slowMillis;
         simulation.schedule(latency, () -> perform(router, command));
     }
 
--- a/amaranthlock-core/src/test/java/org/amaranthlock/simulation/SimulatedRouter.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/simulation/SimulatedRouter.java
@@ -19,6 +19,7 @@
     private final Deque<Event> waiting = new ArrayDeque<>();
     private boolean running = true;
     private boolean paused;
+    private long clockOffset;
     private long sent;
 
     public SimulatedRouter(Simulation simulation, RouterMember member) {
@@ -43,6 +44,16 @@
         return paused;
     }
 
+    /** Moves this router's clock against the time of the simulation; it must never go back. */
+    public void skewClock(long offsetMillis) {
+        clockOffset = offsetMillis;
+    }
+
+    /** Returns the time of this router's own clock. */
+    public long clock() {
+        return simulation.now() + clockOffset;
+    }
+
     public void kill() {
         running = false;
     }
@@ -74,7 +85,7 @@
         while (running && !events.isEmpty()) {
             Event event = events.poll();
             for (Component component : components) {
-                for (Command command : component.handle(event, simulation.now())) {
+                for (Command command : component.handle(event, clock())) {
                     if (command instanceof Command.Raise raise) {
                         events.add(raise.event());
                         raised.add(raise.event());
--- a/amaranthlock-core/src/test/java/org/amaranthlock/simulation/Simulation.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/simulation/Simulation.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
+import java.util.function.ToLongBiFunction;
 import org.amaranthlock.coordination.Command;
 import org.amaranthlock.coordination.Event;
 import org.amaranthlock.coordination.NodeCore;
@@ -28,6 +30,9 @@
     private final UniformRandomProvider random;
     private final InMemoryPlatform platform;
     private BiPredicate<RouterMember, RouterMember> path = (from, to) -> true;
+    private ToLongBiFunction<RouterMember, RouterMember> extraLatency = (from, to) -> 0;
+    private BiConsumer<SimulatedRouter, Command> outside = SimulatedRouter::keep;
+    private boolean refusesConnections;
     private double dropRate;
     private double duplicateRate;
     private long maxLatencyMillis = 12;
@@ -73,6 +78,21 @@
         path = reaches;
     }
 
+    /** Lets senders notice at once that the process of the receiver has ended, as a refused connection does. */
+    public void refuseConnections() {
+        refusesConnections = true;
+    }
+
+    /** Adds latency between pairs of routers, in milliseconds. */
+    public void delay(ToLongBiFunction<RouterMember, RouterMember> latency) {
+        extraLatency = latency;
+    }
+
+    /** Sets who carries out the commands that neither network nor platform carries out; without it they are kept. */
+    public void outside(BiConsumer<SimulatedRouter, Command> executor) {
+        outside = executor;
+    }
+
     /** Returns a router that takes the place of an earlier one with the same number. */
     public RouterMember member(int number, int incarnation) {
         int domain = number % 3;
@@ -119,7 +139,7 @@
                 }
             }
             case PlatformCommand operation -> platform.execute(from, operation);
-            default -> from.keep(command);
+            default -> outside.accept(from, command);
         }
     }
 
@@ -129,8 +149,13 @@
         if (to == null || (!self && random.nextDouble() < dropRate)) {
             return;
         }
-        long latency = self ? 0 : 1 + random.nextLong(maxLatencyMillis);
+        long latency =
+                self ? 0 : 1 + random.nextLong(maxLatencyMillis) + extraLatency.applyAsLong(from.member(), to.member());
         schedule(delayMillis + latency, () -> {
+            if (!to.running() && refusesConnections) {
+                from.offer(new Event.PeerUnreachable(send.to()));
+                return;
+            }
             boolean meant =
                     to.member().host().equals(send.to()) || send.to().value().startsWith("seed/");
             if (meant && path.test(from.member(), to.member())) {
