--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/Cell.java
@@ -0,0 +1,90 @@
+package org.amaranthlock.faults;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthlock.model.Fate;
+
+/** One fault at one step of one kind of request, with the result that the design promises. */
+record Cell(RequestKind kind, Step step, Fault fault) {
+    /** Bound of the output gap after a loss. */
+    static final long RESUME_MILLIS = 6_000;
+
+    private static final Set<Fate> RAN = EnumSet.of(Fate.RAN);
+    private static final Set<Fate> RAN_OR_UNKNOWN = EnumSet.of(Fate.RAN, Fate.UNKNOWN);
+    private static final Set<Fate> RAN_OR_NOT_RUN = EnumSet.of(Fate.RAN, Fate.NOT_RUN);
+    private static final Set<Fate> UNKNOWN = EnumSet.of(Fate.UNKNOWN);
+    private static final Set<Fate> NOT_RUN = EnumSet.of(Fate.NOT_RUN);
+
+    static List<Cell> all() {
+        List<Cell> cells = new ArrayList<>();
+        for (RequestKind kind : RequestKind.values()) {
+            for (Step step : kind.steps()) {
+                for (Fault fault : Fault.values()) {
+                    cells.add(new Cell(kind, step, fault));
+                }
+            }
+        }
+        return cells;
+    }
+
+    /** Returns why the cell can't occur, if so. */
+    Optional<String> notApplicable() {
+        if (kind == RequestKind.CONFIGURATION_CHANGE && fault.ofTarget()) {
+            return Optional.of("no target takes part in a configuration change");
+        }
+        if (kind == RequestKind.DRAIN && fault == Fault.ROUTER_DRAINING) {
+            return Optional.of("the drain is the request itself");
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the fates that the design allows the caller to be told; the truth of each is checked apart. */
+    Set<Fate> allowed() {
+        if (!kind.order() || step == Step.ANSWERED_RECORD_PENDING) {
+            return RAN;
+        }
+        return switch (fault) {
+            case ENGINE_KILLED -> afterDispatch() ? UNKNOWN : RAN;
+            case ENGINE_SILENT -> RAN_OR_UNKNOWN;
+            case POISON_REQUEST -> RAN_OR_UNKNOWN;
+            case ROUTER_KILLED, ROUTER_PAUSED -> ownerLost();
+            case ROUTER_CUT_ONE_WAY, ROUTER_CUT_BOTH_WAYS -> afterDispatch() ? RAN : cutOff();
+            case PLATFORM_DOWN -> step == Step.ARRIVING ? NOT_RUN : afterGrant() ? RAN : RAN_OR_NOT_RUN;
+            case PLATFORM_SLOW, PLATFORM_ANSWER_LOST -> afterGrant() ? RAN : RAN_OR_NOT_RUN;
+            case CLOCK_SKEW -> afterDispatch() ? RAN : RAN_OR_NOT_RUN;
+            default -> RAN;
+        };
+    }
+
+    private boolean afterDispatch() {
+        return step == Step.DISPATCHED || step == Step.EXECUTED;
+    }
+
+    private boolean afterGrant() {
+        return afterDispatch() || step == Step.GRANTED;
+    }
+
+    /** A claim whose holder is gone proves nothing without a target that tells and bars a late dispatch. */
+    private Set<Fate> ownerLost() {
+        if (step == Step.ARRIVING) {
+            return RAN;
+        }
+        if (kind == RequestKind.FENCED_ORDER) {
+            return step == Step.EXECUTED ? RAN : RAN_OR_NOT_RUN;
+        }
+        boolean certain = step == Step.EXECUTED && kind == RequestKind.RECONCILING_ORDER;
+        return certain ? RAN : RAN_OR_UNKNOWN;
+    }
+
+    private Set<Fate> cutOff() {
+        return kind == RequestKind.FENCED_ORDER ? RAN_OR_NOT_RUN : EnumSet.allOf(Fate.class);
+    }
+
+    @Override
+    public String toString() {
+        return kind + " / " + step + " / " + fault;
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/CellRun.java
@@ -0,0 +1,185 @@
+package org.amaranthlock.faults;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.amaranthlock.coordination.OperatorCommand;
+import org.amaranthlock.model.Fate;
+
+/** Runs one cell of the fault matrix. */
+final class CellRun {
+    /** Router that serves the request; another one than the seeds' first, so that it is no special router. */
+    private static final int SERVING = 2;
+
+    private static final int ROUTERS = 5;
+    private static final long STEP_BOUND_MILLIS = 10_000;
+    private static final long FAULT_MILLIS = 12_000;
+    private static final long FIRST_ANSWER_MILLIS = 2_000;
+
+    private final Cell cell;
+    private final Cluster cluster;
+    private final List<String> problems = new ArrayList<>();
+
+    CellRun(Cell cell, long seed) {
+        this.cell = cell;
+        this.cluster = new Cluster(seed, ROUTERS);
+    }
+
+    List<String> run() {
+        switch (cell.kind()) {
+            case CONFIGURATION_CHANGE -> changeConfiguration();
+            case DRAIN -> drain();
+            default -> serve();
+        }
+        return problems;
+    }
+
+    private void serve() {
+        Caller caller = cell.kind().caller(cluster);
+        caller.connect(SERVING);
+        long end = cluster.now() + STEP_BOUND_MILLIS;
+        while (!cell.step().reached(cluster, caller) && cluster.now() < end) {
+            cluster.run(1);
+        }
+        if (!cell.step().reached(cluster, caller)) {
+            problems.add("step not reached: " + caller);
+            return;
+        }
+        strike(caller);
+        cluster.run(FAULT_MILLIS);
+        problems.addAll(Invariants.check(cluster));
+        judge(caller);
+    }
+
+    private void strike(Caller caller) {
+        SimulatedTarget target = cluster.targets(cell.kind().service()).stream()
+                .filter(candidate -> candidate.busyWith(caller.ledgerKey()))
+                .findFirst()
+                .orElse(cluster.targets(cell.kind().service()).getFirst());
+        cell.fault().strike(cluster, SERVING, target);
+    }
+
+    private void judge(Caller caller) {
+        boolean allowed = caller.fate().filter(cell.allowed()::contains).isPresent();
+        if (!allowed) {
+            problems.add("expected " + cell.allowed() + ": " + caller);
+        }
+        if (!cell.kind().order() && !caller.completed()) {
+            problems.add("not completed: " + caller);
+        }
+        if (cell.kind().generation() && caller.longestGap() > Cell.RESUME_MILLIS) {
+            problems.add("gap above " + Cell.RESUME_MILLIS + " ms: " + caller);
+        }
+        boolean refusedAtOnce = cell.kind().order() && cell.step() == Step.ARRIVING;
+        if (refusedAtOnce && cell.fault() == Fault.PLATFORM_DOWN && caller.tookMillis() > FIRST_ANSWER_MILLIS) {
+            problems.add("not refused at once: " + caller);
+        }
+    }
+
+    private void changeConfiguration() {
+        long call;
+        if (cell.step() == Step.ARRIVING) {
+            cell.fault().strike(cluster, SERVING, null);
+            call = Operators.change(cluster, SERVING, 2);
+        } else {
+            call = Operators.change(cluster, SERVING, 2);
+            long end = cluster.now() + STEP_BOUND_MILLIS;
+            boolean spreading = cell.step() == Step.SPREADING;
+            while (spreading && Operators.weight(cluster) != 2 && cluster.now() < end) {
+                cluster.run(1);
+            }
+            cell.fault().strike(cluster, SERVING, null);
+        }
+        watchSpread();
+        cluster.run(FAULT_MILLIS);
+        problems.addAll(Invariants.check(cluster));
+        OperatorCommand answer = cluster.operatorAnswers.get(call);
+        boolean answered = answer != null;
+        boolean processGone = cell.fault() == Fault.ROUTER_KILLED;
+        if (!answered && !processGone) {
+            problems.add("the operator got no answer");
+        }
+        boolean accepted = answer instanceof OperatorCommand.ConfigurationAccepted;
+        if (accepted && !cluster.acceptedWeights().contains(2.0)) {
+            problems.add("accepted but never in the platform");
+        }
+    }
+
+    /** Watches that all routers with a path to the platform or to a router that has it get a change in time. */
+    private void watchSpread() {
+        long since = cluster.now();
+        double newest = Operators.weight(cluster);
+        for (long waited = 0; waited < 8_000; waited += 50) {
+            cluster.run(50);
+            if (Operators.weight(cluster) != newest) {
+                newest = Operators.weight(cluster);
+                since = cluster.now();
+            }
+            if (cluster.now() - since > Invariants.CONFIGURATION_MILLIS) {
+                late();
+                return;
+            }
+        }
+    }
+
+    private void late() {
+        for (Cluster.Node node : cluster.running()) {
+            boolean reachable = !cluster.cutFrom.contains(node.number())
+                    && !cluster.cutTo.contains(node.number())
+                    && !node.router().paused();
+            boolean platform = cell.fault() != Fault.PLATFORM_DOWN;
+            if (reachable && platform && !Operators.current(cluster, node)) {
+                problems.add("router " + node.number() + " holds " + Operators.weight(node) + " after 3 s instead of "
+                        + Operators.weight(cluster));
+            }
+        }
+    }
+
+    private void drain() {
+        Caller draft = Caller.generation(cluster, RequestKind.LONG_TOKENS);
+        Caller order = Caller.order(cluster, Deployment.FENCED);
+        draft.connect(SERVING);
+        if (cell.step() == Step.ARRIVING) {
+            order.connect(SERVING);
+            cluster.run(50);
+            strike(draft);
+            cluster.drain(SERVING);
+        } else {
+            cluster.run(500);
+            order.connect(SERVING);
+            cluster.run(50);
+            cluster.drain(SERVING);
+            cluster.run(100);
+            while (cell.step() == Step.LINGERING && !draft.done() && cluster.now() < 60_000 + Cluster.SETTLE_MILLIS + 1_000_000) {
+                cluster.run(10);
+            }
+            strike(draft);
+        }
+        cluster.run(FAULT_MILLIS);
+        problems.addAll(Invariants.check(cluster));
+        if (!draft.completed() || draft.longestGap() > Cell.RESUME_MILLIS) {
+            problems.add("draft not completed in time: " + draft);
+        }
+        boolean interrupted = draft.connections() > 1 || order.connections() > 1;
+        if (interrupted && !strikesRouter()) {
+            problems.add("the drain cut a request: " + draft + " " + order);
+        }
+        if (order.fate().filter(fate -> fate == Fate.RAN).isEmpty() && !excusesOrder()) {
+            problems.add("order not run: " + order);
+        }
+    }
+
+    private boolean strikesRouter() {
+        return switch (cell.fault()) {
+            case ROUTER_KILLED, ROUTER_PAUSED -> true;
+            default -> false;
+        };
+    }
+
+    private boolean excusesOrder() {
+        return switch (cell.fault()) {
+            case ROUTER_KILLED, ROUTER_PAUSED, ROUTER_CUT_ONE_WAY, ROUTER_CUT_BOTH_WAYS -> true;
+            case PLATFORM_DOWN, PLATFORM_SLOW, PLATFORM_ANSWER_LOST, CLOCK_SKEW -> true;
+            default -> false;
+        };
+    }
+}
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/Cluster.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/Cluster.java
@@ -49,6 +49,7 @@
     private final Map<SimulatedRouter, Long> drainingSince = new LinkedHashMap<>();
     private final Map<SimulatedRouter, Long> revisions = new HashMap<>();
     private final long[] clockOffsets;
+    private final TreeSet<Double> acceptedWeights = new TreeSet<>();
     private long lastUnique;
     private int incarnations;
     private int grants;
@@ -103,6 +104,7 @@
             }
             revisions.put(node.router(), revision);
         }
+        acceptedWeights.add(Operators.weight(this));
         callers.forEach(Caller::watch);
     }
 
@@ -286,6 +288,11 @@
         }
     }
 
+    /** Returns the weights that the platform has held. */
+    TreeSet<Double> acceptedWeights() {
+        return acceptedWeights;
+    }
+
     /** Returns how often a partition owner found that another one had taken its place. */
     int fencedOwners() {
         return grants;
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/FaultMatrixTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/FaultMatrixTest.java
@@ -1,21 +1,51 @@
 package org.amaranthlock.faults;
 
-import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
-import org.junit.jupiter.api.Test;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.Assumptions;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
+/** Guards against a fault at a step of a request for which the result differs from what the design promises. */
 class FaultMatrixTest {
-    @Test
-    void smoke() {
-        Cluster cluster = new Cluster(1, 4);
-        Caller a = Caller.generation(cluster, 100);
-        Caller b = Caller.order(cluster, Deployment.FENCED);
-        Caller c = Caller.lookup(cluster);
-        a.connect(0);
-        b.connect(1);
-        c.connect(2);
-        cluster.run(5_000);
-        System.out.println(a + "\n" + b + "\n" + c + "\n" + cluster.fencedOwners());
-        assertThat(Invariants.check(cluster)).isEmpty();
+    private static final long SEED = 20_261_203;
+    private static final Map<Cell, String> RESULTS = new ConcurrentHashMap<>();
+
+    static Stream<Cell> cells() {
+        return Cell.all().stream();
+    }
+
+    @ParameterizedTest
+    @MethodSource("cells")
+    void everyFaultAtEveryStepEndsAsDesigned(Cell cell) {
+        Optional<String> reason = cell.notApplicable();
+        reason.ifPresent(text -> RESULTS.put(cell, "n/a: " + text));
+        Assumptions.assumeTrue(reason.isEmpty(), () -> reason.orElse(""));
+        RESULTS.put(cell, "FAILED");
+        List<String> problems = new CellRun(cell, SEED).run();
+        assertWithMessage(cell.toString()).that(problems).isEmpty();
+        RESULTS.put(cell, "passed");
+    }
+
+    @AfterAll
+    static void printTable() {
+        Map<String, Map<String, Integer>> rows = new TreeMap<>();
+        Map<String, Integer> totals = new TreeMap<>();
+        for (Cell cell : Cell.all()) {
+            String result = RESULTS.getOrDefault(cell, "MISSING");
+            rows.computeIfAbsent(cell.kind().toString(), kind -> new TreeMap<>()).merge(result, 1, Integer::sum);
+            totals.merge(result, 1, Integer::sum);
+        }
+        StringBuilder table = new StringBuilder("Fault matrix, " + Cell.all().size() + " cells\n");
+        rows.forEach((kind, counts) -> table.append(String.format("%-22s %s%n", kind, counts)));
+        System.out.println(table.append("total                  ").append(totals));
+        assertWithMessage("cells without result").that(totals).doesNotContainKey("MISSING");
     }
 }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/SimulatedTarget.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/SimulatedTarget.java
@@ -38,6 +38,7 @@
     private final OrderBook book;
     private final Map<AttemptId, Stream> streams = new LinkedHashMap<>();
     private final Map<AttemptId, SimulatedRouter> calls = new LinkedHashMap<>();
+    private final Map<AttemptId, String> callKeys = new LinkedHashMap<>();
     private final Deque<Runnable> waiting = new ArrayDeque<>();
     private final List<Long> newWork = new ArrayList<>();
     private int life;
@@ -61,6 +62,11 @@
                 .anyMatch(stream -> stream.spec.ledgerKey().equals(ledgerKey));
     }
 
+    /** Tells whether a stream or an unanswered call of the key is here. */
+    boolean busyWith(String ledgerKey) {
+        return runs(ledgerKey) || callKeys.containsValue(ledgerKey);
+    }
+
     /** Returns the times at which new work arrived. */
     List<Long> newWork() {
         return newWork;
@@ -241,6 +247,7 @@
             return;
         }
         calls.put(attempt, router);
+        callKeys.put(attempt, call.spec().ledgerKey());
         simulation.schedule(call.timeoutMillis(), () -> {
             if (calls.remove(attempt) != null) {
                 fail(router, attempt, FailureKind.TIMED_OUT);
