Let the keeper know the stream of a young generation

Cause: the open notice was sent before the first dispatch and the next message only after 500 ms, so the keeper knew no stream of a shorter generation. When its router died, the returning caller was refused with resume-unavailable and the fate not-run although it held tokens. Ruled out: loss of the stream at the engine; it ran on to its end. Change: the open notice follows the first dispatch, a moved stream of a young request is sent at the next tick, and a caller that holds tokens gets fate ran. Measured: the cells SHORT_GENERATION / MIDDLE and BEFORE_END with ROUTER_KILLED and ROUTER_PAUSED of FaultMatrixTest failed before and pass now. Conclusion: the engine's stream covers the time before the first checkpoint.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
@@ -89,8 +89,11 @@
         }
         switch (life.admit(now)) {
             case AdmissionDecision.Admitted admitted -> {
-                out.addAll(life.services().checkpoints().opened(this, now));
                 dispatch(now, out);
+                if (!life.closed()) {
+                    // After the dispatch, so that the open notice names the stream that a new owner attaches to.
+                    out.addAll(life.services().checkpoints().opened(this, now));
+                }
             }
             case AdmissionDecision.Queued queued ->
                 out.addAll(life.services().checkpoints().opened(this, now));
@@ -421,7 +424,8 @@
     }
 
     private Fate fate() {
-        if (!tokens.isEmpty()) {
+        // A caller that holds tokens proves the execution, also when this router has none of them.
+        if (!tokens.isEmpty() || nextDelivery > 0) {
             return Fate.RAN;
         }
         return life.uncertain() || stream.isPresent() ? Fate.UNKNOWN : Fate.NOT_RUN;
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OwnedCheckpoints.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OwnedCheckpoints.java
@@ -60,16 +60,23 @@
 
     void tick(long now, List<Command> out) {
         for (Owned entry : owned.values()) {
-            if (!keeperLive(entry)) {
+            boolean young = now - entry.openedAt < KEEP_AFTER_MILLIS;
+            if (!keeperLive(entry) || (young && streamMoved(entry))) {
                 saveWhole(entry, now, out);
             } else if (entry.source.keptAlive()
-                    && now - entry.openedAt >= KEEP_AFTER_MILLIS
+                    && !young
                     && now - entry.sentAt >= DELTA_MILLIS) {
                 sendDelta(entry, now, out);
             }
         }
     }
 
+    /** Tells whether the keeper does not know the present stream, which is the only source of a young answer. */
+    private static boolean streamMoved(Owned entry) {
+        CheckpointSource source = entry.source;
+        return source.keptAlive() && source.attempt().isPresent() && !source.attempt().equals(entry.sentAttempt);
+    }
+
     private boolean keeperLive(Owned entry) {
         if (entry.keeper.isEmpty()) {
             return false;
