--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/CellRun.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/CellRun.java
@@ -7,8 +7,8 @@
 
 /** Runs one cell of the fault matrix. */
 final class CellRun {
-    /** Router that serves the request; another one than the seeds' first, so that it is no special router. */
-    private static final int SERVING = 2;
+    /** Router that serves the request. */
+    private final int serving;
 
     private static final int ROUTERS = 5;
     private static final long STEP_BOUND_MILLIS = 10_000;
@@ -22,6 +22,7 @@
     CellRun(Cell cell, long seed) {
         this.cell = cell;
         this.cluster = new Cluster(seed, ROUTERS);
+        this.serving = (int) (seed % ROUTERS);
     }
 
     List<String> run() {
@@ -35,7 +36,7 @@
 
     private void serve() {
         Caller caller = cell.kind().caller(cluster);
-        caller.connect(SERVING);
+        caller.connect(serving);
         long end = cluster.now() + STEP_BOUND_MILLIS;
         while (!cell.step().reached(cluster, caller) && cluster.now() < end) {
             cluster.run(1);
@@ -55,7 +56,7 @@
                 .filter(candidate -> candidate.busyWith(caller.ledgerKey()))
                 .findFirst()
                 .orElse(cluster.targets(cell.kind().service()).getFirst());
-        cell.fault().strike(cluster, SERVING, target);
+        cell.fault().strike(cluster, serving, target);
     }
 
     private void judge(Caller caller) {
@@ -78,16 +79,16 @@
     private void changeConfiguration() {
         long call;
         if (cell.step() == Step.ARRIVING) {
-            cell.fault().strike(cluster, SERVING, null);
-            call = Operators.change(cluster, SERVING, 2);
+            cell.fault().strike(cluster, serving, null);
+            call = Operators.change(cluster, serving, 2);
         } else {
-            call = Operators.change(cluster, SERVING, 2);
+            call = Operators.change(cluster, serving, 2);
             long end = cluster.now() + STEP_BOUND_MILLIS;
             boolean spreading = cell.step() == Step.SPREADING;
             while (spreading && Operators.weight(cluster) != 2 && cluster.now() < end) {
                 cluster.run(1);
             }
-            cell.fault().strike(cluster, SERVING, null);
+            cell.fault().strike(cluster, serving, null);
         }
         watchSpread();
         cluster.run(FAULT_MILLIS);
@@ -137,17 +138,17 @@
     private void drain() {
         Caller draft = Caller.generation(cluster, RequestKind.LONG_TOKENS);
         Caller order = Caller.order(cluster, Deployment.FENCED);
-        draft.connect(SERVING);
+        draft.connect(serving);
         if (cell.step() == Step.ARRIVING) {
-            order.connect(SERVING);
+            order.connect(serving);
             cluster.run(50);
             strike(draft);
-            cluster.drain(SERVING);
+            cluster.drain(serving);
         } else {
             cluster.run(500);
-            order.connect(SERVING);
+            order.connect(serving);
             cluster.run(50);
-            cluster.drain(SERVING);
+            cluster.drain(serving);
             cluster.run(100);
             while (cell.step() == Step.LINGERING && !draft.done() && cluster.now() < 60_000 + Cluster.SETTLE_MILLIS + 1_000_000) {
                 cluster.run(10);
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/Cluster.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/Cluster.java
@@ -258,7 +258,7 @@
                 .filter(caller -> caller.servedBy(router, connection));
     }
 
-    private void execute(SimulatedRouter router, Command command) {
+    void execute(SimulatedRouter router, Command command) {
         switch (command) {
             case RequestCommand.OpenStream open -> target(open.target()).open(router, open);
             case RequestCommand.AttachStream attach -> target(attach.target()).attach(router, attach);
