Look for records that a successor wrote before denying a record

Cause: a partition owner that had been cut off still held itself for the owner after the cut and answered a query from memory, without the positions that its successor had written meanwhile; the record could not be read until the owner's next write. Ruled out: a missing record; it stood in the log. Change: a search reads the positions ahead of the owner's memory first; this costs one read per query that memory can't answer.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/LogSearch.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/LogSearch.java
@@ -13,7 +13,7 @@
 import org.amaranthlock.protocol.platform.PlatformValue.LedgerEntry;
 import org.amaranthlock.protocol.platform.PlatformValue.OutcomeEntry;
 
-/** Search for an outcome record backwards in the log, from the records in memory on. */
+/** Search for an outcome record in the log: first ahead of the records in memory, where a successor wrote, then back. */
 final class LogSearch {
     private static final int MAX_POSITIONS = 50;
 
@@ -24,6 +24,8 @@
     private final OperationNumbers numbers;
     private Optional<OutcomeRecord> found = Optional.empty();
     private boolean done;
+    private boolean atEnd;
+    private long ahead;
     private long position;
     private int remaining = MAX_POSITIONS;
     private long operation;
@@ -35,14 +37,23 @@
      * @param query its query number
      * @param request the request whose record is searched
      * @param partition the partition
-     * @param before the search starts at the position before this one
+     * @param ahead first position that is not in memory; another owner may have written it and later ones
+     * @param before the search goes back from the position before this one
      * @param numbers source of operation numbers
      */
-    LogSearch(HostId from, long query, RequestId request, int partition, long before, OperationNumbers numbers) {
+    LogSearch(
+            HostId from,
+            long query,
+            RequestId request,
+            int partition,
+            long ahead,
+            long before,
+            OperationNumbers numbers) {
         this.from = from;
         this.query = query;
         this.request = request;
         this.partition = partition;
+        this.ahead = ahead;
         this.position = before;
         this.numbers = numbers;
     }
@@ -64,14 +75,22 @@
     }
 
     void next(List<Command> commands) {
-        position--;
         remaining--;
+        if (!atEnd && remaining >= 0) {
+            read(ahead++, commands);
+            return;
+        }
+        position--;
         if (position < 1 || remaining < 0) {
             done = true;
             return;
         }
+        read(position, commands);
+    }
+
+    private void read(long sequence, List<Command> commands) {
         operation = numbers.next();
-        commands.add(new PlatformCommand.Read(operation, LedgerKeys.position(partition, position)));
+        commands.add(new PlatformCommand.Read(operation, LedgerKeys.position(partition, sequence)));
     }
 
     /** Takes an answer; a failed read ends the search without an answer to the asking router. */
@@ -84,6 +103,7 @@
                 batch.entries().forEach(this::compare);
             }
         });
+        atEnd = atEnd || read.object().isEmpty();
         if (found.isPresent()) {
             done = true;
         } else {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PartitionOwner.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PartitionOwner.java
@@ -286,7 +286,13 @@
                 peers.send(id.from(), new OutcomeAnswer(id.query(), record), commands);
             } else {
                 LogSearch search = new LogSearch(
-                        id.from(), id.query(), item.getValue().request(), partition, recent.floor(partition), numbers);
+                        id.from(),
+                        id.query(),
+                        item.getValue().request(),
+                        partition,
+                        nextSequence,
+                        recent.floor(partition),
+                        numbers);
                 searches.add(search);
                 search.next(commands);
                 finish(search, commands);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OwnedCheckpoints.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OwnedCheckpoints.java
@@ -63,9 +63,7 @@
             boolean young = now - entry.openedAt < KEEP_AFTER_MILLIS;
             if (!keeperLive(entry) || (young && streamMoved(entry))) {
                 saveWhole(entry, now, out);
-            } else if (entry.source.keptAlive()
-                    && !young
-                    && now - entry.sentAt >= DELTA_MILLIS) {
+            } else if (entry.source.keptAlive() && !young && now - entry.sentAt >= DELTA_MILLIS) {
                 sendDelta(entry, now, out);
             }
         }
@@ -74,7 +72,9 @@
     /** Tells whether the keeper does not know the present stream, which is the only source of a young answer. */
     private static boolean streamMoved(Owned entry) {
         CheckpointSource source = entry.source;
-        return source.keptAlive() && source.attempt().isPresent() && !source.attempt().equals(entry.sentAttempt);
+        return source.keptAlive()
+                && source.attempt().isPresent()
+                && !source.attempt().equals(entry.sentAttempt);
     }
 
     private boolean keeperLive(Owned entry) {
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/CellRun.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/CellRun.java
@@ -150,7 +150,9 @@
             cluster.run(50);
             cluster.drain(serving);
             cluster.run(100);
-            while (cell.step() == Step.LINGERING && !draft.done() && cluster.now() < 60_000 + Cluster.SETTLE_MILLIS + 1_000_000) {
+            while (cell.step() == Step.LINGERING
+                    && !draft.done()
+                    && cluster.now() < 60_000 + Cluster.SETTLE_MILLIS + 1_000_000) {
                 cluster.run(10);
             }
             strike(draft);
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/FaultMatrixTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/FaultMatrixTest.java
@@ -40,7 +40,8 @@
         Map<String, Integer> totals = new TreeMap<>();
         for (Cell cell : Cell.all()) {
             String result = RESULTS.getOrDefault(cell, "MISSING");
-            rows.computeIfAbsent(cell.kind().toString(), kind -> new TreeMap<>()).merge(result, 1, Integer::sum);
+            rows.computeIfAbsent(cell.kind().toString(), kind -> new TreeMap<>())
+                    .merge(result, 1, Integer::sum);
             totals.merge(result, 1, Integer::sum);
         }
         StringBuilder table = new StringBuilder("Fault matrix, " + Cell.all().size() + " cells\n");
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/FormerFaultsTest.java
@@ -0,0 +1,27 @@
+package org.amaranthlock.faults;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against the return of faults that sweeps of the fault matrix over further seeds have found. */
+class FormerFaultsTest {
+    static Stream<Arguments> cells() {
+        return Stream.of(
+                // A former partition owner that was cut off denied a record that its successor had written.
+                Arguments.of(1, RequestKind.FENCED_ORDER, Step.ANSWERED_RECORD_PENDING, Fault.ROUTER_CUT_ONE_WAY),
+                Arguments.of(4, RequestKind.PLAIN_ORDER, Step.GRANTED, Fault.ROUTER_CUT_BOTH_WAYS));
+    }
+
+    @ParameterizedTest
+    @MethodSource("cells")
+    void faultStaysFixed(int seed, RequestKind kind, Step step, Fault fault) {
+        Cell cell = new Cell(kind, step, fault);
+        List<String> problems = new CellRun(cell, seed).run();
+        assertWithMessage(cell + " with seed " + seed).that(problems).isEmpty();
+    }
+}
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/RequestKind.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/RequestKind.java
@@ -6,10 +6,20 @@
 enum RequestKind {
     LONG_GENERATION(
             Deployment.DRAFTS,
-            List.of(Step.ARRIVING, Step.BEFORE_FIRST_TOKEN, Step.MIDDLE, Step.BEFORE_END, Step.ANSWERED_RECORD_PENDING)),
+            List.of(
+                    Step.ARRIVING,
+                    Step.BEFORE_FIRST_TOKEN,
+                    Step.MIDDLE,
+                    Step.BEFORE_END,
+                    Step.ANSWERED_RECORD_PENDING)),
     SHORT_GENERATION(
             Deployment.DRAFTS,
-            List.of(Step.ARRIVING, Step.BEFORE_FIRST_TOKEN, Step.MIDDLE, Step.BEFORE_END, Step.ANSWERED_RECORD_PENDING)),
+            List.of(
+                    Step.ARRIVING,
+                    Step.BEFORE_FIRST_TOKEN,
+                    Step.MIDDLE,
+                    Step.BEFORE_END,
+                    Step.ANSWERED_RECORD_PENDING)),
     FENCED_ORDER(
             Deployment.FENCED,
             List.of(
