Keep the checkpoint of a closed request until its record lasts

Cause: a closed request's checkpoint was dropped at once, while its record waited in the memory of the same router when that router owned the partition. Its death before the commit left neither record nor keeper. Ruled out: loss at a remote owner; the outbox repeats the batch to the next one. Change: the ledger client raises an event when the owner has acknowledged a record, and the checkpoint is dropped then.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/RequestEvent.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/RequestEvent.java
@@ -47,6 +47,9 @@
     /** An admitted request that was queued may start now. */
     record Released(RequestId request) implements RequestEvent {}
 
+    /** The record of a request that this router closed lasts in the ledger. */
+    record RecordLasts(RequestId request) implements RequestEvent {}
+
     /** Another router serves the request now, because the caller went there. */
     record TakenOver(RequestId request) implements RequestEvent {}
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/DefaultLedgerClient.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/DefaultLedgerClient.java
@@ -179,7 +179,9 @@
     private void acknowledged(OutcomeAck ack, long nowMillis, List<Command> commands) {
         OutcomeOutbox outbox = outboxes.get(ack.partition());
         if (outbox != null) {
-            outbox.acknowledge(ack.batch());
+            for (RequestId request : outbox.acknowledge(ack.batch())) {
+                commands.add(new Command.Raise(new RequestEvent.RecordLasts(request)));
+            }
             outbox.sendDue(nowMillis, message -> sendToOwner(ack.partition(), message, commands));
         }
     }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/OutcomeOutbox.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/OutcomeOutbox.java
@@ -47,12 +47,17 @@
         return waiting.size() + sent.size();
     }
 
-    void acknowledge(long acknowledged) {
-        if (acknowledged == batch) {
-            sent = List.of();
-            nextSendMillis = 0;
-            resendMillis = RESEND_MILLIS;
+    /** Forgets the outcomes of a batch that lasts and returns their requests; none if it is not the present batch. */
+    List<RequestId> acknowledge(long acknowledged) {
+        if (acknowledged != batch) {
+            return List.of();
         }
+        List<RequestId> lasting =
+                sent.stream().map(outcome -> outcome.record().request()).toList();
+        sent = List.of();
+        nextSendMillis = 0;
+        resendMillis = RESEND_MILLIS;
+        return lasting;
     }
 
     /** Moves the next repetition forward. */
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointKeeper.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointKeeper.java
@@ -50,14 +50,13 @@
 
     @Override
     public List<Command> closed(CheckpointSource source, long nowMillis) {
-        List<Command> out = new ArrayList<>();
-        owned.closed(source, true, out);
-        return out;
+        owned.closed(source, true);
+        return List.of();
     }
 
     @Override
     public void handedOver(CheckpointSource source) {
-        owned.closed(source, false, new ArrayList<>());
+        owned.closed(source, false);
     }
 
     @Override
@@ -76,6 +75,7 @@
                 kept.tick(nowMillis, out);
                 searches.tick(nowMillis, out);
             }
+            case RequestEvent.RecordLasts lasting -> owned.recordLasts(lasting.request(), out);
             case Event.PeerUnreachable unreachable -> searches.unreachable(unreachable.host(), out);
             case Event.PeerReceived received -> received(received.from(), received.message(), out);
             default -> {}
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OwnedCheckpoints.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OwnedCheckpoints.java
@@ -9,6 +9,7 @@
 import org.amaranthlock.coordination.membership.RouterMember;
 import org.amaranthlock.model.AttemptId;
 import org.amaranthlock.model.HostId;
+import org.amaranthlock.model.RequestId;
 import org.amaranthlock.protocol.peer.PeerMessage;
 
 /** The owner's side: sends the state of this router's open requests to their keepers. */
@@ -20,6 +21,7 @@
 
     private final MembershipView membership;
     private final Map<String, Owned> owned = new LinkedHashMap<>();
+    private final Map<RequestId, Owned> closing = new LinkedHashMap<>();
 
     OwnedCheckpoints(MembershipView membership) {
         this.membership = membership;
@@ -42,8 +44,13 @@
         }
     }
 
-    /** Forgets a request, and drops its checkpoint unless another router carries the request on. */
-    void closed(CheckpointSource source, boolean drop, List<Command> out) {
+    /**
+     * Forgets a request.
+     *
+     * @param drop whether its checkpoint ends, because no other router carries the request on; the keeper holds it
+     *     until the record lasts, and closes the request itself if this router dies before
+     */
+    void closed(CheckpointSource source, boolean drop) {
         String ledgerKey = source.spec().ledgerKey();
         Owned entry = owned.get(ledgerKey);
         if (entry == null || entry.source != source) {
@@ -51,9 +58,17 @@
         }
         owned.remove(ledgerKey);
         if (drop && entry.keeper.isPresent()) {
-            RouterMember keeper = entry.keeper.get();
+            closing.put(source.spec().id(), entry);
+        }
+    }
+
+    /** Drops the checkpoint of a closed request. */
+    void recordLasts(RequestId request, List<Command> out) {
+        Owned entry = closing.remove(request);
+        if (entry != null) {
+            RouterMember keeper = entry.keeper.orElseThrow();
             PeerMessage message =
-                    new PeerMessage.CheckpointDrop(ledgerKey, source.spec().id());
+                    new PeerMessage.CheckpointDrop(entry.source.spec().ledgerKey(), request);
             out.add(new Command.SendPeer(keeper.host(), keeper.address(), message));
         }
     }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/FormerFaultsTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/FormerFaultsTest.java
@@ -14,7 +14,10 @@
         return Stream.of(
                 // A former partition owner that was cut off denied a record that its successor had written.
                 Arguments.of(1, RequestKind.FENCED_ORDER, Step.ANSWERED_RECORD_PENDING, Fault.ROUTER_CUT_ONE_WAY),
-                Arguments.of(4, RequestKind.PLAIN_ORDER, Step.GRANTED, Fault.ROUTER_CUT_BOTH_WAYS));
+                Arguments.of(4, RequestKind.PLAIN_ORDER, Step.GRANTED, Fault.ROUTER_CUT_BOTH_WAYS),
+                // A router that owned the partition of its own request took the record with it.
+                Arguments.of(3, RequestKind.LONG_GENERATION, Step.ANSWERED_RECORD_PENDING, Fault.ROUTER_KILLED),
+                Arguments.of(3, RequestKind.FENCED_ORDER, Step.ANSWERED_RECORD_PENDING, Fault.ROUTER_KILLED));
     }
 
     @ParameterizedTest
