Let a suspect wait until its lost target is known to be dead

Cause: the transport reports a lost connection before it knows whether the next connect is refused, and the request was sent on at once. A poison request was therefore condemned only after it had reached a third target. Ruled out: wrong blame; the second death did condemn it, one dispatch too late. Change: a suspect is not sent on before the target's death or survival is known, at most 200 ms. Requests without blame still move at once.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/Dispatcher.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/Dispatcher.java
@@ -30,6 +30,9 @@
     /** Time in which a refused connection after the loss of an attempt still counts as a death of the target. */
     private static final long DEATH_WINDOW_MILLIS = 5000;
 
+    /** Longest time for a new connection to tell whether a target that lost a suspect has died. */
+    private static final long VERDICT_MILLIS = 200;
+
     private final RequestServices services;
     private final Map<AttemptId, Running> running = new LinkedHashMap<>();
     private final List<Lost> lost = new ArrayList<>();
@@ -60,6 +63,9 @@
             barUnfitForResume(spec, version, barred);
         }
         boolean alone = standing(spec, now) == Standing.SUSPECT;
+        if (alone && awaitsVerdict(spec, now)) {
+            return Optional.empty();
+        }
         Optional<FailureDomain> avoided =
                 lostTarget.filter(target -> domainLost(target, now)).map(Target::failureDomain);
         SelectionContext context = new SelectionContext(barred, avoided, version, resumedTokens, alone);
@@ -120,6 +126,20 @@
         }
     }
 
+    /** A suspect waits until it is known whether the loss was a death, which would condemn it. */
+    private boolean awaitsVerdict(RequestSpec spec, long now) {
+        return lost.stream()
+                .anyMatch(loss -> loss.spec.id().equals(spec.id())
+                        && !loss.counted
+                        && !loss.survived
+                        && now - loss.atMillis < VERDICT_MILLIS);
+    }
+
+    /** Notes that a target lives, so the losses there were no deaths. */
+    void reachable(TargetId target) {
+        lost.stream().filter(loss -> loss.target.id().equals(target)).forEach(loss -> loss.survived = true);
+    }
+
     /** Counts the death of a target against the requests that ran there, each attempt at most once. */
     void unreachable(TargetId target, long now) {
         List<PoisonRegistry.Running> victims = new ArrayList<>();
@@ -173,6 +193,7 @@
         private final long ranMillis;
         private final long atMillis;
         private boolean counted;
+        private boolean survived;
 
         Lost(RequestSpec spec, Target target, long ranMillis, long atMillis, boolean counted) {
             this.spec = spec;
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -78,6 +78,7 @@
             case RequestEvent.TakenOver taken -> with(taken.request(), request -> request.takenOver(nowMillis, out));
             case RequestEvent.OfAttempt ofAttempt ->
                 with(ofAttempt.request(), request -> request.attemptEvent(ofAttempt, nowMillis, out));
+            case TargetEvent.Reachable reachable -> dispatcher.reachable(reachable.target());
             case TargetEvent.Unreachable unreachable -> dispatcher.unreachable(unreachable.target(), nowMillis);
             default -> {}
         }
