Take the deadline of a continued request from its returned caller

Cause: a checkpoint holds the deadline on the former owner's clock. A router whose clock is ahead by more than the time left refused the continued answer with deadline-exceeded. Change: the router that takes a request over uses the deadline that the returning caller's connection got on its own clock.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -254,7 +254,9 @@
                     now,
                     out));
         }
-        GenerationRequest request = new GenerationRequest(services, dispatcher, checkpoint.spec(), served, now);
+        // The deadline in the checkpoint is a time of the former owner's clock.
+        RequestSpec continued = checkpoint.spec().withDeadline(spec.deadlineMillis());
+        GenerationRequest request = new GenerationRequest(services, dispatcher, continued, served, now);
         int resumeAt = served.isPresent() ? search.arrived.resumeAt().orElse(0) : 0;
         request.continueFrom(checkpoint, resumeAt, now, out);
         settle(request);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/model/RequestSpec.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/model/RequestSpec.java
@@ -43,4 +43,13 @@
     public String ledgerKey() {
         return account + "/" + key.map(IdempotencyKey::value).orElse(id.value());
     }
+
+    /**
+     * Returns the same request with another deadline.
+     *
+     * @param millis end of its time on this router's clock, in milliseconds
+     */
+    public RequestSpec withDeadline(long millis) {
+        return new RequestSpec(id, account, service, profile, key, fingerprint, arrivedAtMillis, millis, work);
+    }
 }
