Write no record for a returning caller whose request is not found

Cause: a caller that named a request in Last-Event-ID which this router could not find closed the record of that id. Any account could close the record of another account's running request, because ids can be guessed; the true record was then refused as the second one. Change: such a caller is refused without a record; the owner or the keeper of the request writes it. Ruled out: delivery of tokens to the other account; keepers are asked by ledger key, which holds the account. Measured: ForeignCallerTest failed before with "no record" for the owner's account and passes now. Conclusion: a request that loses owner and keeper at the same time has no record.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -232,7 +232,7 @@
         } else if (found.checkpoint().isPresent()) {
             takeOver(search, found.checkpoint().get(), connection, now, out);
         } else if (search.arrived.resumeAt().isPresent()) {
-            resumeUnavailable(search, now, out);
+            resumeUnavailable(search, out);
         } else if (search.gone) {
             RefusedArrival.abandon(services, spec, Fate.NOT_RUN, now, out);
         } else {
@@ -262,14 +262,13 @@
         settle(request);
     }
 
-    private void resumeUnavailable(Search search, long now, List<Command> out) {
-        RequestSpec spec = search.arrived.spec();
-        Fate fate = fateSeenBy(search.arrived);
+    /** Writes no record: the id is what the caller says, and a request of that id has its owner or keeper. */
+    private static void resumeUnavailable(Search search, List<Command> out) {
         if (!search.gone) {
             String detail = "No router holds the answer any more; read its outcome record or send the request anew.";
-            out.add(refusal(spec, ErrorCode.RESUME_UNAVAILABLE, fate, detail));
+            RequestSpec spec = search.arrived.spec();
+            out.add(refusal(spec, ErrorCode.RESUME_UNAVAILABLE, fateSeenBy(search.arrived), detail));
         }
-        RefusedArrival.close(services, spec, ErrorCode.RESUME_UNAVAILABLE, fate, now, out);
     }
 
     private void callerGone(RequestId connection, long now, List<Command> out) {
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/Caller.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/Caller.java
@@ -51,6 +51,7 @@
     private SimulatedRouter router;
     private RequestId connection;
     private RequestId streamId;
+    private RequestSpec lastSpec;
     private boolean connecting;
     private int connections;
     private long startedAt;
@@ -139,6 +140,7 @@
                 to.clock(),
                 to.clock() + profile.deadlineMillis(),
                 work);
+        lastSpec = spec;
         OptionalInt resumeAt = resumes ? OptionalInt.of(tokens.size()) : OptionalInt.empty();
         cluster.connected(to, connection, this);
         cluster.simulation.schedule(1, () -> to.offer(new RequestEvent.Arrived(spec, resumeAt)));
@@ -291,6 +293,11 @@
         return tokens.size();
     }
 
+    /** Returns the request as it was sent last. */
+    RequestSpec spec() {
+        return lastSpec;
+    }
+
     int length() {
         return ((Work.Generation) work).maxTokens();
     }
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/ForeignCallerTest.java
@@ -0,0 +1,70 @@
+package org.amaranthlock.faults;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.RequestCommand;
+import org.amaranthlock.coordination.RequestEvent;
+import org.amaranthlock.model.AccountId;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.simulation.SimulatedRouter;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against a caller that names another account's request in Last-Event-ID; request ids can be guessed. */
+class ForeignCallerTest {
+    private final Cluster cluster = new Cluster(5, 4);
+    private final List<Command> toForeigner = new ArrayList<>();
+
+    /**
+     * The foreign caller uses the same idempotency key on a router that does not serve the request. On the one that
+     * does, commands to both connections carry the same id, so the HTTP front refuses the foreign one.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3})
+    void anotherAccountGetsNoTokensAndClosesNoRecord(int number) {
+        Caller owner = Caller.generation(cluster, RequestKind.LONG_TOKENS);
+        owner.connect(0);
+        cluster.run(1_000);
+        RequestSpec foreign = foreign(owner.spec());
+        SimulatedRouter router = cluster.node(number).router();
+        cluster.simulation.outside((from, command) -> {
+            if (from == router && command instanceof RequestCommand) {
+                toForeigner.add(command);
+            }
+            cluster.execute(from, command);
+        });
+        router.offer(new RequestEvent.Arrived(foreign, OptionalInt.of(3)));
+        cluster.run(4_000);
+
+        assertThat(Invariants.check(cluster)).isEmpty();
+        assertThat(owner.completed()).isTrue();
+        assertThat(owner.connections()).isEqualTo(1);
+        assertThat(toForeigner.stream()
+                        .filter(RequestCommand.Deliver.class::isInstance)
+                        .toList())
+                .isEmpty();
+        assertThat(cluster.records().stream()
+                        .map(record -> record.account())
+                        .distinct()
+                        .toList())
+                .containsExactly(owner.spec().account());
+    }
+
+    private static RequestSpec foreign(RequestSpec spec) {
+        return new RequestSpec(
+                spec.id(),
+                new AccountId("other"),
+                spec.service(),
+                spec.profile(),
+                Optional.of(spec.key().orElseThrow()),
+                spec.fingerprint(),
+                spec.arrivedAtMillis(),
+                spec.deadlineMillis(),
+                spec.work());
+    }
+}
