Refuse a returning caller that names another account's open request

Cause: the HTTP front keeps open exchanges by request id, and the id of a returning caller comes from its Last-Event-ID. A caller of another account that guessed the id took the place of the owner's exchange, whose connection was ended with 409, before the core refused the newcomer. Change: the front refuses a resume whose id belongs to an open exchange of another account, before it opens an exchange of its own. Measured: CallerFrontTest.theIdOfAnotherAccountsRequestIsRefusedAndItsAnswerGoesOn fails without the check and passes with it.

--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/CallerFront.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/CallerFront.java
@@ -6,6 +6,7 @@
 import org.amaranthlock.coordination.Event;
 import org.amaranthlock.coordination.RequestEvent.Arrived;
 import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.model.ErrorCode;
 import org.amaranthlock.router.control.ControlQueue;
 import org.amaranthlock.router.http.PendingCall.Content;
 
@@ -40,6 +41,7 @@
         Arrived arrived;
         try {
             arrived = resolver.resolve(call, nowMillis);
+            requireOwnRequest(arrived);
         } catch (AmaranthlockException e) {
             refuse(e, reply);
             return Optional.empty();
@@ -49,6 +51,7 @@
         }
         Exchange exchange = new Exchange(
                 arrived.request(),
+                arrived.spec().account(),
                 arrived.spec().service(),
                 nowMillis,
                 registry,
@@ -60,6 +63,18 @@
         return Optional.of(arrived);
     }
 
+    /** The id of a returning caller comes from its header; it must not end the connection of another account. */
+    private void requireOwnRequest(Arrived arrived) {
+        boolean foreign = registry.find(arrived.request())
+                .filter(open -> !open.belongsTo(arrived.spec().account()))
+                .isPresent();
+        if (foreign) {
+            throw new AmaranthlockException(
+                    ErrorCode.UNKNOWN_REQUEST,
+                    "The account has no request of the id in Last-Event-ID; send the id of the last event received.");
+        }
+    }
+
     private static AnswerForm form(PendingCall call, Arrived arrived) {
         long createdSeconds = TimeUnit.MILLISECONDS.toSeconds(arrived.spec().arrivedAtMillis());
         return switch (call.content()) {
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/Exchange.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/Exchange.java
@@ -10,6 +10,7 @@
 import org.amaranthlock.model.ErrorCode;
 import org.amaranthlock.model.Fate;
 import org.amaranthlock.model.Outcome;
+import org.amaranthlock.model.AccountId;
 import org.amaranthlock.model.OutcomeRecord;
 import org.amaranthlock.model.Refusal;
 import org.amaranthlock.model.RequestId;
@@ -27,6 +28,7 @@
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final RequestId id;
+    private final AccountId account;
     private final ServiceName service;
     private final long arrivedAtMillis;
     private final ExchangeRegistry registry;
@@ -37,6 +39,7 @@
 
     Exchange(
             RequestId id,
+            AccountId account,
             ServiceName service,
             long arrivedAtMillis,
             ExchangeRegistry registry,
@@ -44,6 +47,7 @@
             CompletableFuture<Reply> reply,
             Executor executor) {
         this.id = Objects.requireNonNull(id, "id");
+        this.account = Objects.requireNonNull(account, "account");
         this.service = Objects.requireNonNull(service, "service");
         this.arrivedAtMillis = arrivedAtMillis;
         this.registry = registry;
@@ -56,6 +60,11 @@
         return id;
     }
 
+    /** Tells whether the exchange is one of an account. */
+    boolean belongsTo(AccountId other) {
+        return account.equals(other);
+    }
+
     /** Sends tokens; their positions must follow those sent before. */
     public void deliver(int firstIndex, List<String> tokens) {
         if (!open.get() || tokens.isEmpty()) {
--- a/amaranthlock-router/src/test/java/org/amaranthlock/router/CallerFrontTest.java
+++ b/amaranthlock-router/src/test/java/org/amaranthlock/router/CallerFrontTest.java
@@ -214,6 +214,23 @@
         assertThat(router.core.seen(CallerGone.class)).isEmpty();
     }
 
+    // Guards against a caller that ends or takes the answer of another account by guessing its request id.
+    @Test
+    void theIdOfAnotherAccountsRequestIsRefusedAndItsAnswerGoesOn() throws Exception {
+        var answer = router.sendAsync(router.completion(STREAM));
+        RequestSpec spec = router.core.await(Arrived.class).spec();
+        var foreign = router.request("/v1/chat/completions")
+                .header("Authorization", "Bearer " + RouterFixture.OTHER_ACCOUNT_KEY)
+                .header("Last-Event-ID", spec.id() + ":0")
+                .POST(BodyPublishers.ofString(STREAM));
+        assertThat(router.send(foreign).statusCode()).isEqualTo(404);
+        router.core.issue(
+                new Deliver(spec.id(), 0, List.of("own")),
+                new CompleteAnswer(spec.id(), "stop", RouterFixture.completed(spec, 1)));
+        assertThat(answer.get().body()).contains("own");
+        assertThat(router.core.seen(Arrived.class)).isEmpty();
+    }
+
     // Guards against bodies that exceed the memory planned for a request.
     @Test
     void anOversizeBodyIsRefusedWithAndWithoutDeclaredLength() throws Exception {
--- a/amaranthlock-router/src/test/java/org/amaranthlock/router/RouterFixture.java
+++ b/amaranthlock-router/src/test/java/org/amaranthlock/router/RouterFixture.java
@@ -44,6 +44,7 @@
 public final class RouterFixture implements AutoCloseable {
     public static final String OPERATOR_KEY = "operator-secret";
     public static final String ACCOUNT_KEY = "shop-secret";
+    public static final String OTHER_ACCOUNT_KEY = "other-secret";
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
     public final ScriptedCore core = new ScriptedCore();
@@ -173,6 +174,10 @@
 
         @Override
         public Optional<AccountSettings> accountByKey(String keySha256) {
+            if (keySha256.equals(sha256(OTHER_ACCOUNT_KEY))) {
+                return Optional.of(
+                        new AccountSettings(new AccountId("others"), keySha256, 1, OptionalDouble.empty()));
+            }
             return keySha256.equals(sha256(ACCOUNT_KEY))
                     ? Optional.of(new AccountSettings(new AccountId("shops"), keySha256, 1, OptionalDouble.empty()))
                     : Optional.empty();
