--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/Caller.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/Caller.java
@@ -176,8 +176,13 @@
         List<Cluster.Node> others = cluster.running().stream()
                 .filter(node -> node.router() != old && !cluster.draining(node.router()))
                 .toList();
-        if (others.isEmpty() || connections >= MAX_CONNECTIONS) {
-            finish(Optional.empty(), Optional.of(ErrorCode.INTERNAL));
+        if (connections >= MAX_CONNECTIONS) {
+            violate("no final answer in " + MAX_CONNECTIONS + " connections");
+            finish(Optional.empty(), Optional.empty());
+            return;
+        }
+        if (others.isEmpty()) {
+            cluster.simulation.schedule(REPEAT_MILLIS, () -> another(old));
             return;
         }
         connect(others.get(connections % others.size()).router());
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/CellRun.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/CellRun.java
@@ -145,7 +145,7 @@
     }
 
     private void drain() {
-        Caller draft = Caller.generation(cluster, RequestKind.LONG_TOKENS);
+        Caller draft = RequestKind.DRAIN.caller(cluster);
         Caller order = Caller.order(cluster, Deployment.FENCED);
         draft.connect(serving);
         if (cell.step() == Step.ARRIVING) {
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/Cluster.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/Cluster.java
@@ -41,6 +41,7 @@
     final List<String> violations = new ArrayList<>();
     final TreeSet<Integer> cutFrom = new TreeSet<>();
     final TreeSet<Integer> cutTo = new TreeSet<>();
+    final TreeSet<Integer> cutFromPlatform = new TreeSet<>();
     final Map<Long, OperatorCommand> operatorAnswers = new HashMap<>();
     final Map<TargetId, Long> leavingSince = new LinkedHashMap<>();
     private final Map<Integer, Node> nodes = new TreeMap<>();
@@ -52,12 +53,17 @@
     private final TreeSet<Double> acceptedWeights = new TreeSet<>();
     private long lastUnique;
     private int incarnations;
-    private int grants;
+    private int fencedOwners;
 
     /** One router process. */
     record Node(int number, SimulatedRouter router, RouterCore core) {}
 
     Cluster(long seed, int routers) {
+        this(seed, routers, SETTLE_MILLIS);
+    }
+
+    /** Creates a cluster whose routers have been running for {@code settleMillis}. */
+    Cluster(long seed, int routers, long settleMillis) {
         simulation = new Simulation(seed);
         simulation.refuseConnections();
         simulation.outside(this::execute);
@@ -75,7 +81,7 @@
             clockOffsets[number] = number * 40_000L;
             start(number);
         }
-        simulation.run(SETTLE_MILLIS);
+        simulation.run(settleMillis);
     }
 
     private static int number(RouterMember member) {
@@ -175,6 +181,7 @@
     void heal() {
         cutFrom.clear();
         cutTo.clear();
+        cutFromPlatform.clear();
         simulation.disturbNetwork(0, 0, 12);
         simulation.delay((from, to) -> 0);
         simulation.platform().down(false);
@@ -204,10 +211,13 @@
     /** Begins the graceful end of a target: it refuses new work, and later the host list tells so. */
     void leave(SimulatedTarget target) {
         target.leave();
-        simulation.schedule(HOST_LIST_LAG_MILLIS, () -> {
-            leavingSince.putIfAbsent(target.target().id(), now());
-            listHosts();
-        });
+        simulation.schedule(HOST_LIST_LAG_MILLIS, () -> listLeaving(target));
+    }
+
+    /** Shows a target as leaving in the host list, while it still takes work itself. */
+    void listLeaving(SimulatedTarget target) {
+        leavingSince.putIfAbsent(target.target().id(), now());
+        listHosts();
     }
 
     private void listHosts() {
@@ -283,7 +293,7 @@
             case RequestCommand.Supersede end -> caller(router, end.request()).ifPresent(Caller::superseded);
             case OperatorCommand answer -> operatorAnswers.put(answer.call(), answer);
             case Command.Stop stop -> stop(router);
-            case Command.Trace trace -> grants += trace.kind().equals("ledger-fenced") ? 1 : 0;
+            case Command.Trace trace -> fencedOwners += trace.kind().equals("ledger-fenced") ? 1 : 0;
             default -> {}
         }
     }
@@ -304,7 +314,7 @@
 
     /** Returns how often a partition owner found that another one had taken its place. */
     int fencedOwners() {
-        return grants;
+        return fencedOwners;
     }
 
     private SimulatedTarget target(Target target) {
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/FaultProperties.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/FaultProperties.java
@@ -15,12 +15,44 @@
 /** Guards against sequences of faults, at any time and in any order, that break an invariant. */
 class FaultProperties {
     private static final int ROUTERS = 5;
+    private static final long LATENCY_MILLIS = 12;
     private static final long WORK_MILLIS = 4_000;
-    private static final long FAULT_SPAN_MILLIS = 5_000;
+    private static final long FAULT_SPAN_MILLIS = 10_000;
+    private static final int LATE_REQUESTS = 10;
+    private static final long LATE_GAP_MILLIS = 800;
 
     /** A fault that strikes a router and a target at a time after the start of the work. */
     record Strike(Fault fault, int router, int target, int atMillis) {}
 
+    /**
+     * State of the network while the work runs.
+     *
+     * @param dropPercent messages lost
+     * @param duplicatePercent messages that arrive twice, the second time late
+     * @param slowRouter router whose messages to the next one are slow
+     * @param slowMillis by how much
+     */
+    record Network(int dropPercent, int duplicatePercent, int slowRouter, int slowMillis) {
+        void disturb(Cluster cluster) {
+            cluster.simulation.disturbNetwork(dropPercent / 100.0, duplicatePercent / 100.0, LATENCY_MILLIS);
+            String from = cluster.node(slowRouter).router().member().address();
+            String to =
+                    cluster.node((slowRouter + 1) % ROUTERS).router().member().address();
+            cluster.simulation.delay((sender, receiver) ->
+                    sender.address().equals(from) && receiver.address().equals(to) ? slowMillis : 0);
+        }
+    }
+
+    @Provide
+    Arbitrary<Network> networks() {
+        return Combinators.combine(
+                        Arbitraries.integers().between(0, 5),
+                        Arbitraries.integers().between(0, 10),
+                        Arbitraries.integers().between(0, ROUTERS - 1),
+                        Arbitraries.integers().between(0, 300))
+                .as(Network::new);
+    }
+
     @Provide
     Arbitrary<List<Strike>> strikes() {
         Arbitrary<Strike> strike = Combinators.combine(
@@ -33,14 +65,16 @@
     }
 
     @Property(tries = 150, seed = "20261203", shrinking = ShrinkingMode.BOUNDED)
-    void invariantsHoldUnderTwoOrThreeFaults(@ForAll("strikes") List<Strike> strikes, @ForAll short seed) {
+    void invariantsHoldUnderTwoOrThreeFaults(
+            @ForAll("strikes") List<Strike> strikes, @ForAll("networks") Network network, @ForAll short seed) {
         Cluster cluster = new Cluster(seed, ROUTERS);
+        network.disturb(cluster);
         work(cluster);
         for (Strike strike : strikes) {
             cluster.simulation.schedule(strike.atMillis(), () -> strike(cluster, strike));
         }
         cluster.run(WORK_MILLIS + FAULT_SPAN_MILLIS);
-        assertWithMessage(strikes + " seed " + seed)
+        assertWithMessage(strikes + " " + network + " seed " + seed)
                 .that(Invariants.check(cluster))
                 .isEmpty();
     }
@@ -56,6 +90,14 @@
             callers.add(Caller.order(cluster, Deployment.RECONCILING));
             callers.add(Caller.lookup(cluster));
         }
+        // Later work meets targets that have left and routers that have come back.
+        for (int i = 0; i < LATE_REQUESTS; i++) {
+            Caller caller = i % 2 == 0
+                    ? Caller.generation(cluster, RequestKind.SHORT_TOKENS)
+                    : Caller.order(cluster, Deployment.FENCED);
+            int number = i % ROUTERS;
+            cluster.simulation.schedule(WORK_MILLIS + i * LATE_GAP_MILLIS, () -> arrive(cluster, caller, number));
+        }
         for (int i = 0; i < callers.size(); i++) {
             Caller caller = callers.get(i);
             int number = i % ROUTERS;
@@ -72,7 +114,7 @@
         Cluster.Node chosen = nodes.stream()
                 .filter(node -> node.number() == preferred)
                 .findFirst()
-                .orElse(nodes.getFirst());
+                .orElse(nodes.isEmpty() ? cluster.node(preferred) : nodes.getFirst());
         caller.connect(chosen.number());
     }
 
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/RequestKind.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/RequestKind.java
@@ -54,6 +54,8 @@
 
     static final int LONG_TOKENS = 100;
     static final int SHORT_TOKENS = 8;
+    /** Runs longer than an idle router lingers before it stops. */
+    static final int DRAIN_TOKENS = 300;
 
     private final String service;
     private final List<Step> steps;
@@ -81,7 +83,8 @@
 
     Caller caller(Cluster cluster) {
         return switch (this) {
-            case LONG_GENERATION, DRAIN -> Caller.generation(cluster, LONG_TOKENS);
+            case LONG_GENERATION -> Caller.generation(cluster, LONG_TOKENS);
+            case DRAIN -> Caller.generation(cluster, DRAIN_TOKENS);
             case SHORT_GENERATION -> Caller.generation(cluster, SHORT_TOKENS);
             case RETRIABLE_CALL -> Caller.lookup(cluster);
             default -> Caller.order(cluster, service);
