--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointKeeper.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointKeeper.java
@@ -59,9 +59,8 @@
 
     @Override
     public List<Command> closed(CheckpointSource source, long nowMillis) {
-        List<Command> out = new ArrayList<>();
-        owned.closed(source, true, out);
-        return out;
+        owned.closed(source, true);
+        return List.of();
     }
 
     @Override
@@ -74,7 +73,7 @@
 
     @Override
     public void handedOver(CheckpointSource source) {
-        owned.closed(source, false, new ArrayList<>());
+        owned.closed(source, false);
     }
 
     @Override
@@ -94,6 +93,7 @@
                 completed.tick(nowMillis);
                 searches.tick(nowMillis, out);
             }
+            case RequestEvent.RecordLasts lasting -> owned.recordLasts(lasting.request(), out);
             case Event.PeerUnreachable unreachable -> searches.unreachable(unreachable.host(), out);
             case Event.PeerReceived received -> received(received.from(), received.message(), nowMillis, out);
             default -> {}
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/KeptCheckpoints.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/KeptCheckpoints.java
@@ -42,7 +42,9 @@
     }
 
     Optional<Checkpoint> find(String ledgerKey) {
-        return Optional.ofNullable(kept.get(ledgerKey)).map(Kept::checkpoint);
+        return Optional.ofNullable(kept.get(ledgerKey))
+                .filter(entry -> entry.finalRecord.isEmpty())
+                .map(Kept::checkpoint);
     }
 
     void forget(String ledgerKey) {
@@ -94,7 +96,11 @@
         }
     }
 
-    /** Ends the keeping of a checkpoint whose answer is complete, and returns the whole answer if it is known. */
+    /**
+     * Notes that an answer is complete, and returns the whole answer if it is known.
+     *
+     * <p>The entry stays until the owner drops it, so that the record is written even if the owner dies before.
+     */
     Optional<CompletedAnswer> complete(HostId from, PeerMessage.AnswerSave save) {
         CompletedAnswer end = save.answer();
         Kept entry = kept.get(end.record().ledgerKey());
@@ -104,7 +110,7 @@
             if (!same || entry.formerOwners.contains(from)) {
                 return Optional.empty();
             }
-            kept.remove(end.record().ledgerKey());
+            entry.finalRecord = Optional.of(end.record());
             tokens.addAll(entry.tokens.subList(0, Math.min(save.firstIndex(), entry.tokens.size())));
         }
         if (tokens.size() < save.firstIndex()) {
@@ -131,7 +137,10 @@
             if (entry.deadSince < 0) {
                 entry.deadSince = now;
             }
-            if (!passOn(entry, out) && now - entry.deadSince >= RETURN_MILLIS) {
+            if (entry.finalRecord.isPresent()) {
+                kept.remove(entry.base.spec().ledgerKey());
+                out.addAll(ledger.close(new FinalOutcome(entry.finalRecord.get(), Optional.empty()), now));
+            } else if (!passOn(entry, out) && now - entry.deadSince >= RETURN_MILLIS) {
                 kept.remove(entry.base.spec().ledgerKey());
                 abandon(entry.checkpoint(), now, out);
             }
@@ -190,6 +199,7 @@
         private final Set<HostId> formerOwners = new HashSet<>();
         private Checkpoint base;
         private Optional<RouterMember> owner;
+        private Optional<OutcomeRecord> finalRecord = Optional.empty();
         private long deadSince = -1;
 
         Kept(Checkpoint base, Optional<RouterMember> owner) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OwnedCheckpoints.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OwnedCheckpoints.java
@@ -9,6 +9,7 @@
 import org.amaranthlock.coordination.membership.RouterMember;
 import org.amaranthlock.model.AttemptId;
 import org.amaranthlock.model.HostId;
+import org.amaranthlock.model.RequestId;
 import org.amaranthlock.protocol.peer.CompletedAnswer;
 import org.amaranthlock.protocol.peer.PeerMessage;
 
@@ -22,6 +23,7 @@
 
     private final MembershipView membership;
     private final Map<String, Owned> owned = new LinkedHashMap<>();
+    private final Map<RequestId, Owned> closing = new LinkedHashMap<>();
 
     OwnedCheckpoints(MembershipView membership) {
         this.membership = membership;
@@ -59,8 +61,13 @@
         }
     }
 
-    /** Forgets a request, and drops its checkpoint unless another router carries the request on. */
-    void closed(CheckpointSource source, boolean drop, List<Command> out) {
+    /**
+     * Forgets a request.
+     *
+     * @param drop whether its checkpoint ends, because no other router carries the request on; the keeper holds it
+     *     until the record lasts, and closes the request itself if this router dies before
+     */
+    void closed(CheckpointSource source, boolean drop) {
         String ledgerKey = source.spec().ledgerKey();
         Owned entry = owned.get(ledgerKey);
         if (entry == null || entry.source != source) {
@@ -68,9 +75,17 @@
         }
         owned.remove(ledgerKey);
         if (drop && entry.keeper.isPresent()) {
-            RouterMember keeper = entry.keeper.get();
+            closing.put(source.spec().id(), entry);
+        }
+    }
+
+    /** Drops the checkpoint of a closed request. */
+    void recordLasts(RequestId request, List<Command> out) {
+        Owned entry = closing.remove(request);
+        if (entry != null) {
+            RouterMember keeper = entry.keeper.orElseThrow();
             PeerMessage message =
-                    new PeerMessage.CheckpointDrop(ledgerKey, source.spec().id());
+                    new PeerMessage.CheckpointDrop(entry.source.spec().ledgerKey(), request);
             out.add(new Command.SendPeer(keeper.host(), keeper.address(), message));
         }
     }
@@ -95,21 +110,28 @@
         PeerMessage message = new PeerMessage.AnswerSave(firstIndex, rest);
         keeper.ifPresent(member -> out.add(new Command.SendPeer(member.host(), member.address(), message)));
         // The drop frees the checkpoint also where the answer is not understood or exceeds a frame.
-        closed(source, true, out);
+        closed(source, true);
     }
 
     void tick(long now, List<Command> out) {
         for (Owned entry : owned.values()) {
-            if (!keeperLive(entry)) {
+            boolean young = now - entry.openedAt < KEEP_AFTER_MILLIS;
+            if (!keeperLive(entry) || (young && streamMoved(entry))) {
                 saveWhole(entry, now, out);
-            } else if (entry.source.keptAlive()
-                    && now - entry.openedAt >= KEEP_AFTER_MILLIS
-                    && now - entry.sentAt >= DELTA_MILLIS) {
+            } else if (entry.source.keptAlive() && !young && now - entry.sentAt >= DELTA_MILLIS) {
                 sendDelta(entry, now, out);
             }
         }
     }
 
+    /** Tells whether the keeper does not know the present stream, which is the only source of a young answer. */
+    private static boolean streamMoved(Owned entry) {
+        CheckpointSource source = entry.source;
+        return source.keptAlive()
+                && source.attempt().isPresent()
+                && !source.attempt().equals(entry.sentAttempt);
+    }
+
     private boolean keeperLive(Owned entry) {
         if (entry.keeper.isEmpty()) {
             return false;
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -91,6 +91,7 @@
             case RequestEvent.TakenOver taken -> with(taken.request(), request -> request.takenOver(nowMillis, out));
             case RequestEvent.OfAttempt ofAttempt ->
                 with(ofAttempt.request(), request -> request.attemptEvent(ofAttempt, nowMillis, out));
+            case TargetEvent.Reachable reachable -> dispatcher.reachable(reachable.target());
             case TargetEvent.Unreachable unreachable -> dispatcher.unreachable(unreachable.target(), nowMillis, out);
             default -> {}
         }
@@ -140,7 +141,7 @@
             reject(arrived, ErrorCode.PLATFORM_UNAVAILABLE, "Outcome records wait for the platform.", now, out);
         } else if (spec.work() instanceof Work.Generation && arrived.resumeAt().isPresent() && !keptAlive(spec)) {
             // Only kept-alive answers have checkpoints, so no other router can go on with this one.
-            resumeUnavailable(new Search(arrived), now, out);
+            resumeUnavailable(new Search(arrived), out);
         } else if (spec.work() instanceof Work.Generation && searchable(arrived)) {
             searches.put(spec.id(), new Search(arrived));
             long timeout = arrived.resumeAt().isPresent() ? RETURN_SEARCH_MILLIS : ARRIVAL_SEARCH_MILLIS;
@@ -255,7 +256,7 @@
         } else if (search.arrived.resumeAt().isPresent() && !found.conclusive()) {
             searchAgain(search, out);
         } else if (search.arrived.resumeAt().isPresent()) {
-            resumeUnavailable(search, now, out);
+            resumeUnavailable(search, out);
         } else if (search.gone) {
             RefusedArrival.abandon(services, spec, Fate.NOT_RUN, now, out);
         } else {
@@ -297,7 +298,9 @@
             served = Optional.empty();
             connection.ifPresent(id -> reject(search.arrived, ErrorCode.KEY_REUSED, KEY_REUSED_DETAIL, now, out));
         }
-        GenerationRequest request = new GenerationRequest(services, dispatcher, checkpoint.spec(), served, now);
+        // The deadline in the checkpoint is a time of the former owner's clock.
+        RequestSpec continued = checkpoint.spec().withDeadline(spec.deadlineMillis());
+        GenerationRequest request = new GenerationRequest(services, dispatcher, continued, served, now);
         int resumeAt = served.isPresent() ? search.arrived.resumeAt().orElse(0) : 0;
         request.continueFrom(checkpoint, resumeAt, now, out);
         settle(request);
@@ -312,14 +315,13 @@
         }
     }
 
-    private void resumeUnavailable(Search search, long now, List<Command> out) {
-        RequestSpec spec = search.arrived.spec();
-        Fate fate = fateSeenBy(search.arrived);
+    /** Writes no record: the id is what the caller says, and a request of that id has its owner or keeper. */
+    private static void resumeUnavailable(Search search, List<Command> out) {
         if (!search.gone) {
             String detail = "No router holds the answer any more; read its outcome record or send the request anew.";
-            refuse(spec, ErrorCode.RESUME_UNAVAILABLE, fate, detail, out);
+            RequestSpec spec = search.arrived.spec();
+            refuse(spec, ErrorCode.RESUME_UNAVAILABLE, fateSeenBy(search.arrived), detail, out);
         }
-        RefusedArrival.close(services, spec, ErrorCode.RESUME_UNAVAILABLE, fate, now, out);
     }
 
     private void callerGone(RequestId connection, long now, List<Command> out) {
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/FaultMatrixTest.java
@@ -0,0 +1,55 @@
+package org.amaranthlock.faults;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against a fault at a step of a request for which the result differs from what the design promises. */
+class FaultMatrixTest {
+    private static final long SEED = 20_261_203;
+    private static final AtomicInteger MISLEADING = new AtomicInteger();
+    private static final Map<Cell, String> RESULTS = new ConcurrentHashMap<>();
+
+    static Stream<Cell> cells() {
+        return Cell.all().stream().filter(cell -> cell.notApplicable().isEmpty());
+    }
+
+    @ParameterizedTest
+    @MethodSource("cells")
+    void everyFaultAtEveryStepEndsAsDesigned(Cell cell) {
+        RESULTS.put(cell, "FAILED");
+        CellRun run = new CellRun(cell, SEED);
+        List<String> problems = run.run();
+        MISLEADING.addAndGet(run.misleadingRefusals());
+        assertWithMessage(cell.toString()).that(problems).isEmpty();
+        RESULTS.put(cell, "passed");
+    }
+
+    @AfterAll
+    static void printTable() {
+        Map<String, Map<String, Integer>> rows = new TreeMap<>();
+        Map<String, Integer> totals = new TreeMap<>();
+        for (Cell cell : Cell.all()) {
+            String result = cell.notApplicable()
+                    .map(reason -> "n/a: " + reason)
+                    .orElseGet(() -> RESULTS.getOrDefault(cell, "MISSING"));
+            rows.computeIfAbsent(cell.kind().toString(), kind -> new TreeMap<>())
+                    .merge(result, 1, Integer::sum);
+            totals.merge(result, 1, Integer::sum);
+        }
+        StringBuilder table = new StringBuilder("Fault matrix, " + Cell.all().size() + " cells\n");
+        rows.forEach((kind, counts) -> table.append(String.format("%-22s %s%n", kind, counts)));
+        table.append("total                  ").append(totals);
+        System.out.println(table.append("\nrepeats told not-run although an earlier call with the key ran: ")
+                .append(MISLEADING));
+        assertWithMessage("cells without result").that(totals).doesNotContainKey("MISSING");
+    }
+}
