Say not run for a repeated order only when the ledger knows its key

Ruled out: a wrong record; each refused request itself was never dispatched, but the ledger had not been asked, or did not answer. Change: the verdict Unavailable tells whether the owner has the claims of the partition and the key is unused; otherwise the fate is unknown. Owners decide from memory while nothing can be committed, and preferred owners take partitions over before work arrives, so that an outage finds them with the state.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/DefaultLedgerClient.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/DefaultLedgerClient.java
@@ -109,7 +109,11 @@
     private void tick(long nowMillis, List<Command> commands) {
         for (PendingClaim claim : List.copyOf(claims.values())) {
             if (nowMillis - claim.startedMillis >= CLAIM_TIMEOUT_MILLIS) {
-                decide(claim, new ClaimVerdict.Unavailable("the ledger did not answer in time"), nowMillis, commands);
+                decide(
+                        claim,
+                        new ClaimVerdict.Unavailable("the ledger did not answer in time", false),
+                        nowMillis,
+                        commands);
             } else if (nowMillis >= claim.nextSendMillis) {
                 send(claim, nowMillis, commands);
             }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PartitionOwner.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PartitionOwner.java
@@ -54,6 +54,7 @@
     private final WriteBucket bucket = new WriteBucket();
     private final LogReader reader;
     private Phase phase = Phase.IDLE;
+    private boolean wanted;
     private Optional<LogWrite> write = Optional.empty();
     private Optional<SnapshotWriter> snapshots = Optional.empty();
     private long nextSequence = 1;
@@ -76,12 +77,24 @@
         return phase == Phase.IDLE && nowMillis >= retryAtMillis && pending.isEmpty() && queries.isEmpty();
     }
 
+    /** Takes the partition over without work for it. */
+    void own(long nowMillis, List<Command> commands) {
+        if (phase == Phase.IDLE) {
+            wanted = true;
+            advance(nowMillis, commands);
+        }
+    }
+
     void claim(HostId from, ClaimRequest request, long nowMillis, List<Command> commands) {
         if (!preferred()) {
             refuse(from, commands);
         } else if (!inWrite(from, request)) {
             if (nowMillis < retryAtMillis || write.map(LogWrite::stalled).orElse(false)) {
-                reply(from, request, new ClaimVerdict.Unavailable("the platform can't be reached"), commands);
+                reply(
+                        from,
+                        request,
+                        withoutPlatform(from, request, "the platform can't be reached", nowMillis),
+                        commands);
             } else {
                 pending.add(from, request, nowMillis);
             }
@@ -155,9 +168,10 @@
     }
 
     private void takeOver(long nowMillis, List<Command> commands) {
-        if ((pending.isEmpty() && queries.isEmpty()) || nowMillis < retryAtMillis) {
+        if ((pending.isEmpty() && queries.isEmpty() && !wanted) || nowMillis < retryAtMillis) {
             return;
         }
+        wanted = false;
         phase = Phase.READING;
         readStartedMillis = nowMillis;
         reader.start(commands);
@@ -176,7 +190,7 @@
     private void readFailed(long nowMillis, List<Command> commands) {
         phase = Phase.IDLE;
         backOff(nowMillis);
-        refuseClaims("the platform can't be reached", commands);
+        refuseClaims("the platform can't be reached", nowMillis, commands);
     }
 
     /** Creates an empty position, which fences the owner before. */
@@ -229,7 +243,7 @@
                 write = Optional.empty();
                 pending.putBack(current.work().claims(), current.work().outcomes());
                 backOff(nowMillis);
-                refuseClaims("the platform did not accept the write", commands);
+                refuseClaims("the platform did not accept the write", nowMillis, commands);
             }
             default -> {}
         }
@@ -268,10 +282,27 @@
     }
 
     /** Refuses the waiting claims; none of them is in a write, so none can be committed by this owner. */
-    private void refuseClaims(String reason, List<Command> commands) {
+    private void refuseClaims(String reason, long nowMillis, List<Command> commands) {
         for (PendingWork.Claim claim : pending.takeClaims()) {
-            reply(claim.from(), claim.request(), new ClaimVerdict.Unavailable(reason), commands);
+            reply(
+                    claim.from(),
+                    claim.request(),
+                    withoutPlatform(claim.from(), claim.request(), reason, nowMillis),
+                    commands);
+        }
+    }
+
+    /**
+     * Decides on a claim while nothing can be committed: what was committed before is still true, and an owner that
+     * has the state knows whether the key was used.
+     */
+    private ClaimVerdict withoutPlatform(HostId from, ClaimRequest request, String reason, long nowMillis) {
+        if (phase != Phase.OWNING) {
+            return new ClaimVerdict.Unavailable(reason, false);
         }
+        return reader.state()
+                .decide(from, request, nowMillis)
+                .orElseGet(() -> new ClaimVerdict.Unavailable(reason, true));
     }
 
     private void answerQueries(List<Command> commands) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PartitionOwners.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PartitionOwners.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.amaranthlock.coordination.Command;
 import org.amaranthlock.coordination.Component;
 import org.amaranthlock.coordination.Event;
@@ -23,6 +25,8 @@
     private final OperationNumbers numbers;
     private final RecentOutcomes recent = new RecentOutcomes();
     private final Map<Integer, PartitionOwner> owners = new TreeMap<>();
+    private final Set<Integer> preferredBefore = new TreeSet<>();
+    private int checked;
 
     /**
      * Creates the owner side of the ledger.
@@ -42,6 +46,7 @@
             case Event.Tick tick -> {
                 owners.values().forEach(owner -> owner.tick(nowMillis, commands));
                 owners.values().removeIf(owner -> owner.idle(nowMillis));
+                takeOverNext(nowMillis, commands);
             }
             case Event.PeerReceived received -> receive(received.from(), received.message(), nowMillis, commands);
             case PlatformEvent answer -> owners.values().forEach(owner -> owner.handle(answer, nowMillis, commands));
@@ -50,6 +55,23 @@
         return commands;
     }
 
+    /**
+     * Takes over partitions that this router should own, also without work for them, so that their claims are known
+     * when the platform fails.
+     *
+     * <p>One partition is looked at per tick, and taken over when this router should have owned it a round of about 3 s
+     * before too. A router that has just started, and still believes to be alone, therefore takes none.
+     */
+    private void takeOverNext(long nowMillis, List<Command> commands) {
+        int partition = checked;
+        checked = (checked + 1) % LedgerPartitions.COUNT;
+        if (!peers.preferredOwner(partition).equals(peers.self())) {
+            preferredBefore.remove(partition);
+        } else if (!preferredBefore.add(partition)) {
+            owner(partition).own(nowMillis, commands);
+        }
+    }
+
     private void receive(HostId from, PeerMessage message, long nowMillis, List<Command> commands) {
         switch (message) {
             case ClaimRequest claim -> owner(claim.partition()).claim(from, claim, nowMillis, commands);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PendingWork.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PendingWork.java
@@ -155,7 +155,9 @@
         for (Claim claim : claims.values()) {
             ClaimRequest request = claim.request();
             if (nowMillis - claim.sinceMillis() > CLAIM_TIMEOUT_MILLIS) {
-                selection.decided().put(claim, new ClaimVerdict.Unavailable("the ledger did not answer in time"));
+                ClaimVerdict verdict = state.decide(claim.from(), request, nowMillis)
+                        .orElseGet(() -> new ClaimVerdict.Unavailable("the ledger did not answer in time", true));
+                selection.decided().put(claim, verdict);
                 continue;
             }
             if (closing.contains(request.request()) || keys.contains(request.ledgerKey())) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
@@ -113,16 +113,22 @@
                         OptionalLong.empty(),
                         now,
                         out);
-            case ClaimVerdict.Unavailable unavailable ->
-                refuse(
-                        ErrorCode.PLATFORM_UNAVAILABLE,
-                        Fate.NOT_RUN,
-                        "No claim could be made (" + unavailable.reason() + "); send the request again later.",
-                        now,
-                        out);
+            case ClaimVerdict.Unavailable unavailable -> unavailable(unavailable, now, out);
         }
     }
 
+    /** This request was not dispatched, but "not run" speaks of the key, which an earlier request may have used. */
+    private void unavailable(ClaimVerdict.Unavailable unavailable, long now, List<Command> out) {
+        boolean neverRun = spec().key().isEmpty() || unavailable.keyUnused();
+        refuse(
+                ErrorCode.PLATFORM_UNAVAILABLE,
+                neverRun ? Fate.NOT_RUN : Fate.UNKNOWN,
+                "No claim could be made (" + unavailable.reason()
+                        + "); send the request again with the same key later.",
+                now,
+                out);
+    }
+
     private void held(ClaimVerdict.Held held, long now, List<Command> out) {
         if (!life.services().membership().dead(held.holder())) {
             refuse(
--- a/amaranthlock-core/src/main/java/org/amaranthlock/protocol/peer/ClaimVerdict.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/protocol/peer/ClaimVerdict.java
@@ -50,8 +50,10 @@
      * No claim exists and none was made; the request was not dispatched.
      *
      * @param reason explanation
+     * @param keyUnused whether the owner of the partition has the state of its claims and no request had used the key;
+     *     if not, an earlier request with the key may have been executed
      */
-    record Unavailable(String reason) implements ClaimVerdict {
+    record Unavailable(String reason, boolean keyUnused) implements ClaimVerdict {
         public Unavailable {
             Objects.requireNonNull(reason, "reason");
         }
