--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestTraceTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestTraceTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.amaranthlock.coordination.Command;
 import org.amaranthlock.coordination.Event;
 import org.amaranthlock.coordination.OperationNumbers;
@@ -161,8 +162,7 @@
         fixture.commands.addAll(coordinator.handle(new RequestEvent.Arrived(spec, OptionalInt.empty()), fixture.now));
         for (int death = 0; death < 2; death++) {
             RequestCommand.OpenStream open = fixture.last(RequestCommand.OpenStream.class);
-            Event lost = new RequestEvent.AttemptFailed(
-                    open.attempt(), FailureKind.LOST, "test", java.util.OptionalLong.empty());
+            Event lost = new RequestEvent.AttemptFailed(open.attempt(), FailureKind.LOST, "test", OptionalLong.empty());
             fixture.commands.addAll(coordinator.handle(lost, fixture.now));
             Event died = new TargetEvent.Unreachable(open.target().id());
             fixture.commands.addAll(coordinator.handle(died, fixture.now));
