--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/poison/PoisonMarksProperties.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/poison/PoisonMarksProperties.java
@@ -4,10 +4,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.amaranthlock.coordination.poison.PoisonMarks.Mark;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 
 class PoisonMarksProperties {
     private static final int BOUND = 12;
@@ -15,7 +16,7 @@
     /** Guards against an index that misses a mark or still holds a removed one. */
     @Property(seed = "31", tries = 300)
     void theIndexFindsWhatAWalkThroughAllMarksFinds(@ForAll long seed) {
-        Random random = new Random(seed);
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         PoisonMarks marks = new PoisonMarks(BOUND);
         for (int time = 0; time < 100; time++) {
             marks.obtain("key-" + random.nextInt(20), random.nextInt(6), 0).atMillis = time;
