Share the beginning and the poison refusal of requests

Cause: GenerationRequest, ServiceRequest and AtMostOnceRequest each held the same blocks for poison check and admission, the refusal of a condemned request, the limit of attempts (two of them) and the accessors of their RequestLife. Ruled out: a common base class, because the kinds differ in what they do on every event; and shared refuse methods, because each kind cancels and judges its fate differently. Change: RequestLife.begin, refusePoison and attemptsSpent; OpenRequest reads spec, connection and closed from life(). No change of behaviour: before its first dispatch the fate of every kind is NOT_RUN, which begin states.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
@@ -7,7 +7,6 @@
 import org.amaranthlock.coordination.RequestCommand;
 import org.amaranthlock.coordination.RequestEvent;
 import org.amaranthlock.coordination.RequestEvent.FailureKind;
-import org.amaranthlock.coordination.admission.AdmissionDecision;
 import org.amaranthlock.coordination.poison.PoisonRegistry.Standing;
 import org.amaranthlock.coordination.routing.TargetSelector.AttemptResult;
 import org.amaranthlock.model.AttemptId;
@@ -61,20 +60,7 @@
 
     @Override
     public void begin(long now, List<Command> out) {
-        if (dispatcher.standing(spec(), now) == Standing.CONDEMNED) {
-            refusePoison(now, out);
-            return;
-        }
-        switch (life.admit(now)) {
-            case AdmissionDecision.Admitted admitted -> {
-                out.addAll(life.services().checkpoints().opened(this, now));
-                claim(now, out);
-            }
-            case AdmissionDecision.Queued queued ->
-                out.addAll(life.services().checkpoints().opened(this, now));
-            case AdmissionDecision.Refused refused ->
-                refuse(refused.code(), Fate.NOT_RUN, refused.detail(), refused.retryAfterMillis(), now, out);
-        }
+        life.begin(this, dispatcher, () -> claim(now, out), now, out);
     }
 
     @Override
@@ -172,7 +158,7 @@
         if (life.connection().isEmpty()) {
             refuse(ErrorCode.DEADLINE_EXCEEDED, Fate.NOT_RUN, "The caller waits no longer.", now, out);
         } else if (dispatcher.standing(spec(), now) == Standing.CONDEMNED) {
-            refusePoison(now, out);
+            life.refusePoison(this, Fate.NOT_RUN, now, out);
         } else if (now - grantedAt > CLAIM_MILLIS || pauses.pausedSince(claimedAt, now)) {
             refuse(
                     ErrorCode.OVERLOADED,
@@ -383,17 +369,6 @@
         // The claim names this router alone, so no other router can carry the call on.
     }
 
-    private void refusePoison(long now, List<Command> out) {
-        life.refuse(
-                this,
-                ErrorCode.POISON_REQUEST,
-                Fate.NOT_RUN,
-                "Targets that ran this request crashed; change the request before sending it again.",
-                OptionalLong.empty(),
-                now,
-                out);
-    }
-
     private void refuse(ErrorCode code, Fate fate, String detail, long now, List<Command> out) {
         refuse(code, fate, detail, RequestLife.RETRY_AFTER_MILLIS, now, out);
     }
@@ -403,18 +378,8 @@
     }
 
     @Override
-    public RequestSpec spec() {
-        return life.spec();
-    }
-
-    @Override
-    public Optional<RequestId> connection() {
-        return life.connection();
-    }
-
-    @Override
-    public boolean closed() {
-        return life.closed();
+    public RequestLife life() {
+        return life;
     }
 
     @Override
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
@@ -11,7 +11,6 @@
 import org.amaranthlock.coordination.RequestCommand;
 import org.amaranthlock.coordination.RequestEvent;
 import org.amaranthlock.coordination.RequestEvent.FailureKind;
-import org.amaranthlock.coordination.admission.AdmissionDecision;
 import org.amaranthlock.coordination.poison.PoisonRegistry.Standing;
 import org.amaranthlock.coordination.routing.TargetSelector.AttemptResult;
 import org.amaranthlock.model.AttemptId;
@@ -83,20 +82,7 @@
 
     @Override
     public void begin(long now, List<Command> out) {
-        if (dispatcher.standing(spec(), now) == Standing.CONDEMNED) {
-            refusePoison(now, out);
-            return;
-        }
-        switch (life.admit(now)) {
-            case AdmissionDecision.Admitted admitted -> {
-                out.addAll(life.services().checkpoints().opened(this, now));
-                dispatch(now, out);
-            }
-            case AdmissionDecision.Queued queued ->
-                out.addAll(life.services().checkpoints().opened(this, now));
-            case AdmissionDecision.Refused refused ->
-                refuse(refused.code(), refused.detail(), refused.retryAfterMillis(), now, out);
-        }
+        life.begin(this, dispatcher, () -> dispatch(now, out), now, out);
     }
 
     /** Carries on a request that another router served, from its checkpoint. */
@@ -148,7 +134,7 @@
             waitingSince = now;
         }
         if (dispatcher.standing(spec(), now) == Standing.CONDEMNED) {
-            refusePoison(now, out);
+            life.refusePoison(this, fate(), now, out);
         } else if (tokens.size() >= work.maxTokens()) {
             ended("length", now, out);
         } else if (nextDelivery > tokens.size()) {
@@ -158,8 +144,7 @@
                     "The end of the answer sent so far was lost with its engine and router; send the request anew.",
                     now,
                     out);
-        } else if (life.executedAttempts() >= spec().profile().maxAttempts()
-                || life.refusedAttempts() >= RequestLife.MAX_REFUSED_ATTEMPTS) {
+        } else if (life.attemptsSpent()) {
             refuse(ErrorCode.TARGET_FAILED, "All allowed attempts failed; send the request again later.", now, out);
         } else {
             tryDispatch(now, out);
@@ -446,17 +431,6 @@
         return life.uncertain() || stream.isPresent() ? Fate.UNKNOWN : Fate.NOT_RUN;
     }
 
-    private void refusePoison(long now, List<Command> out) {
-        life.refuse(
-                this,
-                ErrorCode.POISON_REQUEST,
-                fate(),
-                "Targets that ran this request crashed; change the request before sending it again.",
-                OptionalLong.empty(),
-                now,
-                out);
-    }
-
     private void refuse(ErrorCode code, String detail, long now, List<Command> out) {
         refuse(code, detail, RequestLife.RETRY_AFTER_MILLIS, now, out);
     }
@@ -471,18 +445,8 @@
     }
 
     @Override
-    public RequestSpec spec() {
-        return life.spec();
-    }
-
-    @Override
-    public Optional<RequestId> connection() {
-        return life.connection();
-    }
-
-    @Override
-    public boolean closed() {
-        return life.closed();
+    public RequestLife life() {
+        return life;
     }
 
     @Override
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OpenRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OpenRequest.java
@@ -5,6 +5,7 @@
 import org.amaranthlock.coordination.Command;
 import org.amaranthlock.coordination.RequestEvent;
 import org.amaranthlock.model.RequestId;
+import org.amaranthlock.model.RequestSpec;
 
 /** State machine of one request that this router serves; commands are added to {@code out}. */
 sealed interface OpenRequest extends CheckpointSource permits GenerationRequest, ServiceRequest, AtMostOnceRequest {
@@ -29,9 +30,21 @@
     /** Stops serving the request without a record, because another router serves it now. */
     void takenOver(long now, List<Command> out);
 
+    /** Returns what the request has in common with other kinds. */
+    RequestLife life();
+
+    @Override
+    default RequestSpec spec() {
+        return life().spec();
+    }
+
     /** Returns the id under which the caller is connected, if it is. */
-    Optional<RequestId> connection();
+    default Optional<RequestId> connection() {
+        return life().connection();
+    }
 
     /** Tells whether the request is over for this router and can be forgotten. */
-    boolean closed();
+    default boolean closed() {
+        return life().closed();
+    }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestLife.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestLife.java
@@ -11,6 +11,7 @@
 import org.amaranthlock.coordination.Command;
 import org.amaranthlock.coordination.RequestCommand;
 import org.amaranthlock.coordination.admission.AdmissionDecision;
+import org.amaranthlock.coordination.poison.PoisonRegistry.Standing;
 import org.amaranthlock.model.AttemptId;
 import org.amaranthlock.model.ErrorCode;
 import org.amaranthlock.model.Fate;
@@ -107,7 +108,31 @@
         }
     }
 
-    AdmissionDecision admit(long now) {
+    /** Begins a new request: it starts at once, waits in the queue or is refused. */
+    void begin(CheckpointSource source, Dispatcher dispatcher, Runnable start, long now, List<Command> out) {
+        if (dispatcher.standing(spec, now) == Standing.CONDEMNED) {
+            refusePoison(source, Fate.NOT_RUN, now, out);
+            return;
+        }
+        switch (admit(now)) {
+            case AdmissionDecision.Admitted _ -> {
+                out.addAll(services.checkpoints().opened(source, now));
+                start.run();
+            }
+            case AdmissionDecision.Queued _ -> out.addAll(services.checkpoints().opened(source, now));
+            case AdmissionDecision.Refused refused ->
+                refuse(
+                        source,
+                        refused.code(),
+                        Fate.NOT_RUN,
+                        refused.detail(),
+                        OptionalLong.of(refused.retryAfterMillis()),
+                        now,
+                        out);
+        }
+    }
+
+    private AdmissionDecision admit(long now) {
         AdmissionDecision decision = services.admission().admit(spec, now);
         admitted = !(decision instanceof AdmissionDecision.Refused);
         return decision;
@@ -145,7 +170,7 @@
     }
 
     /** Returns the number of attempts that the target did not refuse unexecuted. */
-    int executedAttempts() {
+    private int executedAttempts() {
         return attempts - refusedAttempts;
     }
 
@@ -153,6 +178,11 @@
         return refusedAttempts;
     }
 
+    /** Tells whether no further attempt is allowed. */
+    boolean attemptsSpent() {
+        return executedAttempts() >= spec.profile().maxAttempts() || refusedAttempts >= MAX_REFUSED_ATTEMPTS;
+    }
+
     void attemptNotRun() {
         refusedAttempts++;
     }
@@ -236,6 +266,12 @@
         closeRefused(source, code, fate, now, out);
     }
 
+    /** Refuses a request that has crashed targets; to repeat it unchanged does not help, so there is no hint when. */
+    void refusePoison(CheckpointSource source, Fate fate, long now, List<Command> out) {
+        String detail = "Targets that ran this request crashed; change the request before sending it again.";
+        refuse(source, ErrorCode.POISON_REQUEST, fate, detail, OptionalLong.empty(), now, out);
+    }
+
     /** Refuses the request towards the caller while its record has to wait for the truth about its fate. */
     void tellRefusal(ErrorCode code, Fate fate, String detail, OptionalLong retryAfterMillis, List<Command> out) {
         Refusal refusal = new Refusal(code, fate, detail, retryAfterMillis);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/ServiceRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/ServiceRequest.java
@@ -7,13 +7,11 @@
 import org.amaranthlock.coordination.RequestCommand;
 import org.amaranthlock.coordination.RequestEvent;
 import org.amaranthlock.coordination.RequestEvent.FailureKind;
-import org.amaranthlock.coordination.admission.AdmissionDecision;
 import org.amaranthlock.coordination.poison.PoisonRegistry.Standing;
 import org.amaranthlock.coordination.routing.TargetSelector.AttemptResult;
 import org.amaranthlock.model.AttemptId;
 import org.amaranthlock.model.ErrorCode;
 import org.amaranthlock.model.Fate;
-import org.amaranthlock.model.RequestId;
 import org.amaranthlock.model.RequestSpec;
 import org.amaranthlock.model.Target;
 import org.amaranthlock.protocol.peer.Checkpoint;
@@ -44,20 +42,7 @@
 
     @Override
     public void begin(long now, List<Command> out) {
-        if (dispatcher.standing(spec(), now) == Standing.CONDEMNED) {
-            refusePoison(now, out);
-            return;
-        }
-        switch (life.admit(now)) {
-            case AdmissionDecision.Admitted admitted -> {
-                out.addAll(life.services().checkpoints().opened(this, now));
-                dispatch(now, out);
-            }
-            case AdmissionDecision.Queued queued ->
-                out.addAll(life.services().checkpoints().opened(this, now));
-            case AdmissionDecision.Refused refused ->
-                refuse(refused.code(), refused.detail(), refused.retryAfterMillis(), now, out);
-        }
+        life.begin(this, dispatcher, () -> dispatch(now, out), now, out);
     }
 
     @Override
@@ -73,11 +58,10 @@
             waitingSince = now;
         }
         if (dispatcher.standing(spec(), now) == Standing.CONDEMNED) {
-            refusePoison(now, out);
+            life.refusePoison(this, fate(), now, out);
             return;
         }
-        if (life.executedAttempts() >= spec().profile().maxAttempts()
-                || life.refusedAttempts() >= RequestLife.MAX_REFUSED_ATTEMPTS) {
+        if (life.attemptsSpent()) {
             refuse(ErrorCode.TARGET_FAILED, "All allowed attempts failed; send the request again later.", now, out);
             return;
         }
@@ -190,17 +174,6 @@
         return life.uncertain() || attempt.isPresent() ? Fate.UNKNOWN : Fate.NOT_RUN;
     }
 
-    private void refusePoison(long now, List<Command> out) {
-        life.refuse(
-                this,
-                ErrorCode.POISON_REQUEST,
-                fate(),
-                "Targets that ran this request crashed; change the request before sending it again.",
-                OptionalLong.empty(),
-                now,
-                out);
-    }
-
     private void refuse(ErrorCode code, String detail, long now, List<Command> out) {
         refuse(code, detail, RequestLife.RETRY_AFTER_MILLIS, now, out);
     }
@@ -211,18 +184,8 @@
     }
 
     @Override
-    public RequestSpec spec() {
-        return life.spec();
-    }
-
-    @Override
-    public Optional<RequestId> connection() {
-        return life.connection();
-    }
-
-    @Override
-    public boolean closed() {
-        return life.closed();
+    public RequestLife life() {
+        return life;
     }
 
     @Override
