Add a property for the retry budget; it fails on a real fault

Cause: nothing tested that retries stay within 10% of the successes plus the burst of 10. DefaultAdmissionController.finished credits the budget for every started request, also for one that failed, so the budget refills while a service is down. Ruled out: a fault of the request package; a retry is counted only where ServiceRequest took it from the budget (LOST, TIMED_OUT, BUSY), and calls that were never sent are not in the test. Not fixed here: AdmissionController.finished is not told whether the request succeeded, and its package is changed by others at present.

--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RetryBudgetProperties.java
@@ -0,0 +1,128 @@
+package org.amaranthlock.coordination.request;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.amaranthlock.coordination.Command;
+import org.amaranthlock.coordination.Event;
+import org.amaranthlock.coordination.RequestCommand;
+import org.amaranthlock.coordination.RequestEvent;
+import org.amaranthlock.coordination.RequestEvent.FailureKind;
+import org.amaranthlock.coordination.admission.DefaultAdmissionController;
+import org.amaranthlock.coordination.routing.CapacityView;
+import org.amaranthlock.model.AccountId;
+import org.amaranthlock.model.AttemptId;
+import org.amaranthlock.model.Profile;
+import org.amaranthlock.model.ProfileKind;
+import org.amaranthlock.model.RequestId;
+import org.amaranthlock.model.RequestSpec;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.ServiceResponse;
+import org.amaranthlock.model.Work;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+class RetryBudgetProperties {
+    /** Retries that a quiet service may make before it has successes. */
+    private static final int BURST = 10;
+
+    private static final int REQUESTS = 300;
+    private static final long STEP_MILLIS = 20;
+
+    /** Failures after which a call is repeated from the budget; a call that was never sent is repeated freely. */
+    private static final List<FailureKind> BUDGETED =
+            List.of(FailureKind.LOST, FailureKind.TIMED_OUT, FailureKind.BUSY);
+
+    private final RequestFixture fixture = RequestFixture.withTargets(6);
+
+    private RequestCoordinator coordinator() {
+        RequestServices fake = fixture.services;
+        return new RequestCoordinator(new RequestServices(
+                fake.membership(),
+                fake.configuration(),
+                fake.targets(),
+                fake.selector(),
+                new DefaultAdmissionController(
+                        new AmpleCapacity(),
+                        fake.configuration(),
+                        fake.membership(),
+                        RandomSource.XO_RO_SHI_RO_128_PP.create(1)),
+                fake.ledger(),
+                fake.poison(),
+                fake.checkpoints()));
+    }
+
+    private RequestSpec call(int number) {
+        return new RequestSpec(
+                new RequestId("01-" + number),
+                new AccountId("shop"),
+                RequestFixture.SERVICE,
+                new Profile("profile", ProfileKind.RETRIABLE, 3, 1, 600_000),
+                Optional.empty(),
+                number,
+                fixture.now,
+                fixture.now + 600_000,
+                new Work.ServiceCall("GET", "/stock", Map.of(), new byte[0]));
+    }
+
+    /** Guards against retries that multiply the load on a service which is already failing. */
+    @Property(seed = "41", tries = 100)
+    void retriesStayWithinATenthOfTheSuccessesAndTheBurst(
+            @ForAll long seed, @ForAll @IntRange(min = 0, max = 100) int failurePercent) {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        RequestCoordinator coordinator = coordinator();
+        int retries = 0;
+        int successes = 0;
+        for (int number = 0; number < REQUESTS; number++) {
+            fixture.now += STEP_MILLIS;
+            coordinator.handle(new Event.Tick(), fixture.now);
+            Event next = new RequestEvent.Arrived(call(number), OptionalInt.empty());
+            boolean first = true;
+            while (true) {
+                Optional<AttemptId> attempt = called(coordinator.handle(next, fixture.now));
+                if (attempt.isEmpty()) {
+                    break;
+                }
+                if (!first) {
+                    retries++;
+                }
+                first = false;
+                if (random.nextInt(100) < failurePercent) {
+                    FailureKind kind = BUDGETED.get(random.nextInt(BUDGETED.size()));
+                    next = new RequestEvent.AttemptFailed(attempt.get(), kind, "test", OptionalLong.empty());
+                } else {
+                    successes++;
+                    next = new RequestEvent.ServiceAnswered(
+                            attempt.get(), new ServiceResponse(200, Map.of(), new byte[0]));
+                }
+            }
+            assertThat((double) retries).isAtMost(0.1 * successes + BURST + 1e-6);
+        }
+    }
+
+    private static Optional<AttemptId> called(List<Command> commands) {
+        return commands.stream()
+                .filter(RequestCommand.CallService.class::isInstance)
+                .map(command -> ((RequestCommand.CallService) command).attempt())
+                .findFirst();
+    }
+
+    private static final class AmpleCapacity implements CapacityView {
+        @Override
+        public int freeSlots(ServiceName service, long nowMillis) {
+            return 16;
+        }
+
+        @Override
+        public int totalSlots(ServiceName service) {
+            return 16;
+        }
+    }
+}
