--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/BenchMain.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/BenchMain.java
@@ -35,6 +35,12 @@
     @Option(names = "--policy", description = "part of the name of the policies to run (default: all)")
     private String policyFilter = "";
 
+    @Option(
+            names = "--prefill-chunk",
+            defaultValue = "" + Deployment.PREFILL_CHUNK_TOKENS,
+            description = "prompt tokens that an engine's step reads at most (default: ${DEFAULT-VALUE})")
+    private int prefillChunk;
+
     /** Runs the bench and exits. */
     public static void main(String[] args) {
         System.exit(new CommandLine(new BenchMain()).execute(args));
@@ -47,17 +53,21 @@
         out.printf(
                 "%-12s %-22s %-28s %-36s %12s %12s %10s %s%n",
                 "deployment", "measure", "policy", "figure", "median", "worst", "target", "verdict");
-        for (Deployment deployment : List.of(Deployment.frostwolle(), Deployment.association())) {
+        for (Deployment deployment :
+                List.of(Deployment.frostwolle(prefillChunk), Deployment.association(prefillChunk))) {
             MEASURES.forEach((title, measure) -> {
                 if (title.contains(measureFilter)) {
+                    Map<String, List<Figure>> results = new LinkedHashMap<>();
                     policies().stream()
                             .filter(policy -> policy.title().contains(policyFilter))
-                            .forEach(policy -> print(
-                                    out,
-                                    deployment,
-                                    title,
-                                    policy,
-                                    measure.apply(new Measures(deployment, policy, seedList))));
+                            .forEach(policy -> {
+                                List<Figure> figures = measure.apply(new Measures(deployment, policy, seedList));
+                                results.put(policy.title(), figures);
+                                print(out, deployment, title, policy.title(), figures);
+                            });
+                    Comparison.excess(results)
+                            .ifPresent(
+                                    figure -> print(out, deployment, title, AmaranthlockPolicy.TITLE, List.of(figure)));
                 }
             });
         }
@@ -65,7 +75,7 @@
     }
 
     private static void print(
-            PrintWriter out, Deployment deployment, String title, Policy policy, List<Figure> figures) {
+            PrintWriter out, Deployment deployment, String title, String policy, List<Figure> figures) {
         for (Figure figure : figures) {
             String target = Double.isNaN(figure.target())
                     ? ""
@@ -75,7 +85,7 @@
                     "%-12s %-22s %-28s %-36s %12.2f %12.2f %10s %s%n",
                     deployment.title(),
                     title,
-                    policy.title(),
+                    policy,
                     figure.title(),
                     figure.median(),
                     figure.worst(),
@@ -88,7 +98,7 @@
         Map<String, Function<Measures, List<Figure>>> measures = new LinkedHashMap<>();
         measures.put("resume, engine", measure -> measure.resume(new Fault.EngineDeath(30_000)));
         measures.put("resume, domain", measure -> measure.resume(new Fault.DomainDeath(30_000)));
-        measures.put("crest", Measures::crest);
+        measures.put("demand peak", Measures::demandPeak);
         measures.put("head of line", Measures::headOfLine);
         measures.put("tail", Measures::tail);
         return measures;
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/SimulatedEngine.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/SimulatedEngine.java
@@ -64,6 +64,7 @@
     private long order;
     private long generatedTokens;
     private long prefilledTokens;
+    private long resumePrefillTokens;
 
     /** Creates an idle engine. */
     public SimulatedEngine(Target target, EngineSettings settings, VirtualTime time) {
@@ -92,6 +93,11 @@
         return prefilledTokens;
     }
 
+    /** Returns the part of the prefilled tokens that resumed attempts read. */
+    public long resumePrefillTokens() {
+        return resumePrefillTokens;
+    }
+
     /** Returns the attempts that run. */
     public int runningCount() {
         return running.size();
@@ -146,25 +152,36 @@
         if (!alive) {
             return;
         }
-        double prefillMillis = admitQueued();
+        admitQueued();
         if (running.isEmpty()) {
             stepping = false;
             return;
         }
+        double prefillMillis = prefillChunk() * settings.prefillMillisPerToken();
         double pace = settings.basePaceMillis() + settings.paceMillisPerRequest() * running.size();
         time.afterMillis((pace + prefillMillis) * slowFactor, this::completeStep);
     }
 
-    private double admitQueued() {
-        double prefillMillis = 0;
+    private void admitQueued() {
         while (running.size() < settings.slots() && !queue.isEmpty()) {
             Job job = queue.poll().job;
             int uncached = uncachedTokens(job);
             prefilledTokens += uncached;
-            prefillMillis += uncached * settings.prefillMillisPerToken();
-            running.put(job.attempt(), new Running(job));
+            resumePrefillTokens += job.firstIndex() > 0 ? uncached : 0;
+            running.put(job.attempt(), new Running(job, uncached));
+        }
+    }
+
+    /** Reads prompts in the order of admission up to the limit of one step and returns the tokens read. */
+    private int prefillChunk() {
+        int budget = settings.prefillChunkTokens();
+        for (Running attempt : running.values()) {
+            int read = Math.min(budget, attempt.unread);
+            attempt.unread -= read;
+            attempt.decodes = attempt.unread == 0;
+            budget -= read;
         }
-        return prefillMillis;
+        return settings.prefillChunkTokens() - budget;
     }
 
     private int uncachedTokens(Job job) {
@@ -182,7 +199,7 @@
             return;
         }
         for (Running attempt : List.copyOf(running.values())) {
-            if (!running.containsKey(attempt.job.attempt())) {
+            if (!attempt.decodes || !running.containsKey(attempt.job.attempt())) {
                 continue;
             }
             generatedTokens++;
@@ -202,9 +219,12 @@
     private static final class Running {
         private final Job job;
         private int next;
+        private int unread;
+        private boolean decodes;
 
-        private Running(Job job) {
+        private Running(Job job, int unread) {
             this.job = job;
+            this.unread = unread;
             this.next = job.firstIndex();
         }
     }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
@@ -47,7 +47,7 @@
     private Optional<Reconciliation> reconciliation = Optional.empty();
     private ErrorCode undecidedCode = ErrorCode.OUTCOME_UNKNOWN;
     private Fate undecidedFate = Fate.UNKNOWN;
-    private ErrorCode neverExecutedCode = ErrorCode.TARGET_FAILED;
+    private Optional<RequestId> heldRequest = Optional.empty();
     private long claimedAt;
     private long grantedAt;
     private long fence;
@@ -120,7 +120,7 @@
             return;
         }
         undecidedCode = ErrorCode.OUTCOME_UNKNOWN;
-        neverExecutedCode = ErrorCode.REQUEST_IN_PROGRESS;
+        heldRequest = Optional.of(held.request());
         String why = "the holder of its claim, " + held.holder().value() + ", is dead";
         out.add(RequestTrace.orderInDoubt(spec().id(), why));
         reconcile(targetsOfService(), OptionalLong.of(held.fence() + 1), now, out);
@@ -279,7 +279,11 @@
             case PENDING -> {}
             case NEVER_EXECUTED -> {
                 out.add(RequestTrace.orderReconciled(spec().id(), Fate.NOT_RUN));
-                refuse(neverExecutedCode, Fate.NOT_RUN, "The target did not run the request; repeat it.", now, out);
+                // Closing the dead router's request frees the key, so that the caller's repeat can be executed.
+                heldRequest.ifPresent(
+                        held -> RefusedArrival.closeNeverExecuted(life.services(), spec(), held, now, out));
+                String detail = "The target did not run the request; repeat it.";
+                refuse(ErrorCode.TARGET_FAILED, Fate.NOT_RUN, detail, now, out);
             }
             default -> {
                 current.cancel(out);
