--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestLife.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestLife.java
@@ -170,7 +170,7 @@
     }
 
     /** Returns the number of attempts that the target did not refuse unexecuted. */
-    private int executedAttempts() {
+    int executedAttempts() {
         return attempts - refusedAttempts;
     }
 
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RetryBudgetProperties.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RetryBudgetProperties.java
@@ -116,10 +116,20 @@
 
     private static final class AmpleCapacity implements CapacityView {
         @Override
-        public int freeSlots(ServiceName service, long nowMillis) {
+        public double slotShare(ServiceName service, double sharers, long nowMillis) {
             return 16;
         }
 
+        @Override
+        public int ownAttempts(ServiceName service) {
+            return 0;
+        }
+
+        @Override
+        public int targetCount(ServiceName service) {
+            return 6;
+        }
+
         @Override
         public int totalSlots(ServiceName service) {
             return 16;
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/SlowTargetTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/SlowTargetTest.java
@@ -90,7 +90,7 @@
         fixture.typicalPace = USUAL_MILLIS;
         RequestSpec spec = fixture.generation("a", kind, 1000);
         fixture.send(new RequestEvent.Arrived(spec, OptionalInt.empty()));
-        fixture.send(new RequestEvent.CheckpointFound(spec.id(), Optional.empty()));
+        fixture.send(new RequestEvent.CheckpointFound(spec.id(), Optional.empty(), true));
     }
 
     /** Delivers single tokens of the present attempt, each after a pause. */
