Let the keeper close a complete answer with its own record

Cause: the keeper forgot the checkpoint as soon as the answer was complete, or would have closed it as abandoned had the owner died before its drop; the request was completed. Ruled out: a second, different record; the ledger takes the first of a request and both are equal. Change: AnswerSave marks the checkpoint as complete; it stays until the owner's CheckpointDrop, and when the owner dies before that the keeper hands the owner's record to the ledger. The owner still sends the drop together with AnswerSave, so this acts only when the drop is lost or delayed. Before: without the mark a checkpoint whose drop is missing ends as ABANDONED (aDeadOwnersRequestIsClosedOnceAfterThirtySeconds shows that path).

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/KeptCheckpoints.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/KeptCheckpoints.java
@@ -42,7 +42,9 @@
     }
 
     Optional<Checkpoint> find(String ledgerKey) {
-        return Optional.ofNullable(kept.get(ledgerKey)).map(Kept::checkpoint);
+        return Optional.ofNullable(kept.get(ledgerKey))
+                .filter(entry -> entry.complete.isEmpty())
+                .map(Kept::checkpoint);
     }
 
     void forget(String ledgerKey) {
@@ -94,7 +96,7 @@
         }
     }
 
-    /** Ends the keeping of a checkpoint whose answer is complete, and returns the whole answer if it is known. */
+    /** Marks a checkpoint as complete and returns the whole answer if it is known; the owner's drop follows. */
     Optional<CompletedAnswer> complete(HostId from, PeerMessage.AnswerSave save) {
         CompletedAnswer end = save.answer();
         Kept entry = kept.get(end.record().ledgerKey());
@@ -104,15 +106,18 @@
             if (!same || entry.formerOwners.contains(from)) {
                 return Optional.empty();
             }
-            kept.remove(end.record().ledgerKey());
             tokens.addAll(entry.tokens.subList(0, Math.min(save.firstIndex(), entry.tokens.size())));
         }
         if (tokens.size() < save.firstIndex()) {
             return Optional.empty();
         }
         tokens.addAll(end.tokens());
-        return Optional.of(
+        Optional<CompletedAnswer> answer = Optional.of(
                 new CompletedAnswer(end.record(), end.connection(), end.fingerprint(), end.reason(), tokens));
+        if (entry != null) {
+            entry.complete = answer;
+        }
+        return answer;
     }
 
     private void tellSuperseded(HostId owner, String ledgerKey, List<Command> out) {
@@ -131,6 +136,13 @@
             if (entry.deadSince < 0) {
                 entry.deadSince = now;
             }
+            if (entry.complete.isPresent()) {
+                // The owner may have died before its record lasted; the ledger takes the first of two equal ones.
+                kept.remove(entry.base.spec().ledgerKey());
+                OutcomeRecord record = entry.complete.get().record();
+                out.addAll(ledger.close(new FinalOutcome(record, Optional.empty()), now));
+                continue;
+            }
             if (!passOn(entry, out) && now - entry.deadSince >= RETURN_MILLIS) {
                 kept.remove(entry.base.spec().ledgerKey());
                 abandon(entry.checkpoint(), now, out);
@@ -191,6 +203,7 @@
         private Checkpoint base;
         private Optional<RouterMember> owner;
         private long deadSince = -1;
+        private Optional<CompletedAnswer> complete = Optional.empty();
 
         Kept(Checkpoint base, Optional<RouterMember> owner) {
             this.tokens = new ArrayList<>(base.tokens());
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/CompletedAnswersTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/CompletedAnswersTest.java
@@ -29,7 +29,9 @@
 import org.amaranthlock.model.RequestId;
 import org.amaranthlock.model.RequestSpec;
 import org.amaranthlock.model.Work;
+import org.amaranthlock.protocol.peer.Checkpoint;
 import org.amaranthlock.protocol.peer.CompletedAnswer;
+import org.amaranthlock.protocol.peer.PeerMessage;
 import org.junit.jupiter.api.Test;
 
 class CompletedAnswersTest {
@@ -159,6 +161,22 @@
         assertThat(fixture.records()).hasSize(1);
     }
 
+    /** Guards against a completed request that gets the record of an abandoned one because its owner died. */
+    @Test
+    void theKeeperClosesACompleteAnswerWithItsOwnRecord() {
+        RequestSpec spec = fixture.generation("key", ProfileKind.KEPT_ALIVE, 100);
+        Checkpoint open = new Checkpoint(
+                spec, router(1).id, Optional.empty(), Optional.empty(), "v1", Collections.nCopies(2, "t"));
+        OutcomeRecord record = answer("key", 3).record();
+        CompletedAnswer end = new CompletedAnswer(record, spec.id(), 7, "stop", List.of("end"));
+        router(0).handle(new Event.PeerReceived(router(1).id, new PeerMessage.CheckpointSave(open)));
+        router(0).handle(new Event.PeerReceived(router(1).id, new PeerMessage.AnswerSave(2, end)));
+        routers.values().forEach(router -> router.membership.dead.add(router(1).id));
+        pass(60_000);
+
+        assertThat(fixture.records()).containsExactly(record);
+    }
+
     /** Guards against memory that grows with the past, and against a promise longer than the stated time. */
     @Test
     void anAnswerIsKeptForThirtySeconds() {
@@ -225,7 +243,7 @@
 
     private CompletedAnswer answer(String key, int tokens) {
         RequestSpec spec = new RequestSpec(
-                new RequestId("00-" + key),
+                new RequestId("01-" + key),
                 new AccountId("shop"),
                 RequestFixture.SERVICE,
                 new Profile("profile", ProfileKind.KEPT_ALIVE, 3, 1, 1000),
