--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/KeptCheckpoints.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/KeptCheckpoints.java
@@ -43,7 +43,7 @@
 
     Optional<Checkpoint> find(String ledgerKey) {
         return Optional.ofNullable(kept.get(ledgerKey))
-                .filter(entry -> entry.finalRecord.isEmpty())
+                .filter(entry -> entry.complete.isEmpty())
                 .map(Kept::checkpoint);
     }
 
@@ -96,11 +96,7 @@
         }
     }
 
-    /**
-     * Notes that an answer is complete, and returns the whole answer if it is known.
-     *
-     * <p>The entry stays until the owner drops it, so that the record is written even if the owner dies before.
-     */
+    /** Marks a checkpoint as complete and returns the whole answer if it is known; the owner's drop follows. */
     Optional<CompletedAnswer> complete(HostId from, PeerMessage.AnswerSave save) {
         CompletedAnswer end = save.answer();
         Kept entry = kept.get(end.record().ledgerKey());
@@ -110,15 +106,18 @@
             if (!same || entry.formerOwners.contains(from)) {
                 return Optional.empty();
             }
-            entry.finalRecord = Optional.of(end.record());
             tokens.addAll(entry.tokens.subList(0, Math.min(save.firstIndex(), entry.tokens.size())));
         }
         if (tokens.size() < save.firstIndex()) {
             return Optional.empty();
         }
         tokens.addAll(end.tokens());
-        return Optional.of(
+        Optional<CompletedAnswer> answer = Optional.of(
                 new CompletedAnswer(end.record(), end.connection(), end.fingerprint(), end.reason(), tokens));
+        if (entry != null) {
+            entry.complete = answer;
+        }
+        return answer;
     }
 
     private void tellSuperseded(HostId owner, String ledgerKey, List<Command> out) {
@@ -137,10 +136,14 @@
             if (entry.deadSince < 0) {
                 entry.deadSince = now;
             }
-            if (entry.finalRecord.isPresent()) {
+            if (entry.complete.isPresent()) {
+                // The owner may have died before its record lasted; the ledger takes the first of two equal ones.
                 kept.remove(entry.base.spec().ledgerKey());
-                out.addAll(ledger.close(new FinalOutcome(entry.finalRecord.get(), Optional.empty()), now));
-            } else if (!passOn(entry, out) && now - entry.deadSince >= RETURN_MILLIS) {
+                OutcomeRecord record = entry.complete.get().record();
+                out.addAll(ledger.close(new FinalOutcome(record, Optional.empty()), now));
+                continue;
+            }
+            if (!passOn(entry, out) && now - entry.deadSince >= RETURN_MILLIS) {
                 kept.remove(entry.base.spec().ledgerKey());
                 abandon(entry.checkpoint(), now, out);
             }
@@ -199,8 +202,8 @@
         private final Set<HostId> formerOwners = new HashSet<>();
         private Checkpoint base;
         private Optional<RouterMember> owner;
-        private Optional<OutcomeRecord> finalRecord = Optional.empty();
         private long deadSince = -1;
+        private Optional<CompletedAnswer> complete = Optional.empty();
 
         Kept(Checkpoint base, Optional<RouterMember> owner) {
             this.tokens = new ArrayList<>(base.tokens());
