Predict the queue wait from the accounts' shares while backlogs last

The prediction left out that other accounts catch up first, and that their backlogs continue. The bound is now refused as "overloaded"; Retry-After still follows the work queued now.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/admission/DefaultAdmissionController.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/admission/DefaultAdmissionController.java
@@ -70,11 +70,17 @@
         double tokens = lengths.predict(spec);
         long waitMillis = expectedWaitMillis(spec, queue, nowMillis);
         long runMillis = (long) (tokens * queue.rate.millisPerToken());
-        if (waitMillis > MAX_WAIT_MILLIS || nowMillis + waitMillis + runMillis > spec.deadlineMillis()) {
+        if (waitMillis > MAX_WAIT_MILLIS) {
+            return refuse(
+                    ErrorCode.OVERLOADED,
+                    "the fair share of client account " + spec.account() + " is used up for seconds; retry later",
+                    queuedMillis(spec, queue, nowMillis));
+        }
+        if (nowMillis + waitMillis + runMillis > spec.deadlineMillis()) {
             return refuse(
                     ErrorCode.DEADLINE_UNREACHABLE,
                     "the answer can't be complete before the deadline; retry later or allow more time",
-                    Math.max(waitMillis, MIN_RETRY_AFTER_MILLIS));
+                    queuedMillis(spec, queue, nowMillis));
         }
         long limitWaitMillis = shares.tryTake(spec.account(), tokens, nowMillis);
         if (limitWaitMillis > 0) {
@@ -165,9 +171,19 @@
         if (queue.waiting.size() == 0 && mayStart(spec.service(), nowMillis) > 0) {
             return 0;
         }
-        double before = queue.waiting.workBefore(spec.account(), this::weight);
+        double before = queue.waiting.workBeforeIfBacklogsLast(spec.account(), this::weight);
+        return serviceMillis(spec, queue, before, nowMillis);
+    }
+
+    /** Returns the time in which the work is served that is queued now. */
+    private long queuedMillis(RequestSpec spec, ServiceQueue queue, long nowMillis) {
+        return serviceMillis(spec, queue, queue.waiting.workBefore(spec.account(), this::weight), nowMillis);
+    }
+
+    /** Returns the time in which this router's share of the slots serves some work. */
+    private long serviceMillis(RequestSpec spec, ServiceQueue queue, double work, long nowMillis) {
         double slots = capacity.slotShare(spec.service(), sharers(spec.service()), nowMillis);
-        return (long) (before * queue.rate.millisPerToken() / slots);
+        return (long) (work * queue.rate.millisPerToken() / slots);
     }
 
     /** Returns the requests that may start now; 0 or less if this router uses its share of the slots. */
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/admission/FairQueue.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/admission/FairQueue.java
@@ -102,19 +102,30 @@
 
     /** Returns the queued work that is served before a new item of an account, by the fair shares. */
     double workBefore(AccountId account, ToDoubleFunction<AccountId> weights) {
-        double ownWork = 0;
-        double activeWeight = weights.applyAsDouble(account);
+        return Math.min(queuedWork, workBeforeIfBacklogsLast(account, weights));
+    }
+
+    /**
+     * Returns the work that is served before a new item of an account if the accounts that have a backlog keep it up.
+     *
+     * <p>An account that was served more than the others waits until they have caught up, so their work counts up to the
+     * new item's virtual start time, also work that is still to arrive.
+     */
+    double workBeforeIfBacklogsLast(AccountId account, ToDoubleFunction<AccountId> weights) {
+        AccountQueue<T> own = accounts.get(account);
+        double start = virtualTime;
+        double before = 0;
+        if (own != null) {
+            before = own.queuedWork();
+            start = Math.max(virtualTime, own.virtualTime) + before / weights.applyAsDouble(account);
+        }
         for (Map.Entry<AccountId, AccountQueue<T>> entry : accounts.entrySet()) {
-            AccountQueue<T> queue = entry.getValue();
-            if (entry.getKey().equals(account)) {
-                ownWork = queue.entries.stream()
-                        .mapToDouble(queued -> queued.work)
-                        .sum();
-            } else if (!queue.entries.isEmpty()) {
-                activeWeight += queue.weight;
+            AccountQueue<T> other = entry.getValue();
+            if (!entry.getKey().equals(account) && !other.entries.isEmpty()) {
+                before += Math.max(0, start - other.virtualTime) * other.weight;
             }
         }
-        return Math.min(queuedWork, ownWork * activeWeight / weights.applyAsDouble(account));
+        return before;
     }
 
     private void removed(Entry<T> entry) {
@@ -130,6 +141,10 @@
         private final Deque<Entry<T>> entries = new ArrayDeque<>();
         private double virtualTime;
         private double weight = 1;
+
+        private double queuedWork() {
+            return entries.stream().mapToDouble(entry -> entry.work).sum();
+        }
     }
 
     private record Entry<T>(RequestId id, T item, double work) {}
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/admission/FairQueueProperties.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/admission/FairQueueProperties.java
@@ -33,6 +33,19 @@
         assertThat(served.lastIndexOf("small")).isAtMost(2 * small);
     }
 
+    /** Guards against admitting work of an account that must wait until the others have caught up with its service. */
+    @Property(seed = "9", tries = 200)
+    void predictionIncludesWhatOthersAreOwed(@ForAll @IntRange(min = 1, max = 50) int servedBefore) {
+        FairQueue<String> queue = new FairQueue<>();
+        for (int i = 0; i < servedBefore; i++) {
+            queue.charge(LARGE, 100, 1);
+        }
+        queue.add(SMALL, id("s"), "small", 100, 1);
+
+        assertThat(queue.workBeforeIfBacklogsLast(LARGE, _ -> 1)).isWithin(0.01).of(servedBefore * 100);
+        assertThat(queue.workBeforeIfBacklogsLast(SMALL, _ -> 1)).isWithin(0.01).of(100);
+    }
+
     /** Guards against an account that saves up service while it is idle and then starves the others. */
     @Property(seed = "8", tries = 200)
     void idleAccountSavesNothingUp(@ForAll @IntRange(min = 1, max = 200) int servedBefore) {
