--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/DecisionCost.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/DecisionCost.java
@@ -170,7 +170,7 @@
             selector.progressed(running.attempt(), TOKENS - 1, nowMillis + 1);
             admission.progressed(running.spec().id(), TOKENS, nowMillis);
             selector.finished(running.attempt(), TargetSelector.AttemptResult.SUCCEEDED, nowMillis);
-            admission.finished(running.spec().id(), nowMillis);
+            admission.finished(running.spec().id(), true, nowMillis);
         }
     }
 
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/policy/AdmitAll.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/policy/AdmitAll.java
@@ -26,7 +26,7 @@
     }
 
     @Override
-    public void finished(RequestId request, long nowMillis) {
+    public void finished(RequestId request, boolean succeeded, long nowMillis) {
         // Nothing depends on the end.
     }
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/admission/AdmissionController.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/admission/AdmissionController.java
@@ -22,8 +22,12 @@
     /** Notes tokens of a running request. */
     void progressed(RequestId request, int tokens, long nowMillis);
 
-    /** Notes the end of a request, queued or running. */
-    void finished(RequestId request, long nowMillis);
+    /**
+     * Notes the end of a request, queued or running.
+     *
+     * @param succeeded whether the request was answered, which earns its service a part of a retry
+     */
+    void finished(RequestId request, boolean succeeded, long nowMillis);
 
     /**
      * Takes a retry or hedge from the budget of a service.
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/admission/DefaultAdmissionController.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/admission/DefaultAdmissionController.java
@@ -121,7 +121,7 @@
     }
 
     @Override
-    public void finished(RequestId request, long nowMillis) {
+    public void finished(RequestId request, boolean succeeded, long nowMillis) {
         Admitted entry = admitted.get(request);
         if (entry == null) {
             return;
@@ -132,7 +132,10 @@
         } else {
             lengths.learn(entry.spec, entry.tokens);
             queue.rate.finished(entry.tokens, nowMillis - entry.startedAtMillis);
-            queue.retries.succeeded();
+            // A failed request must earn no retry, else the budget grows while a service is down.
+            if (succeeded) {
+                queue.retries.succeeded();
+            }
         }
         forget(request);
     }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
@@ -287,7 +287,7 @@
         endReason = reason;
         phase = Phase.COMPLETE;
         if (life.connection().isEmpty()) {
-            life.releaseAdmission(now);
+            life.releaseAdmission(true, now);
             return;
         }
         if (nextDelivery > tokens.size()) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestLife.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestLife.java
@@ -90,21 +90,21 @@
     /** Ends the request for this router without a record. */
     void abandonTo(CheckpointSource source, long now, List<Command> out) {
         connection.ifPresent(id -> out.add(new RequestCommand.Supersede(id)));
-        leave(now);
+        leave(false, now);
         services.checkpoints().handedOver(source);
         out.add(RequestTrace.handedOver(spec.id(), source.tokens().size()));
     }
 
-    private void leave(long now) {
+    private void leave(boolean succeeded, long now) {
         closed = true;
-        releaseAdmission(now);
+        releaseAdmission(succeeded, now);
     }
 
     /** Gives back the place of a request that needs no target any more. */
-    void releaseAdmission(long now) {
+    void releaseAdmission(boolean succeeded, long now) {
         if (admitted) {
             admitted = false;
-            services.admission().finished(spec.id(), now);
+            services.admission().finished(spec.id(), succeeded, now);
         }
     }
 
@@ -231,7 +231,7 @@
         }
         RequestId served = connection.orElse(spec.id());
         CompletedAnswer answer = new CompletedAnswer(record, served, spec.fingerprint(), reason, source.tokens());
-        leave(now);
+        leave(true, now);
         out.addAll(services.ledger().close(new FinalOutcome(record, Optional.empty()), now));
         out.addAll(services.checkpoints().completed(source, answer, now));
     }
@@ -302,7 +302,7 @@
             Optional<ServiceResponse> response,
             long now,
             List<Command> out) {
-        leave(now);
+        leave(record.outcome() == Outcome.COMPLETED, now);
         out.addAll(services.ledger().close(new FinalOutcome(record, response), now));
         out.addAll(services.checkpoints().closed(source, now));
     }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestFixture.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RequestFixture.java
@@ -284,7 +284,7 @@
         public void progressed(RequestId request, int tokens, long nowMillis) {}
 
         @Override
-        public void finished(RequestId request, long nowMillis) {}
+        public void finished(RequestId request, boolean succeeded, long nowMillis) {}
 
         @Override
         public boolean tryRetry(RequestSpec spec, long nowMillis) {
