Never continue an answer from another generation with the same key

Cause: a router that was paused while it searched for the state of a new request took the missing answers for "not found" when it woke and began the request, which its caller had meanwhile taken to another router. Two generations of one key existed; the keeper let the later one supersede the other, and the caller that returned for the rest got it from the second generation. Ruled out: attempts of one request; the attempt numbers were checked correctly. Change: a caller with tokens is continued only from the request whose id it names, deliveries name that request so that event ids hold it also after a takeover by key, and a search that a pause has cut short is repeated.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/RequestCommand.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/RequestCommand.java
@@ -50,11 +50,24 @@
     record Reconcile(AttemptId attempt, Target target, RequestSpec spec, OptionalLong fence)
             implements RequestCommand {}
 
-    /** Sends tokens to the caller; positions are consecutive over all deliveries of a connection. */
-    record Deliver(RequestId request, int firstIndex, List<String> tokens) implements RequestCommand {
+    /**
+     * Sends tokens to the caller; positions are consecutive over all deliveries of a connection.
+     *
+     * @param request the caller's connection
+     * @param answer the request whose tokens these are; a caller that returns for the rest names it, so that it never
+     *     gets the rest of another generation
+     * @param firstIndex position of the first of the tokens in the whole answer
+     * @param tokens the tokens, in order
+     */
+    record Deliver(RequestId request, RequestId answer, int firstIndex, List<String> tokens) implements RequestCommand {
         public Deliver {
             tokens = List.copyOf(tokens);
         }
+
+        /** Creates a delivery on the connection that the request arrived on. */
+        public Deliver(RequestId request, int firstIndex, List<String> tokens) {
+            this(request, request, firstIndex, tokens);
+        }
     }
 
     /** Ends a streamed answer. */
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
@@ -271,7 +271,7 @@
     private void deliver(List<Command> out) {
         if (life.connection().isPresent() && nextDelivery < tokens.size()) {
             List<String> chunk = tokens.subList(nextDelivery, tokens.size());
-            out.add(new RequestCommand.Deliver(life.connection().get(), nextDelivery, chunk));
+            out.add(new RequestCommand.Deliver(life.connection().get(), spec().id(), nextDelivery, chunk));
             life.delivered(chunk.size());
             nextDelivery = tokens.size();
         }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -47,6 +47,9 @@
     /** Time after which a leaving router hands its kept-alive requests over. */
     static final long DRAIN_MILLIS = 120_000;
 
+    private static final String ANOTHER_ANSWER =
+            "The answer that was begun is lost; send the request anew without Last-Event-ID.";
+
     private final RequestServices services;
     private final Dispatcher dispatcher;
     private final PauseDetector pauses = new PauseDetector();
@@ -136,9 +139,7 @@
         } else if (services.ledger().pendingOutcomes() >= MAX_PENDING_OUTCOMES) {
             reject(arrived, ErrorCode.PLATFORM_UNAVAILABLE, "Outcome records wait for the platform.", now, out);
         } else if (spec.work() instanceof Work.Generation && searchable(arrived)) {
-            searches.put(spec.id(), new Search(arrived));
-            long timeout = arrived.resumeAt().isPresent() ? RETURN_SEARCH_MILLIS : ARRIVAL_SEARCH_MILLIS;
-            out.addAll(services.checkpoints().search(spec, timeout, now));
+            search(new Search(arrived, now), now, out);
         } else {
             begin(create(spec, Optional.of(spec.id()), now), now, out);
         }
@@ -168,6 +169,10 @@
                     out);
             return;
         }
+        if (ofAnotherAnswer(arrived, present.spec())) {
+            out.add(refusal(spec, ErrorCode.RESUME_UNAVAILABLE, fateSeenBy(arrived), ANOTHER_ANSWER));
+            return;
+        }
         if (present instanceof GenerationRequest generation) {
             generation.callerBack(spec.id(), arrived.resumeAt().orElse(0), now, out);
         } else if (present instanceof AtMostOnceRequest order) {
@@ -199,6 +204,14 @@
         }
     }
 
+    /**
+     * Tells whether a returning caller holds tokens of a request other than the one with its key. Both exist when a
+     * paused or cut-off router began the request that its caller had taken elsewhere.
+     */
+    private static boolean ofAnotherAnswer(RequestEvent.Arrived arrived, RequestSpec present) {
+        return arrived.resumeAt().orElse(0) > 0 && !arrived.spec().id().equals(present.id());
+    }
+
     /** A caller that names a token has seen output; without one nothing is known of the execution. */
     private static Fate fateSeenBy(RequestEvent.Arrived arrived) {
         return arrived.resumeAt().orElse(0) > 0 ? Fate.RAN : Fate.UNKNOWN;
@@ -227,6 +240,13 @@
         return new ServiceRequest(services, dispatcher, spec);
     }
 
+    private void search(Search search, long now, List<Command> out) {
+        RequestEvent.Arrived arrived = search.arrived;
+        searches.put(arrived.request(), search);
+        long timeout = arrived.resumeAt().isPresent() ? RETURN_SEARCH_MILLIS : ARRIVAL_SEARCH_MILLIS;
+        out.addAll(services.checkpoints().search(arrived.spec(), timeout, now));
+    }
+
     private void searched(RequestEvent.CheckpointFound found, long now, List<Command> out) {
         Search search = searches.remove(found.request());
         if (search == null) {
@@ -241,6 +261,9 @@
             }
         } else if (found.checkpoint().isPresent()) {
             takeOver(search, found.checkpoint().get(), connection, now, out);
+        } else if (!found.conclusive() && pauses.pausedSince(search.startedAt, now)) {
+            // The answers wait behind the pause, and so may the news that the caller has gone elsewhere.
+            search(new Search(search, now), now, out);
         } else if (search.arrived.resumeAt().isPresent() && !found.conclusive()) {
             searchAgain(search, out);
         } else if (search.arrived.resumeAt().isPresent()) {
@@ -256,7 +279,11 @@
             Search search, Checkpoint checkpoint, Optional<RequestId> connection, long now, List<Command> out) {
         RequestSpec spec = search.arrived.spec();
         Optional<RequestId> served = connection;
-        if (checkpoint.spec().fingerprint() != spec.fingerprint()) {
+        if (ofAnotherAnswer(search.arrived, checkpoint.spec())) {
+            served = Optional.empty();
+            connection.ifPresent(id ->
+                    out.add(refusal(spec, ErrorCode.RESUME_UNAVAILABLE, fateSeenBy(search.arrived), ANOTHER_ANSWER)));
+        } else if (checkpoint.spec().fingerprint() != spec.fingerprint()) {
             // The state is this router's now, so the request is kept open for its true caller.
             served = Optional.empty();
             connection.ifPresent(id -> reject(
@@ -360,10 +387,18 @@
 
     private static final class Search {
         private final RequestEvent.Arrived arrived;
+        private final long startedAt;
         private boolean gone;
 
-        Search(RequestEvent.Arrived arrived) {
+        Search(RequestEvent.Arrived arrived, long startedAt) {
             this.arrived = arrived;
+            this.startedAt = startedAt;
+        }
+
+        /** Repeats a search. */
+        Search(Search former, long startedAt) {
+            this(former.arrived, startedAt);
+            this.gone = former.gone;
         }
     }
 }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/FormerFaultsTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/FormerFaultsTest.java
@@ -4,6 +4,8 @@
 
 import java.util.List;
 import java.util.stream.Stream;
+import org.amaranthlock.faults.FaultProperties.Network;
+import org.amaranthlock.faults.FaultProperties.Strike;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -27,4 +29,21 @@
         List<String> problems = new CellRun(cell, seed).run();
         assertWithMessage(cell + " with seed " + seed).that(problems).isEmpty();
     }
+
+    static Stream<Arguments> sequences() {
+        return Stream.of(
+                // A woken router began a request anew that its caller had taken elsewhere; the caller got the rest of
+                // its answer from the second generation.
+                Arguments.of(
+                        -27_885,
+                        List.of(new Strike(Fault.ENGINE_KILLED, 0, 0, 0), new Strike(Fault.ROUTER_PAUSED, 1, 0, 1_335)),
+                        new Network(0, 0, 0, 300)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("sequences")
+    void sequenceStaysFixed(int seed, List<Strike> strikes, Network network) {
+        List<String> problems = FaultProperties.problems(strikes, network, seed);
+        assertWithMessage(strikes + " with seed " + seed).that(problems).isEmpty();
+    }
 }
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/CommandDispatcher.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/CommandDispatcher.java
@@ -87,7 +87,8 @@
             case Deliver deliver ->
                 exchanges
                         .find(deliver.request())
-                        .ifPresent(exchange -> exchange.deliver(deliver.firstIndex(), deliver.tokens()));
+                        .ifPresent(
+                                exchange -> exchange.deliver(deliver.answer(), deliver.firstIndex(), deliver.tokens()));
             case CompleteAnswer complete ->
                 exchanges
                         .find(complete.request())
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/AnswerWriter.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/AnswerWriter.java
@@ -3,15 +3,19 @@
 import java.util.List;
 import org.amaranthlock.model.OutcomeRecord;
 import org.amaranthlock.model.Refusal;
+import org.amaranthlock.model.RequestId;
 
 /** Writes a generated answer in the form that the caller asked for. */
 interface AnswerWriter {
     /**
      * Adds tokens.
      *
+     * @param answer the request whose tokens these are, which a caller names when it returns for the rest
+     * @param firstIndex position of the first of the tokens
+     * @param tokens the tokens, in order
      * @return false if the answer can't go on; {@link #problem()} tells why
      */
-    boolean deliver(int firstIndex, List<String> tokens);
+    boolean deliver(RequestId answer, int firstIndex, List<String> tokens);
 
     /** Returns why {@link #deliver} failed. */
     String problem();
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/Exchange.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/Exchange.java
@@ -65,8 +65,8 @@
         return account.equals(other);
     }
 
-    /** Sends tokens; their positions must follow those sent before. */
-    public void deliver(int firstIndex, List<String> tokens) {
+    /** Sends tokens of an answer; their positions must follow those sent before. */
+    public void deliver(RequestId answer, int firstIndex, List<String> tokens) {
         if (!open.get() || tokens.isEmpty()) {
             return;
         }
@@ -74,7 +74,7 @@
             firstTokenSeen = true;
             registry.metrics().firstToken(service, (registry.nowMillis() - arrivedAtMillis) / MILLIS_PER_SECOND);
         }
-        if (!writer.deliver(firstIndex, tokens)) {
+        if (!writer.deliver(answer, firstIndex, tokens)) {
             LOG.warnf("request %s: %s; the connection is closed", id, writer.problem());
             writer.abort();
             callerGone();
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/ProxiedAnswer.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/ProxiedAnswer.java
@@ -8,6 +8,7 @@
 import org.amaranthlock.model.Fate;
 import org.amaranthlock.model.OutcomeRecord;
 import org.amaranthlock.model.Refusal;
+import org.amaranthlock.model.RequestId;
 
 /** Answer of a plain service, which has no tokens. */
 final class ProxiedAnswer implements AnswerWriter {
@@ -18,7 +19,7 @@
     }
 
     @Override
-    public boolean deliver(int firstIndex, List<String> tokens) {
+    public boolean deliver(RequestId answer, int firstIndex, List<String> tokens) {
         return false;
     }
 
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/StreamedAnswer.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/StreamedAnswer.java
@@ -46,7 +46,7 @@
     }
 
     @Override
-    public boolean deliver(int firstIndex, List<String> newTokens) {
+    public boolean deliver(RequestId answer, int firstIndex, List<String> newTokens) {
         if (firstIndex != nextIndex) {
             problem = "tokens from position " + firstIndex + " were to be sent, but position " + nextIndex + " is next";
             return false;
@@ -55,7 +55,7 @@
         nextIndex += newTokens.size();
         tokens += newTokens.size();
         ObjectNode chunk = format.chunk(String.join("", newTokens), withRole, Optional.empty());
-        return send("id: " + id + ":" + (nextIndex - 1) + "\n" + data(chunk));
+        return send("id: " + answer + ":" + (nextIndex - 1) + "\n" + data(chunk));
     }
 
     @Override
--- a/amaranthlock-router/src/main/java/org/amaranthlock/router/http/WholeAnswer.java
+++ b/amaranthlock-router/src/main/java/org/amaranthlock/router/http/WholeAnswer.java
@@ -26,7 +26,7 @@
     }
 
     @Override
-    public boolean deliver(int firstIndex, List<String> newTokens) {
+    public boolean deliver(RequestId answer, int firstIndex, List<String> newTokens) {
         if (firstIndex != tokens) {
             problem = "tokens from position " + firstIndex + " were to be sent, but position " + tokens + " is next";
             return false;
