--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/GenerationRequest.java
@@ -42,6 +42,12 @@
     /** Attempt numbers left free at a takeover for attempts of a paused former owner that no checkpoint shows. */
     private static final int TAKEOVER_NUMBERS = 16;
 
+    /** A stream that runs this many times slower than the median target's is moved; batching alone stays below it. */
+    private static final double MOVE_SLOWNESS = 2.5;
+
+    /** Moves of one request, so that changing speeds cannot keep it reading its prompt. */
+    private static final int MAX_MOVES = 2;
+
     /** Resumes run before new work, whose callers have seen no output stop. */
     private static final int RESUME_PRIORITY_BOOST = 1000;
 
@@ -65,6 +71,7 @@
     private String version = "";
     private String endReason = "";
     private int nextDelivery;
+    private int moves;
     private long waitingSince;
     private long goneAt;
 
@@ -113,6 +120,7 @@
                         life.continueAfter(attempt.number(), checkpoint.target().orElseThrow()));
         out.addAll(life.services().checkpoints().opened(this, now));
         life.skipAttempts(TAKEOVER_NUMBERS);
+        out.add(RequestTrace.takenOver(spec().id(), checkpoint.owner(), tokens.size()));
         deliver(out);
         Optional<Target> target =
                 checkpoint.target().flatMap(id -> life.services().targets().target(id));
@@ -134,6 +142,7 @@
         phase = Phase.RUNNING;
         dispatcher.started(attempt, spec(), target, 0, now);
         out.add(new RequestCommand.AttachStream(attempt, target, tokens.size()));
+        out.add(RequestTrace.resumedByAttaching(spec().id(), target, tokens.size()));
     }
 
     @Override
@@ -216,6 +225,10 @@
         int boost = tokens.isEmpty() ? 0 : RESUME_PRIORITY_BOOST;
         out.add(new RequestCommand.OpenStream(
                 attempt, target, spec(), tokens, spec().profile().priority() + boost));
+        out.add(RequestTrace.attemptStarted(spec().id(), attempt.number(), target));
+        if (!tokens.isEmpty()) {
+            out.add(RequestTrace.resumedByNewAttempt(spec().id(), target, tokens.size()));
+        }
     }
 
     @Override
@@ -245,7 +258,7 @@
     private void append(ActiveStream current, RequestEvent.TokensReceived received, long now, List<Command> out) {
         int position = tokens.size();
         if (received.firstIndex() > position) {
-            lose(current, now, out);
+            lose(current, "the stream skipped tokens", now, out);
             return;
         }
         int end = received.firstIndex() + received.tokens().size();
@@ -279,7 +292,7 @@
 
     private void streamEnded(ActiveStream current, RequestEvent.StreamEnded end, long now, List<Command> out) {
         if (end.count() != tokens.size()) {
-            lose(current, now, out);
+            lose(current, "the stream ended with another number of tokens", now, out);
             return;
         }
         dispatcher.ended(current.attempt(), AttemptResult.SUCCEEDED, now);
@@ -313,11 +326,12 @@
             return;
         }
         if (!kind.certainlyNotRun() || current.hasTokens()) {
-            lose(current, now, out);
+            lose(current, reason(failed), now, out);
             return;
         }
         dispatcher.ended(current.attempt(), AttemptResult.FAILED, now);
         stream = Optional.empty();
+        traceLost(current, reason(failed), out);
         life.attemptNotRun();
         if (kind == FailureKind.INVALID) {
             refuse(ErrorCode.INVALID_REQUEST, "The target can't run the request: " + failed.detail(), now, out);
@@ -337,12 +351,14 @@
     private void streamGone(ActiveStream current, long now, List<Command> out) {
         dispatcher.ended(current.attempt(), AttemptResult.FAILED, now);
         stream = Optional.empty();
+        traceLost(current, "the target does not know the stream", out);
         life.attemptUncertain();
         dispatch(now, out);
     }
 
     /** Ends the present attempt without its end event and resumes the answer elsewhere. */
-    void lose(ActiveStream current, long now, List<Command> out) {
+    void lose(ActiveStream current, String why, long now, List<Command> out) {
+        traceLost(current, why, out);
         out.add(new RequestCommand.CancelAttempt(current.attempt(), current.target()));
         formerAttempts.put(current.attempt().number(), current.target());
         dispatcher.lost(current.attempt(), now);
@@ -357,6 +373,39 @@
         dispatch(now, out);
     }
 
+    /** Continues an answer elsewhere if its target has become much slower than the others and another is free. */
+    void moveIfSlow(long now, List<Command> out) {
+        if (stream.isEmpty() || moves >= MAX_MOVES || spec().profile().kind() != ProfileKind.KEPT_ALIVE) {
+            return;
+        }
+        ActiveStream current = stream.get();
+        double usual = life.services().selector().typicalPaceMillis(spec().service(), now);
+        if (current.recentPaceMillis() <= MOVE_SLOWNESS * usual
+                || life.executedAttempts() + 1 >= spec().profile().maxAttempts()) {
+            return;
+        }
+        life.bar(current.target().id(), now + LOST_TARGET_MILLIS);
+        dispatcher
+                .choose(spec(), life.barred(now), Optional.empty(), version, tokens.size(), now)
+                .filter(target -> life.services().selector().expectedPaceMillis(target.id())
+                        < current.recentPaceMillis() / MOVE_SLOWNESS)
+                .ifPresent(target -> {
+                    moves++;
+                    cancel(now, out);
+                    formerAttempts.put(current.attempt().number(), current.target());
+                    open(target, now, out);
+                });
+    }
+
+    private void traceLost(ActiveStream current, String why, List<Command> out) {
+        int number = current.attempt().number();
+        out.add(RequestTrace.attemptLost(spec().id(), number, current.target(), tokens.size(), why));
+    }
+
+    private static String reason(RequestEvent.AttemptFailed failed) {
+        return failed.kind() + " " + failed.detail();
+    }
+
     /** A begun answer is resumed always; a repeat from the start takes from the service's budget. */
     private boolean mayRetry(long now) {
         return !tokens.isEmpty() || life.services().admission().tryRetry(spec(), now);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/KeptCheckpoints.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/KeptCheckpoints.java
@@ -20,6 +20,7 @@
 import org.amaranthlock.model.RequestSpec;
 import org.amaranthlock.model.Work;
 import org.amaranthlock.protocol.peer.Checkpoint;
+import org.amaranthlock.protocol.peer.CompletedAnswer;
 import org.amaranthlock.protocol.peer.PeerMessage;
 import org.amaranthlock.protocol.peer.PeerMessage.FinalOutcome;
 import org.amaranthlock.state.TargetDirectory;
@@ -41,7 +42,9 @@
     }
 
     Optional<Checkpoint> find(String ledgerKey) {
-        return Optional.ofNullable(kept.get(ledgerKey)).map(Kept::checkpoint);
+        return Optional.ofNullable(kept.get(ledgerKey))
+                .filter(entry -> entry.finalRecord.isEmpty())
+                .map(Kept::checkpoint);
     }
 
     void forget(String ledgerKey) {
@@ -93,6 +96,31 @@
         }
     }
 
+    /**
+     * Notes that an answer is complete, and returns the whole answer if it is known.
+     *
+     * <p>The entry stays until the owner drops it, so that the record is written even if the owner dies before.
+     */
+    Optional<CompletedAnswer> complete(HostId from, PeerMessage.AnswerSave save) {
+        CompletedAnswer end = save.answer();
+        Kept entry = kept.get(end.record().ledgerKey());
+        List<String> tokens = new ArrayList<>();
+        if (entry != null) {
+            boolean same = entry.base.spec().id().equals(end.record().request());
+            if (!same || entry.formerOwners.contains(from)) {
+                return Optional.empty();
+            }
+            entry.finalRecord = Optional.of(end.record());
+            tokens.addAll(entry.tokens.subList(0, Math.min(save.firstIndex(), entry.tokens.size())));
+        }
+        if (tokens.size() < save.firstIndex()) {
+            return Optional.empty();
+        }
+        tokens.addAll(end.tokens());
+        return Optional.of(
+                new CompletedAnswer(end.record(), end.connection(), end.fingerprint(), end.reason(), tokens));
+    }
+
     private void tellSuperseded(HostId owner, String ledgerKey, List<Command> out) {
         membership
                 .member(owner)
@@ -109,7 +137,10 @@
             if (entry.deadSince < 0) {
                 entry.deadSince = now;
             }
-            if (!passOn(entry, out) && now - entry.deadSince >= RETURN_MILLIS) {
+            if (entry.finalRecord.isPresent()) {
+                kept.remove(entry.base.spec().ledgerKey());
+                out.addAll(ledger.close(new FinalOutcome(entry.finalRecord.get(), Optional.empty()), now));
+            } else if (!passOn(entry, out) && now - entry.deadSince >= RETURN_MILLIS) {
                 kept.remove(entry.base.spec().ledgerKey());
                 abandon(entry.checkpoint(), now, out);
             }
@@ -159,6 +190,7 @@
                 0,
                 spec.arrivedAtMillis(),
                 now);
+        out.add(RequestTrace.abandonedByKeeper(spec.id(), checkpoint.owner(), fate));
         out.addAll(ledger.close(new FinalOutcome(record, Optional.empty()), now));
     }
 
@@ -167,6 +199,7 @@
         private final Set<HostId> formerOwners = new HashSet<>();
         private Checkpoint base;
         private Optional<RouterMember> owner;
+        private Optional<OutcomeRecord> finalRecord = Optional.empty();
         private long deadSince = -1;
 
         Kept(Checkpoint base, Optional<RouterMember> owner) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -23,6 +23,7 @@
 import org.amaranthlock.model.RequestSpec;
 import org.amaranthlock.model.Work;
 import org.amaranthlock.protocol.peer.Checkpoint;
+import org.amaranthlock.protocol.peer.CompletedAnswer;
 
 /**
  * Serves the callers' requests from arrival to the final answer.
@@ -50,6 +51,8 @@
     private static final String ANOTHER_ANSWER =
             "The answer that was begun is lost; send the request anew without Last-Event-ID.";
 
+    private static final String KEY_REUSED_DETAIL = "The idempotency key was used with another content; use a new key.";
+
     private final RequestServices services;
     private final Dispatcher dispatcher;
     private final PauseDetector pauses = new PauseDetector();
@@ -79,6 +82,7 @@
             case RequestEvent.Arrived arrived -> arrived(arrived, nowMillis, out);
             case RequestEvent.CallerGone gone -> callerGone(gone.request(), nowMillis, out);
             case RequestEvent.CheckpointFound found -> searched(found, nowMillis, out);
+            case RequestEvent.AnswerFound found -> answerFound(found, nowMillis, out);
             case RequestEvent.ClaimDecided decided -> {
                 if (requests.get(decided.request()) instanceof AtMostOnceRequest request) {
                     request.claimDecided(decided.verdict(), nowMillis, out);
@@ -91,7 +95,7 @@
             case RequestEvent.OfAttempt ofAttempt ->
                 with(ofAttempt.request(), request -> request.attemptEvent(ofAttempt, nowMillis, out));
             case TargetEvent.Reachable reachable -> dispatcher.reachable(reachable.target());
-            case TargetEvent.Unreachable unreachable -> dispatcher.unreachable(unreachable.target(), nowMillis);
+            case TargetEvent.Unreachable unreachable -> dispatcher.unreachable(unreachable.target(), nowMillis, out);
             default -> {}
         }
         return out;
@@ -133,11 +137,14 @@
         if (present != null && joins(spec, present)) {
             join(arrived, present, now, out);
         } else if (requests.containsKey(spec.id()) || searches.containsKey(spec.id())) {
-            out.add(refusal(spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, "The request is in progress."));
+            refuse(spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, "The request is in progress.", out);
         } else if (services.membership().leaving()) {
             reject(arrived, ErrorCode.DRAINING, "This router shuts down; connect to another one.", now, out);
         } else if (services.ledger().pendingOutcomes() >= MAX_PENDING_OUTCOMES) {
             reject(arrived, ErrorCode.PLATFORM_UNAVAILABLE, "Outcome records wait for the platform.", now, out);
+        } else if (spec.work() instanceof Work.Generation && arrived.resumeAt().isPresent() && !keptAlive(spec)) {
+            // Only kept-alive answers have checkpoints, so no other router can go on with this one.
+            resumeUnavailable(new Search(arrived, now), out);
         } else if (spec.work() instanceof Work.Generation && searchable(arrived)) {
             search(new Search(arrived, now), now, out);
         } else {
@@ -148,8 +155,11 @@
     /** A repeat by key may find a kept-alive generation that is open elsewhere; other work has no tokens to find. */
     private static boolean searchable(RequestEvent.Arrived arrived) {
         boolean keyed = arrived.spec().key().isPresent();
-        return arrived.resumeAt().isPresent()
-                || (keyed && arrived.spec().profile().kind() != ProfileKind.RETRIABLE);
+        return keptAlive(arrived.spec()) && (keyed || arrived.resumeAt().isPresent());
+    }
+
+    private static boolean keptAlive(RequestSpec spec) {
+        return spec.profile().kind() != ProfileKind.RETRIABLE;
     }
 
     private static boolean joins(RequestSpec spec, OpenRequest present) {
@@ -161,16 +171,11 @@
     private void join(RequestEvent.Arrived arrived, OpenRequest present, long now, List<Command> out) {
         RequestSpec spec = arrived.spec();
         if (spec.fingerprint() != present.spec().fingerprint()) {
-            reject(
-                    arrived,
-                    ErrorCode.KEY_REUSED,
-                    "The idempotency key was used with another content; use a new key.",
-                    now,
-                    out);
+            reject(arrived, ErrorCode.KEY_REUSED, KEY_REUSED_DETAIL, now, out);
             return;
         }
-        if (ofAnotherAnswer(arrived, present.spec())) {
-            out.add(refusal(spec, ErrorCode.RESUME_UNAVAILABLE, fateSeenBy(arrived), ANOTHER_ANSWER));
+        if (ofAnotherAnswer(arrived, present.spec().id())) {
+            refuse(spec, ErrorCode.RESUME_UNAVAILABLE, fateSeenBy(arrived), ANOTHER_ANSWER, out);
             return;
         }
         if (present instanceof GenerationRequest generation) {
@@ -187,7 +192,7 @@
 
     private void inProgress(RequestSpec spec, AtMostOnceRequest order, long now, List<Command> out) {
         String detail = "A request with this key is in progress; repeat it later for its outcome.";
-        out.add(refusal(spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, detail));
+        refuse(spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, detail, out);
         if (!spec.id().equals(order.spec().id())) {
             RefusedArrival.close(services, spec, ErrorCode.REQUEST_IN_PROGRESS, Fate.UNKNOWN, now, out);
         }
@@ -197,9 +202,9 @@
         RequestSpec spec = arrived.spec();
         if (arrived.resumeAt().isPresent()) {
             // The request began elsewhere, and its owner or keeper writes its record.
-            out.add(refusal(spec, code, fateSeenBy(arrived), detail));
+            refuse(spec, code, fateSeenBy(arrived), detail, out);
         } else {
-            out.add(refusal(spec, code, Fate.NOT_RUN, detail));
+            refuse(spec, code, Fate.NOT_RUN, detail, out);
             RefusedArrival.close(services, spec, code, Fate.NOT_RUN, now, out);
         }
     }
@@ -208,8 +213,8 @@
      * Tells whether a returning caller holds tokens of a request other than the one with its key. Both exist when a
      * paused or cut-off router began the request that its caller had taken elsewhere.
      */
-    private static boolean ofAnotherAnswer(RequestEvent.Arrived arrived, RequestSpec present) {
-        return arrived.resumeAt().orElse(0) > 0 && !arrived.spec().id().equals(present.id());
+    private static boolean ofAnotherAnswer(RequestEvent.Arrived arrived, RequestId present) {
+        return arrived.resumeAt().orElse(0) > 0 && !arrived.spec().id().equals(present);
     }
 
     /** A caller that names a token has seen output; without one nothing is known of the execution. */
@@ -217,10 +222,11 @@
         return arrived.resumeAt().orElse(0) > 0 ? Fate.RAN : Fate.UNKNOWN;
     }
 
-    private static Command refusal(RequestSpec spec, ErrorCode code, Fate fate, String detail) {
+    private static void refuse(RequestSpec spec, ErrorCode code, Fate fate, String detail, List<Command> out) {
         boolean repeatHelps = code != ErrorCode.KEY_REUSED && code != ErrorCode.RESUME_UNAVAILABLE;
         OptionalLong retryAfter = repeatHelps ? OptionalLong.of(RequestLife.RETRY_AFTER_MILLIS) : OptionalLong.empty();
-        return new RequestCommand.Refuse(spec.id(), new Refusal(code, fate, detail, retryAfter));
+        out.add(new RequestCommand.Refuse(spec.id(), new Refusal(code, fate, detail, retryAfter)));
+        out.add(RequestTrace.refused(spec.id(), code, fate));
     }
 
     private void begin(OpenRequest request, long now, List<Command> out) {
@@ -244,7 +250,8 @@
         RequestEvent.Arrived arrived = search.arrived;
         searches.put(arrived.request(), search);
         long timeout = arrived.resumeAt().isPresent() ? RETURN_SEARCH_MILLIS : ARRIVAL_SEARCH_MILLIS;
-        out.addAll(services.checkpoints().search(arrived.spec(), timeout, now));
+        out.addAll(
+                services.checkpoints().search(arrived.spec(), arrived.resumeAt().orElse(0), timeout, now));
     }
 
     private void searched(RequestEvent.CheckpointFound found, long now, List<Command> out) {
@@ -259,7 +266,13 @@
             if (!search.gone) {
                 join(search.arrived, present, now, out);
             }
-        } else if (found.checkpoint().isPresent()) {
+            return;
+        }
+        if (found.checkpoint().isEmpty() && (search.arrived.resumeAt().isPresent() || !found.conclusive())) {
+            // A new request normally has no checkpoint, so only an absence that matters is told.
+            out.add(RequestTrace.checkpointMissing(spec, found.conclusive()));
+        }
+        if (found.checkpoint().isPresent()) {
             takeOver(search, found.checkpoint().get(), connection, now, out);
         } else if (!found.conclusive() && pauses.pausedSince(search.startedAt, now)) {
             // The answers wait behind the pause, and so may the news that the caller has gone elsewhere.
@@ -275,23 +288,46 @@
         }
     }
 
+    /** Gives a caller the rest of an answer that is complete and has its record already. */
+    private void answerFound(RequestEvent.AnswerFound found, long now, List<Command> out) {
+        Search search = searches.remove(found.request());
+        if (search == null || search.gone) {
+            return;
+        }
+        RequestSpec spec = search.arrived.spec();
+        CompletedAnswer answer = found.answer();
+        int position = search.arrived.resumeAt().orElse(0);
+        int size = answer.tokens().size();
+        if (answer.fingerprint() != spec.fingerprint()) {
+            reject(search.arrived, ErrorCode.KEY_REUSED, KEY_REUSED_DETAIL, now, out);
+        } else if (ofAnotherAnswer(search.arrived, answer.record().request())) {
+            refuse(spec, ErrorCode.RESUME_UNAVAILABLE, Fate.RAN, ANOTHER_ANSWER, out);
+        } else if (position > size) {
+            String detail = "The answer ended before the position in Last-Event-ID; send the request anew.";
+            refuse(spec, ErrorCode.RESUME_UNAVAILABLE, Fate.RAN, detail, out);
+        } else {
+            if (position < size) {
+                List<String> rest = answer.tokens().subList(position, size);
+                RequestId request = answer.record().request();
+                out.add(new RequestCommand.Deliver(spec.id(), request, position, rest));
+            }
+            out.add(new RequestCommand.CompleteAnswer(spec.id(), answer.reason(), answer.record()));
+            out.add(RequestTrace.resumedFromCompletedAnswer(answer.record().request(), position));
+        }
+    }
+
     private void takeOver(
             Search search, Checkpoint checkpoint, Optional<RequestId> connection, long now, List<Command> out) {
         RequestSpec spec = search.arrived.spec();
         Optional<RequestId> served = connection;
-        if (ofAnotherAnswer(search.arrived, checkpoint.spec())) {
+        if (ofAnotherAnswer(search.arrived, checkpoint.spec().id())) {
             served = Optional.empty();
-            connection.ifPresent(id ->
-                    out.add(refusal(spec, ErrorCode.RESUME_UNAVAILABLE, fateSeenBy(search.arrived), ANOTHER_ANSWER)));
+            connection.ifPresent(
+                    id -> refuse(spec, ErrorCode.RESUME_UNAVAILABLE, fateSeenBy(search.arrived), ANOTHER_ANSWER, out));
         } else if (checkpoint.spec().fingerprint() != spec.fingerprint()) {
             // The state is this router's now, so the request is kept open for its true caller.
             served = Optional.empty();
-            connection.ifPresent(id -> reject(
-                    search.arrived,
-                    ErrorCode.KEY_REUSED,
-                    "The idempotency key was used with another content; use a new key.",
-                    now,
-                    out));
+            connection.ifPresent(id -> reject(search.arrived, ErrorCode.KEY_REUSED, KEY_REUSED_DETAIL, now, out));
         }
         // The deadline in the checkpoint is a time of the former owner's clock.
         RequestSpec continued = checkpoint.spec().withDeadline(spec.deadlineMillis());
@@ -306,7 +342,7 @@
         if (!search.gone) {
             String detail = "A router that may hold the answer does not respond; come back for the rest.";
             RequestSpec spec = search.arrived.spec();
-            out.add(refusal(spec, ErrorCode.REQUEST_IN_PROGRESS, fateSeenBy(search.arrived), detail));
+            refuse(spec, ErrorCode.REQUEST_IN_PROGRESS, fateSeenBy(search.arrived), detail, out);
         }
     }
 
@@ -315,7 +351,7 @@
         if (!search.gone) {
             String detail = "No router holds the answer any more; read its outcome record or send the request anew.";
             RequestSpec spec = search.arrived.spec();
-            out.add(refusal(spec, ErrorCode.RESUME_UNAVAILABLE, fateSeenBy(search.arrived), detail));
+            refuse(spec, ErrorCode.RESUME_UNAVAILABLE, fateSeenBy(search.arrived), detail, out);
         }
     }
 
@@ -360,9 +396,10 @@
         }
         for (ActiveStream stalled : StallDetector.stalled(List.copyOf(streams.keySet()), now)) {
             GenerationRequest generation = streams.get(stalled);
-            generation.lose(stalled, now, out);
+            generation.lose(stalled, "the stream made no progress", now, out);
             settle(generation);
         }
+        streams.values().forEach(generation -> generation.moveIfSlow(now, out));
     }
 
     private void drain(long now, List<Command> out) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/routing/DefaultTargetSelector.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/routing/DefaultTargetSelector.java
@@ -33,6 +33,21 @@
     /** Cost of another region, in units of a full target. */
     private static final double OTHER_REGION_COST = 0.5;
 
+    /**
+     * Cost of another region for a resume. A full target costs its caller seconds of silence and another region 24 ms,
+     * so resumes spread over the regions instead of crowding onto what is left of their own.
+     */
+    private static final double RESUME_OTHER_REGION_COST = 0.05;
+
+    /** Cost of an own attempt whose prompt the target still reads; prefills of one target run one after the other. */
+    private static final double PENDING_PREFILL_COST = 0.25;
+
+    /**
+     * Temperature of the choice for resumes. All routers lose streams in the same instant and see the same late reports;
+     * without noise they would choose the same target.
+     */
+    private static final double RESUME_TEMPERATURE = 0.15;
+
     /** Cost that a wholly cached prompt saves, in units of a full target. */
     private static final double CACHED_PREFIX_BONUS = 0.3;
 
@@ -45,9 +60,26 @@
     /** Costs that differ by less than this are equal; the choice among equals is random. */
     private static final double EQUAL_COST_MARGIN = 0.02;
 
+    /**
+     * Places per slot that the routers fill together. Slots must not stay empty while a finished answer and the next
+     * request cross the network, and more would only wait at the target instead of in the fair queue.
+     */
+    private static final double QUEUE_FACTOR = 1.125;
+
     /** Reads an average as of its last sample. */
     private static final long NO_DECAY = Long.MIN_VALUE;
 
+    /** Expected time of an attempt before one was observed, in milliseconds. */
+    private static final double PRIOR_RUN_MILLIS = 5_000;
+
+    private static final double RUN_HALF_LIFE_MILLIS = 30_000;
+
+    /** Below this number of observed targets the median says little of what is usual. */
+    private static final int MIN_COMPARED_TARGETS = 3;
+
+    /** Attempts of other routers that may have reached a target since its last report. */
+    private static final int UNREPORTED_ATTEMPTS = 4;
+
     private static final int PREFIXES_PER_TARGET = 4_096;
 
     private final TargetDirectory directory;
@@ -55,6 +87,7 @@
     private final UniformRandomProvider random;
     private final Map<TargetId, TargetState> states = new LinkedHashMap<>();
     private final Map<AttemptId, RunningAttempt> attempts = new LinkedHashMap<>();
+    private long chosenAtMillis;
 
     /** Creates a selector for a router in {@code region}. */
     public DefaultTargetSelector(TargetDirectory directory, Region region, UniformRandomProvider random) {
@@ -65,6 +98,7 @@
 
     @Override
     public Optional<Target> select(RequestSpec spec, SelectionContext context, long nowMillis) {
+        chosenAtMillis = nowMillis;
         List<Target> candidates = candidates(spec, context);
         if (candidates.isEmpty()) {
             return Optional.empty();
@@ -72,13 +106,15 @@
         if (context.resumedTokens() == 0 && random.nextDouble() < PROBE_SHARE) {
             return Optional.of(candidates.get(random.nextInt(candidates.size())));
         }
-        return Optional.of(cheapest(candidates, spec, nowMillis));
+        List<PricedTarget> priced = priced(candidates, spec, context.resumedTokens() > 0, nowMillis);
+        return Optional.of(context.resumedTokens() > 0 ? sampled(priced) : cheapest(priced));
     }
 
     @Override
     public void started(AttemptId attempt, RequestSpec spec, Target target, int resumedTokens, long nowMillis) {
         TargetState state = state(target.id());
         state.load.started(attempt, nowMillis);
+        state.pendingPrefills++;
         if (spec.work() instanceof Work.Generation generation) {
             state.prefixes.add(generation.prefixHashes());
         }
@@ -97,6 +133,7 @@
             state.pace.add((double) elapsed / tokens, tokens, nowMillis);
         } else {
             state.firstToken.add(elapsed, 1, nowMillis);
+            state.pendingPrefills--;
         }
         running.hasTokens = true;
         running.lastProgressMillis = nowMillis;
@@ -106,7 +143,11 @@
     public void finished(AttemptId attempt, AttemptResult result, long nowMillis) {
         RunningAttempt running = attempts.remove(attempt);
         if (running != null) {
+            state(running.target).pendingPrefills -= running.hasTokens ? 0 : 1;
             state(running.target).load.finished(attempt, nowMillis);
+            if (result == AttemptResult.SUCCEEDED) {
+                state(running.target).run.add(nowMillis - running.startedAtMillis, 1, nowMillis);
+            }
         }
     }
 
@@ -140,21 +181,55 @@
         return state.pace.middle(PRIOR_PACE_MILLIS, NO_DECAY);
     }
 
+    @Override
+    public double typicalPaceMillis(ServiceName service, long nowMillis) {
+        List<Target> observed = directory.targets(service).stream()
+                .filter(target -> directory.available(target.id()))
+                .filter(target -> state(target.id()).pace.observed(nowMillis))
+                .toList();
+        return observed.size() < MIN_COMPARED_TARGETS ? Double.POSITIVE_INFINITY : medianPace(observed, nowMillis);
+    }
+
     @Override
     public double expectedFirstTokenMillis(RequestSpec spec, TargetId target, int resumedTokens) {
         TargetState state = state(target);
-        return state.firstToken.middle(PRIOR_FIRST_TOKEN_MILLIS, NO_DECAY);
+        return state.firstToken.middle(PRIOR_FIRST_TOKEN_MILLIS, NO_DECAY) + queueMillis(target);
+    }
+
+    /** Returns the longest plausible wait for a slot, by the load when a target was last chosen. */
+    private double queueMillis(TargetId target) {
+        TargetState state = state(target);
+        int slots = directory.target(target).map(Target::slots).orElse(1);
+        int ahead = state.load.estimated(chosenAtMillis) + UNREPORTED_ATTEMPTS - slots;
+        double runMillis = state.run.valueWithPrior(PRIOR_RUN_MILLIS, 1, NO_DECAY);
+        return Math.max(0, ahead) * runMillis / slots;
     }
 
     @Override
-    public int freeSlots(ServiceName service, long nowMillis) {
-        int free = 0;
+    public double slotShare(ServiceName service, double sharers, long nowMillis) {
+        double places = 0;
+        double own = 0;
+        double others = 0;
         for (Target target : directory.targets(service)) {
             if (directory.available(target.id())) {
-                free += Math.max(0, target.slots() - state(target.id()).load.estimated(nowMillis));
+                TargetLoad load = state(target.id()).load;
+                places += target.slots() * QUEUE_FACTOR;
+                own += load.ownAtReport(nowMillis);
+                others += load.othersAtReport(nowMillis);
             }
         }
-        return free;
+        // One more attempt per router lets a router without load begin, and grow to all places if it is alone.
+        double ofLoad = places * (own + 1) / (own + others + sharers);
+        return Math.max(places / sharers, ofLoad);
+    }
+
+    @Override
+    public int ownAttempts(ServiceName service) {
+        int own = 0;
+        for (Target target : directory.targets(service)) {
+            own += directory.available(target.id()) ? state(target.id()).load.own() : 0;
+        }
+        return own;
     }
 
     @Override
@@ -168,6 +243,13 @@
         return slots;
     }
 
+    @Override
+    public int targetCount(ServiceName service) {
+        return (int) directory.targets(service).stream()
+                .filter(target -> directory.available(target.id()))
+                .count();
+    }
+
     private List<Target> candidates(RequestSpec spec, SelectionContext context) {
         List<Target> suitable = new ArrayList<>();
         for (Target target : directory.targets(spec.service())) {
@@ -192,25 +274,49 @@
         return preferred.isEmpty() ? suitable : preferred;
     }
 
-    private Target cheapest(List<Target> candidates, RequestSpec spec, long nowMillis) {
+    private List<PricedTarget> priced(List<Target> candidates, RequestSpec spec, boolean resume, long nowMillis) {
         double medianPace = medianPace(candidates, nowMillis);
         double meanOccupancy = candidates.stream()
                 .mapToDouble(target -> occupancy(target, nowMillis))
                 .average()
                 .orElse(0);
-        List<Target> best = new ArrayList<>();
-        double bestCost = Double.POSITIVE_INFINITY;
+        List<PricedTarget> priced = new ArrayList<>();
         for (Target target : candidates) {
             double cost = cost(target, spec, medianPace, meanOccupancy, nowMillis);
-            if (cost < bestCost - EQUAL_COST_MARGIN) {
-                best.clear();
-                bestCost = cost;
-            }
-            if (cost <= bestCost + EQUAL_COST_MARGIN) {
-                best.add(target);
+            priced.add(new PricedTarget(target, cost + (resume ? resumeCost(target) : firstCost(target))));
+        }
+        return priced;
+    }
+
+    private Target cheapest(List<PricedTarget> priced) {
+        double least = priced.stream().mapToDouble(PricedTarget::cost).min().orElseThrow();
+        List<PricedTarget> best = priced.stream()
+                .filter(candidate -> candidate.cost() <= least + EQUAL_COST_MARGIN)
+                .toList();
+        return best.get(random.nextInt(best.size())).target();
+    }
+
+    /** Samples from the softmax of the negative costs: the least cost after adding Gumbel noise to each. */
+    private Target sampled(List<PricedTarget> priced) {
+        Target chosen = priced.getFirst().target();
+        double least = Double.POSITIVE_INFINITY;
+        for (PricedTarget candidate : priced) {
+            double noisy = candidate.cost() + RESUME_TEMPERATURE * Math.log(-Math.log(random.nextDouble()));
+            if (noisy < least) {
+                least = noisy;
+                chosen = candidate.target();
             }
         }
-        return best.get(random.nextInt(best.size()));
+        return chosen;
+    }
+
+    private double firstCost(Target target) {
+        return target.region().equals(region) ? 0 : OTHER_REGION_COST;
+    }
+
+    private double resumeCost(Target target) {
+        double regionCost = target.region().equals(region) ? 0 : RESUME_OTHER_REGION_COST;
+        return regionCost + PENDING_PREFILL_COST * state(target.id()).pendingPrefills;
     }
 
     private double cost(Target target, RequestSpec spec, double medianPace, double meanOccupancy, long nowMillis) {
@@ -218,9 +324,6 @@
         double occupancy = occupancy(target, nowMillis);
         double slowness = Math.max(1, state.pace.pessimistic(medianPace, nowMillis) / medianPace);
         double cost = occupancy * slowness + (slowness - 1);
-        if (!target.region().equals(region)) {
-            cost += OTHER_REGION_COST;
-        }
         if (spec.work() instanceof Work.Generation generation && occupancy <= meanOccupancy * AFFINITY_LOAD_FACTOR) {
             cost -= CACHED_PREFIX_BONUS * state.prefixes.cachedPart(generation.prefixHashes());
         }
@@ -245,20 +348,26 @@
         return states.computeIfAbsent(target, _ -> new TargetState());
     }
 
+    private record PricedTarget(Target target, double cost) {}
+
     private static final class TargetState {
         private final TargetLoad load = new TargetLoad();
         private final TargetPace pace = new TargetPace();
         private final TargetPace firstToken = new TargetPace();
         private final PrefixHistory prefixes = new PrefixHistory(PREFIXES_PER_TARGET);
+        private final DecayingAverage run = new DecayingAverage(RUN_HALF_LIFE_MILLIS);
+        private int pendingPrefills;
     }
 
     private static final class RunningAttempt {
         private final TargetId target;
+        private final long startedAtMillis;
         private long lastProgressMillis;
         private boolean hasTokens;
 
         private RunningAttempt(TargetId target, long startedAtMillis) {
             this.target = target;
+            this.startedAtMillis = startedAtMillis;
             this.lastProgressMillis = startedAtMillis;
         }
     }
