--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -48,6 +48,9 @@
     /** Time after which a leaving router hands its kept-alive requests over. */
     static final long DRAIN_MILLIS = 120_000;
 
+    private static final String ANOTHER_ANSWER =
+            "The answer that was begun is lost; send the request anew without Last-Event-ID.";
+
     private static final String KEY_REUSED_DETAIL = "The idempotency key was used with another content; use a new key.";
 
     private final RequestServices services;
@@ -141,11 +144,9 @@
             reject(arrived, ErrorCode.PLATFORM_UNAVAILABLE, "Outcome records wait for the platform.", now, out);
         } else if (spec.work() instanceof Work.Generation && arrived.resumeAt().isPresent() && !keptAlive(spec)) {
             // Only kept-alive answers have checkpoints, so no other router can go on with this one.
-            resumeUnavailable(new Search(arrived), out);
+            resumeUnavailable(new Search(arrived, now), out);
         } else if (spec.work() instanceof Work.Generation && searchable(arrived)) {
-            searches.put(spec.id(), new Search(arrived));
-            long timeout = arrived.resumeAt().isPresent() ? RETURN_SEARCH_MILLIS : ARRIVAL_SEARCH_MILLIS;
-            out.addAll(services.checkpoints().search(spec, arrived.resumeAt().orElse(0), timeout, now));
+            search(new Search(arrived, now), now, out);
         } else {
             begin(create(spec, Optional.of(spec.id()), now), now, out);
         }
@@ -173,6 +174,10 @@
             reject(arrived, ErrorCode.KEY_REUSED, KEY_REUSED_DETAIL, now, out);
             return;
         }
+        if (ofAnotherAnswer(arrived, present.spec().id())) {
+            refuse(spec, ErrorCode.RESUME_UNAVAILABLE, fateSeenBy(arrived), ANOTHER_ANSWER, out);
+            return;
+        }
         if (present instanceof GenerationRequest generation) {
             generation.callerBack(spec.id(), arrived.resumeAt().orElse(0), now, out);
         } else if (present instanceof AtMostOnceRequest order) {
@@ -204,6 +209,14 @@
         }
     }
 
+    /**
+     * Tells whether a returning caller holds tokens of a request other than the one with its key. Both exist when a
+     * paused or cut-off router began the request that its caller had taken elsewhere.
+     */
+    private static boolean ofAnotherAnswer(RequestEvent.Arrived arrived, RequestId present) {
+        return arrived.resumeAt().orElse(0) > 0 && !arrived.spec().id().equals(present);
+    }
+
     /** A caller that names a token has seen output; without one nothing is known of the execution. */
     private static Fate fateSeenBy(RequestEvent.Arrived arrived) {
         return arrived.resumeAt().orElse(0) > 0 ? Fate.RAN : Fate.UNKNOWN;
@@ -233,6 +246,14 @@
         return new ServiceRequest(services, dispatcher, spec);
     }
 
+    private void search(Search search, long now, List<Command> out) {
+        RequestEvent.Arrived arrived = search.arrived;
+        searches.put(arrived.request(), search);
+        long timeout = arrived.resumeAt().isPresent() ? RETURN_SEARCH_MILLIS : ARRIVAL_SEARCH_MILLIS;
+        out.addAll(
+                services.checkpoints().search(arrived.spec(), arrived.resumeAt().orElse(0), timeout, now));
+    }
+
     private void searched(RequestEvent.CheckpointFound found, long now, List<Command> out) {
         Search search = searches.remove(found.request());
         if (search == null) {
@@ -253,6 +274,9 @@
         }
         if (found.checkpoint().isPresent()) {
             takeOver(search, found.checkpoint().get(), connection, now, out);
+        } else if (!found.conclusive() && pauses.pausedSince(search.startedAt, now)) {
+            // The answers wait behind the pause, and so may the news that the caller has gone elsewhere.
+            search(new Search(search, now), now, out);
         } else if (search.arrived.resumeAt().isPresent() && !found.conclusive()) {
             searchAgain(search, out);
         } else if (search.arrived.resumeAt().isPresent()) {
@@ -276,13 +300,16 @@
         int size = answer.tokens().size();
         if (answer.fingerprint() != spec.fingerprint()) {
             reject(search.arrived, ErrorCode.KEY_REUSED, KEY_REUSED_DETAIL, now, out);
+        } else if (ofAnotherAnswer(search.arrived, answer.record().request())) {
+            refuse(spec, ErrorCode.RESUME_UNAVAILABLE, Fate.RAN, ANOTHER_ANSWER, out);
         } else if (position > size) {
             String detail = "The answer ended before the position in Last-Event-ID; send the request anew.";
             refuse(spec, ErrorCode.RESUME_UNAVAILABLE, Fate.RAN, detail, out);
         } else {
             if (position < size) {
                 List<String> rest = answer.tokens().subList(position, size);
-                out.add(new RequestCommand.Deliver(spec.id(), position, rest));
+                RequestId request = answer.record().request();
+                out.add(new RequestCommand.Deliver(spec.id(), request, position, rest));
             }
             out.add(new RequestCommand.CompleteAnswer(spec.id(), answer.reason(), answer.record()));
             out.add(RequestTrace.resumedFromCompletedAnswer(answer.record().request(), position));
@@ -293,7 +320,11 @@
             Search search, Checkpoint checkpoint, Optional<RequestId> connection, long now, List<Command> out) {
         RequestSpec spec = search.arrived.spec();
         Optional<RequestId> served = connection;
-        if (checkpoint.spec().fingerprint() != spec.fingerprint()) {
+        if (ofAnotherAnswer(search.arrived, checkpoint.spec().id())) {
+            served = Optional.empty();
+            connection.ifPresent(
+                    id -> refuse(spec, ErrorCode.RESUME_UNAVAILABLE, fateSeenBy(search.arrived), ANOTHER_ANSWER, out));
+        } else if (checkpoint.spec().fingerprint() != spec.fingerprint()) {
             // The state is this router's now, so the request is kept open for its true caller.
             served = Optional.empty();
             connection.ifPresent(id -> reject(search.arrived, ErrorCode.KEY_REUSED, KEY_REUSED_DETAIL, now, out));
@@ -393,10 +424,18 @@
 
     private static final class Search {
         private final RequestEvent.Arrived arrived;
+        private final long startedAt;
         private boolean gone;
 
-        Search(RequestEvent.Arrived arrived) {
+        Search(RequestEvent.Arrived arrived, long startedAt) {
             this.arrived = arrived;
+            this.startedAt = startedAt;
+        }
+
+        /** Repeats a search. */
+        Search(Search former, long startedAt) {
+            this(former.arrived, startedAt);
+            this.gone = former.gone;
         }
     }
 }
