Let the targets settle a closed order of unknown fate

Cause: one run of bin/demo ended with an order that stayed unknown for 30 s: its claim had been closed as unknown, and repeats asked the targets without a raised fence, which proves nothing. Ruled out: targets that do not answer; they answered within milliseconds each time. Change: the verdict Closed carries the fence of the claim, and a repeat raises it; when every target has barred the fence and none knows the key, the caller is told not-run and to use a new key.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/LedgerState.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/LedgerState.java
@@ -113,7 +113,7 @@
                 return verdict;
             }
         }
-        return recent.find(claim.request()).map(record -> new ClaimVerdict.Closed(record, Optional.empty()));
+        return recent.find(claim.request()).map(record -> new ClaimVerdict.Closed(record, Optional.empty(), 0));
     }
 
     private static ClaimVerdict decideOpen(HostId from, ClaimRequest claim, FencedClaim held) {
@@ -137,7 +137,7 @@
         if (past.fingerprint().isPresent() && past.fingerprint().getAsLong() != claim.fingerprint()) {
             return Optional.of(new ClaimVerdict.KeyReused());
         }
-        return Optional.of(new ClaimVerdict.Closed(record, past.outcome().response()));
+        return Optional.of(new ClaimVerdict.Closed(record, past.outcome().response(), past.fence()));
     }
 
     /** Forgets the outcomes that are too old to answer repeats. */
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
@@ -47,6 +47,7 @@
     private Optional<Reconciliation> reconciliation = Optional.empty();
     private ErrorCode undecidedCode = ErrorCode.OUTCOME_UNKNOWN;
     private Fate undecidedFate = Fate.UNKNOWN;
+    private String neverExecutedDetail = "The target did not run the request; repeat it.";
     private Optional<RequestId> heldRequest = Optional.empty();
     private long claimedAt;
     private long grantedAt;
@@ -150,7 +151,11 @@
                         "The request with this key was not run; send it again.",
                         now,
                         out);
-            default -> reconcile(targetsOfService(), OptionalLong.empty(), now, out);
+            default -> {
+                neverExecutedDetail = "The targets prove that no request with this key ran; send it with a new key.";
+                OptionalLong raised = closed.fence() > 0 ? OptionalLong.of(closed.fence() + 1) : OptionalLong.empty();
+                reconcile(targetsOfService(), raised, now, out);
+            }
         }
     }
 
@@ -288,8 +293,7 @@
                 // Closing the dead router's request frees the key, so that the caller's repeat can be executed.
                 heldRequest.ifPresent(
                         held -> RefusedArrival.closeNeverExecuted(life.services(), spec(), held, now, out));
-                String detail = "The target did not run the request; repeat it.";
-                refuse(ErrorCode.TARGET_FAILED, Fate.NOT_RUN, detail, now, out);
+                refuse(ErrorCode.TARGET_FAILED, Fate.NOT_RUN, neverExecutedDetail, now, out);
             }
             default -> {
                 current.cancel(out);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/protocol/peer/ClaimVerdict.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/protocol/peer/ClaimVerdict.java
@@ -35,8 +35,9 @@
      *
      * @param record the outcome
      * @param response the stored answer, if it ran and was small enough to store
+     * @param fence fencing number of the closed claim; 0 if it is not known any more
      */
-    record Closed(OutcomeRecord record, Optional<ServiceResponse> response) implements ClaimVerdict {
+    record Closed(OutcomeRecord record, Optional<ServiceResponse> response, long fence) implements ClaimVerdict {
         public Closed {
             Objects.requireNonNull(record, "record");
             Objects.requireNonNull(response, "response");
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RecoveryTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/request/RecoveryTest.java
@@ -18,6 +18,8 @@
 import org.amaranthlock.model.Fate;
 import org.amaranthlock.model.HostId;
 import org.amaranthlock.model.IdempotencyKey;
+import org.amaranthlock.model.Outcome;
+import org.amaranthlock.model.OutcomeRecord;
 import org.amaranthlock.model.ProfileKind;
 import org.amaranthlock.model.RequestId;
 import org.amaranthlock.model.RequestSpec;
@@ -270,4 +272,37 @@
         assertThat(fateOfHeldClaim(Capability.RECONCILE)).isEqualTo(Fate.UNKNOWN);
         assertThat(fateOfHeldClaim(Capability.FENCING)).isEqualTo(Fate.UNKNOWN);
     }
+
+    /** Guards against an order whose fate stays unknown for ever although every target can bar and deny it. */
+    @Test
+    void aClosedClaimOfUnknownFateIsSettledByTheTargets() {
+        RequestFixture desk = RequestFixture.withTargets(2, Capability.RECONCILE, Capability.FENCING);
+        RequestSpec order = desk.order("a");
+        desk.send(new RequestEvent.Arrived(order, OptionalInt.empty()));
+        OutcomeRecord unknown = new OutcomeRecord(
+                HELD_REQUEST,
+                order.account(),
+                order.service(),
+                "order",
+                order.ledgerKey(),
+                Outcome.ABANDONED,
+                Fate.UNKNOWN,
+                "",
+                0,
+                new HostId("router-dead"),
+                List.of(),
+                1,
+                0,
+                0,
+                0,
+                0);
+        desk.send(new RequestEvent.ClaimDecided(order.id(), new ClaimVerdict.Closed(unknown, Optional.empty(), 9)));
+        for (RequestCommand.Reconcile query : desk.all(RequestCommand.Reconcile.class)) {
+            assertThat(query.fence()).isEqualTo(OptionalLong.of(10));
+            desk.send(new RequestEvent.Reconciled(query.attempt(), Optional.<ServiceResponse>empty()));
+        }
+
+        assertThat(desk.last(RequestCommand.Refuse.class).refusal().fate()).isEqualTo(Fate.NOT_RUN);
+        assertThat(desk.all(RequestCommand.CallService.class)).isEmpty();
+    }
 }
