Speak of the key when an order is refused before the ledger was asked

Cause: three cells of the fault matrix still told a repeat not-run although an earlier request with the key had run: a paused router woke and refused its copy by the deadline, before it asked the ledger. Ruled out: the answer of a partition owner that was paused or isolated; that hole existed too and is closed in the same place (an owner vouches for an unused key only if it was not paused and lost no router since its last commit), but it did not change the count. Change: until the ledger has decided on a key, a refusal of an at-most-once request with a key tells the caller unknown; its record still says not run, since that speaks of the one request. The matrix now fails if the count is not 0.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PartitionOwner.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PartitionOwner.java
@@ -34,6 +34,9 @@
     private static final long FIRST_BACKOFF_MILLIS = 250;
     private static final long MAX_BACKOFF_MILLIS = 2_000;
     private static final long READ_TIMEOUT_MILLIS = 15_000;
+    /** A longer gap between two ticks means that this process was paused, and another owner may have taken over. */
+    private static final long PAUSE_MILLIS = 500;
+
     private static final int MAX_SEARCHES = 8;
     private static final int MAX_QUERIES = 100;
 
@@ -55,6 +58,9 @@
     private final LogReader reader;
     private Phase phase = Phase.IDLE;
     private boolean wanted;
+    private Set<HostId> liveAtCommit = Set.of();
+    private boolean pausedSinceCommit;
+    private long lastTickMillis = -1;
     private Optional<LogWrite> write = Optional.empty();
     private Optional<SnapshotWriter> snapshots = Optional.empty();
     private long nextSequence = 1;
@@ -121,6 +127,8 @@
     }
 
     void tick(long nowMillis, List<Command> commands) {
+        pausedSinceCommit |= lastTickMillis >= 0 && nowMillis - lastTickMillis > PAUSE_MILLIS;
+        lastTickMillis = nowMillis;
         write.ifPresent(current -> current.tick(nowMillis, commands));
         if (phase == Phase.READING && nowMillis - readStartedMillis > READ_TIMEOUT_MILLIS) {
             readFailed(nowMillis, commands);
@@ -251,6 +259,8 @@
 
     private void committed(LogWrite current, long nowMillis, List<Command> commands) {
         backoffMillis = FIRST_BACKOFF_MILLIS;
+        pausedSinceCommit = false;
+        liveAtCommit = peers.live();
         reader.state().apply(current.batch());
         long fence = nextSequence;
         nextSequence++;
@@ -302,7 +312,15 @@
         }
         return reader.state()
                 .decide(from, request, nowMillis)
-                .orElseGet(() -> new ClaimVerdict.Unavailable(reason, true));
+                .orElseGet(() -> new ClaimVerdict.Unavailable(reason, probablyStillOwner()));
+    }
+
+    /**
+     * Tells whether nothing has happened since the last commit that would let another router take the partition over:
+     * neither a pause of this process nor the loss of a router, which may be this one's own isolation.
+     */
+    private boolean probablyStillOwner() {
+        return !pausedSinceCommit && peers.live().containsAll(liveAtCommit);
     }
 
     private void answerQueries(List<Command> commands) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PeerSender.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PeerSender.java
@@ -1,6 +1,8 @@
 package org.amaranthlock.coordination.ledger;
 
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.amaranthlock.coordination.Command;
 import org.amaranthlock.coordination.Event;
 import org.amaranthlock.coordination.membership.MembershipView;
@@ -20,6 +22,11 @@
         return membership.self().host();
     }
 
+    /** Returns the routers that are live in this router's view. */
+    Set<HostId> live() {
+        return membership.live().stream().map(RouterMember::host).collect(Collectors.toUnmodifiableSet());
+    }
+
     /** Returns the router that should own a partition, in this router's view. */
     HostId preferredOwner(int partition) {
         List<RouterMember> order = membership.rendezvous(LedgerKeys.owner(partition));
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PendingWork.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PendingWork.java
@@ -156,7 +156,7 @@
             ClaimRequest request = claim.request();
             if (nowMillis - claim.sinceMillis() > CLAIM_TIMEOUT_MILLIS) {
                 ClaimVerdict verdict = state.decide(claim.from(), request, nowMillis)
-                        .orElseGet(() -> new ClaimVerdict.Unavailable("the ledger did not answer in time", true));
+                        .orElseGet(() -> new ClaimVerdict.Unavailable("the ledger did not answer in time", false));
                 selection.decided().put(claim, verdict);
                 continue;
             }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/AtMostOnceRequest.java
@@ -82,6 +82,7 @@
         if (phase != Phase.CLAIMING) {
             return;
         }
+        life.keyDecided();
         switch (verdict) {
             case ClaimVerdict.Granted granted -> {
                 fence = granted.fence();
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestCoordinator.java
@@ -204,7 +204,7 @@
             // The request began elsewhere, and its owner or keeper writes its record.
             refuse(spec, code, fateSeenBy(arrived), detail, out);
         } else {
-            refuse(spec, code, Fate.NOT_RUN, detail, out);
+            refuse(spec, code, RequestLife.fateBeforeLedger(spec), detail, out);
             RefusedArrival.close(services, spec, code, Fate.NOT_RUN, now, out);
         }
     }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestLife.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/RequestLife.java
@@ -17,6 +17,7 @@
 import org.amaranthlock.model.Fate;
 import org.amaranthlock.model.Outcome;
 import org.amaranthlock.model.OutcomeRecord;
+import org.amaranthlock.model.ProfileKind;
 import org.amaranthlock.model.Refusal;
 import org.amaranthlock.model.RequestId;
 import org.amaranthlock.model.RequestSpec;
@@ -43,6 +44,7 @@
     private static final int OK = 200;
 
     private final RequestServices services;
+    private boolean keyDecided;
     private final RequestSpec spec;
     private final Map<TargetId, Long> barredUntil = new HashMap<>();
     private final List<TargetId> targetsTried = new ArrayList<>();
@@ -265,7 +267,8 @@
             OptionalLong retryAfterMillis,
             long now,
             List<Command> out) {
-        tellRefusal(code, fate, detail, retryAfterMillis, out);
+        Fate told = fate == Fate.NOT_RUN && !keyDecided ? fateBeforeLedger(spec) : fate;
+        tellRefusal(code, told, detail, retryAfterMillis, out);
         closeRefused(source, code, fate, now, out);
     }
 
@@ -275,6 +278,23 @@
         refuse(source, ErrorCode.POISON_REQUEST, fate, detail, OptionalLong.empty(), now, out);
     }
 
+    /**
+     * Returns what a caller may be told of a request that is refused before the ledger was asked.
+     *
+     * <p>The record says "not run" of this request; to the caller it would speak of the key, which an earlier request
+     * may have used.
+     */
+    static Fate fateBeforeLedger(RequestSpec spec) {
+        boolean keyed =
+                spec.profile().kind() == ProfileKind.AT_MOST_ONCE && spec.key().isPresent();
+        return keyed ? Fate.UNKNOWN : Fate.NOT_RUN;
+    }
+
+    /** Notes that the ledger has decided on the key of the request. */
+    void keyDecided() {
+        keyDecided = true;
+    }
+
     /** Refuses the request towards the caller while its record has to wait for the truth about its fate. */
     void tellRefusal(ErrorCode code, Fate fate, String detail, OptionalLong retryAfterMillis, List<Command> out) {
         Refusal refusal = new Refusal(code, fate, detail, retryAfterMillis);
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/FaultMatrixTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/FaultMatrixTest.java
@@ -51,5 +51,9 @@
         System.out.println(table.append("\nrepeats told not-run although an earlier call with the key ran: ")
                 .append(MISLEADING));
         assertWithMessage("cells without result").that(totals).doesNotContainKey("MISSING");
+        // A caller that believes such a refusal orders again under a new key, and the order runs twice.
+        assertWithMessage("repeats told not-run of a key that had run")
+                .that(MISLEADING.get())
+                .isEqualTo(0);
     }
 }
