Refuse connections to dead engines in the bench

Cause: one answer failed after the loss of a failure domain. A trace of the outcome records showed poison-request: the bench reported an attempt that came to an engine which was dead already as lost after it was sent, so two dead engines condemned an innocent request, also minutes later. Ruled out: the rule of the poison registry; with a dead process or host no byte leaves (connection refused, or a connect time-out of 500 ms), which the transport reports as NOT_SENT, and that blames nobody. Change: a simulated engine that is dead refuses the attempt.

--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/SimulatedEngine.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/SimulatedEngine.java
@@ -24,6 +24,9 @@
 
         /** The engine died. */
         void lost(AttemptId attempt);
+
+        /** The engine was dead before the attempt came, so the connection was refused. */
+        void refused(AttemptId attempt);
     }
 
     /**
@@ -116,7 +119,7 @@
     /** Takes a job. */
     public void submit(Job job) {
         if (!alive) {
-            job.listener().lost(job.attempt());
+            job.listener().refused(job.attempt());
             return;
         }
         order++;
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/SimulatedRouter.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/sim/SimulatedRouter.java
@@ -135,13 +135,19 @@
 
         @Override
         public void lost(AttemptId attempt) {
+            failed(attempt, FailureKind.LOST, "connection closed");
+        }
+
+        @Override
+        public void refused(AttemptId attempt) {
+            failed(attempt, FailureKind.NOT_SENT, "connection refused");
+        }
+
+        private void failed(AttemptId attempt, FailureKind kind, String detail) {
             time.afterMillis(Fleet.oneWayMillis(region, target), () -> {
                 TargetId id = target.id();
                 directory.foundDead(id);
-                deliver(
-                        attempt,
-                        new RequestEvent.AttemptFailed(
-                                attempt, FailureKind.LOST, "connection closed", OptionalLong.empty()));
+                deliver(attempt, new RequestEvent.AttemptFailed(attempt, kind, detail, OptionalLong.empty()));
                 handle(new TargetEvent.Unreachable(id));
             });
         }
