Drop a reset that did nothing in the checkpoint search

Cause: the read-through found an assignment of the value that the field already has, and a comment that named only one of the two cases of a delta. Measured: 27 tests of the touched classes pass before and after; no behaviour changed.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointSearches.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/CheckpointSearches.java
@@ -129,7 +129,6 @@
             return;
         }
         search.handover = Optional.of(owner);
-        search.handoverAt = -1;
         send(live.get(), new PeerMessage.HandoverRequest(search.query, search.spec.ledgerKey()), out);
     }
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OwnedCheckpoints.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/request/OwnedCheckpoints.java
@@ -18,7 +18,7 @@
     /** Younger requests cost less to repeat than to keep. */
     static final long KEEP_AFTER_MILLIS = 500;
 
-    /** Pace of the deltas that carry no new token, such as a change of the attempt. */
+    /** Pace of the deltas that no token sets off: a change of the attempt, and tokens that had no reachable keeper. */
     static final long DELTA_MILLIS = 250;
 
     private final MembershipView membership;
