--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/EntryConfiguration.java
@@ -0,0 +1,103 @@
+package org.amaranthlock.coordination.forwarding;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.amaranthlock.model.ServiceName;
+
+/** One version of the configuration; immutable. */
+public final class EntryConfiguration {
+    private final long version;
+    private final Map<String, List<Route>> routesByHost;
+    private final Map<ServiceName, ServiceDefinition> services;
+    private final Map<String, KeyHolder> keys;
+    private final boolean keysRequired;
+    private final RequestLimits limits;
+
+    /**
+     * Creates a configuration.
+     *
+     * @param keys holders by API key
+     * @param keysRequired whether requests of routes that are not open need a key
+     */
+    public EntryConfiguration(
+            long version,
+            List<Route> routes,
+            Map<ServiceName, ServiceDefinition> services,
+            Map<String, KeyHolder> keys,
+            boolean keysRequired,
+            RequestLimits limits) {
+        this.version = version;
+        this.routesByHost = longestPrefixFirst(routes);
+        this.services = Map.copyOf(services);
+        this.keys = Map.copyOf(keys);
+        this.keysRequired = keysRequired;
+        this.limits = Objects.requireNonNull(limits, "limits");
+    }
+
+    /** Returns the version, which grows with each change. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns whether requests of routes that are not open need a key. */
+    public boolean keysRequired() {
+        return keysRequired;
+    }
+
+    /** Returns the limits on clients. */
+    public RequestLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Returns the route with the longest prefix of a path.
+     *
+     * @param host value of the {@code Host} header; a port is ignored
+     * @param path path without query
+     */
+    public Optional<Route> route(String host, String path) {
+        for (Route route : routesByHost.getOrDefault(hostName(host), List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the account that holds an API key. */
+    public Optional<KeyHolder> holder(String key) {
+        return Optional.ofNullable(keys.get(key));
+    }
+
+    /** Returns the definition of a service; one that is not defined is a plain one with a small connection limit. */
+    public ServiceDefinition service(ServiceName name) {
+        ServiceDefinition found = services.get(name);
+        return found != null ? found : new ServiceDefinition(name, UNDEFINED_MAX_CONNECTIONS, false, false);
+    }
+
+    private static final int UNDEFINED_MAX_CONNECTIONS = 16;
+
+    private static Map<String, List<Route>> longestPrefixFirst(List<Route> routes) {
+        Map<String, List<Route>> byHost = new HashMap<>();
+        for (Route route : routes) {
+            byHost.computeIfAbsent(hostName(route.host()), _ -> new ArrayList<>())
+                    .add(route);
+        }
+        Comparator<Route> order =
+                Comparator.comparingInt((Route route) -> route.pathPrefix().length());
+        byHost.values().forEach(list -> list.sort(order.reversed()));
+        return byHost;
+    }
+
+    private static String hostName(String host) {
+        int colon = host.indexOf(':');
+        String name = colon < 0 ? host : host.substring(0, colon);
+        return name.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -0,0 +1,470 @@
+package org.amaranthlock.coordination.forwarding;
+
+import java.io.ByteArrayOutputStream;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthlock.model.TargetId;
+
+/**
+ * Life of one forwarded request, from its admission to its final answer.
+ *
+ * <p>A request that may not be repeated goes to a second target only if the first one said that it did not run it, or if
+ * no byte was sent. An event stream that may be resumed goes on at another target behind the last event that the client
+ * has. Events of attempts that are no longer the current one are ignored. Not thread-safe.
+ */
+public final class ForwardedRequest {
+    /** Silence of a running stream after which its target is probed; pauses between events are mostly shorter. */
+    private static final long STREAM_SILENCE_MILLIS = 250;
+
+    /** Time between two probes of a target that has not sent its first event. */
+    private static final long FIRST_EVENT_PROBE_MILLIS = 400;
+
+    /** Silence of a running stream after which it goes on elsewhere although its target accepts connections. */
+    private static final long STREAM_STALL_MILLIS = 1_500;
+
+    /** Share of a stream's goal after which a missing first event is sought elsewhere. */
+    private static final double FIRST_EVENT_SHARE = 0.7;
+
+    /** Time after which an idempotent request that is not answered goes to another target. */
+    private static final long IDEMPOTENT_PATIENCE_MILLIS = 350;
+
+    /** Pause before a running stream looks for a target again. */
+    private static final long RESUME_PAUSE_MILLIS = 60;
+
+    /** Sends beyond the attempts of the route, for those that did not run. */
+    private static final int EXTRA_SENDS = 3;
+
+    /** Advice to a client whose request found no target. */
+    private static final long NO_TARGET_RETRY_MILLIS = 300;
+
+    private final ForwardedCall call;
+    private final Route route;
+    private final ServiceDefinition service;
+    private final Optional<Integer> urgency;
+    private final TargetPicker picker;
+    private final RepeatBudget budget;
+    private final ForwardingPort port;
+    private final Set<TargetId> avoided = new HashSet<>();
+
+    private long arrivedAtMillis;
+    private long deadlineMillis;
+    private Attempt current;
+    private long sentAtMillis;
+    private long activeAtMillis;
+    private long probedAtMillis;
+    private long pausedUntilMillis;
+    private int sends;
+    private int runs;
+    private TargetAnswer head;
+    private boolean opened;
+    private long lastEvent = -1;
+    private boolean ended;
+    private EntryTarget copyHolder;
+
+    /** Creates a request; {@link #start} sends it. */
+    public ForwardedRequest(
+            ForwardedCall call,
+            Route route,
+            ServiceDefinition service,
+            Optional<Integer> urgency,
+            TargetPicker picker,
+            RepeatBudget budget,
+            ForwardingPort port) {
+        this.call = Objects.requireNonNull(call, "call");
+        this.route = Objects.requireNonNull(route, "route");
+        this.service = Objects.requireNonNull(service, "service");
+        this.urgency = Objects.requireNonNull(urgency, "urgency");
+        this.picker = Objects.requireNonNull(picker, "picker");
+        this.budget = Objects.requireNonNull(budget, "budget");
+        this.port = Objects.requireNonNull(port, "port");
+    }
+
+    /** Returns whether the request has its final answer. */
+    public boolean ended() {
+        return ended;
+    }
+
+    /** Returns whether events have been passed on to the client. */
+    public boolean opened() {
+        return opened;
+    }
+
+    /** Sends the request for the first time. */
+    public void start(long nowMillis) {
+        arrivedAtMillis = nowMillis;
+        long wait = Math.min(route.timeoutMillis(), call.timeLeftMillis().orElse(route.timeoutMillis()));
+        deadlineMillis = nowMillis + wait;
+        lastEvent = call.lastEventId().orElse(-1L);
+        budget.requested();
+        dispatch("arrived", nowMillis);
+    }
+
+    /** Takes a whole answer of a target. */
+    public void answered(int attempt, TargetAnswer answer, long nowMillis) {
+        if (!isCurrent(attempt)) {
+            return;
+        }
+        Attempt ending = release();
+        if (answer.notRun() || answer.status() == 421) {
+            notRun(ending, answer, nowMillis);
+            return;
+        }
+        boolean unusable = opened || (answer.success() && (!answer.stamped() || route.kind() == RouteKind.STREAMING));
+        runs++;
+        if (unusable || (answer.status() >= 500 && route.repeatable() && mayRepeat())) {
+            failedRun(ending, "status-" + answer.status(), nowMillis);
+            return;
+        }
+        picker.succeeded(ending.target());
+        end("answered", ending, "whole", answer.status(), nowMillis);
+        port.answer(answer);
+    }
+
+    /** Takes the head of an event stream. */
+    public void streamOpened(int attempt, TargetAnswer answer, long nowMillis) {
+        if (!isCurrent(attempt)) {
+            return;
+        }
+        activeAtMillis = nowMillis;
+        if (!answer.stamped()) {
+            port.cancel(current);
+            lost(attempt, "no-stamp", nowMillis);
+            return;
+        }
+        if (head == null) {
+            head = answer;
+        }
+    }
+
+    /** Takes whole events of a stream. */
+    public void events(int attempt, List<StreamEvent> events, long nowMillis) {
+        if (!isCurrent(attempt)) {
+            return;
+        }
+        activeAtMillis = nowMillis;
+        ByteArrayOutputStream fresh = new ByteArrayOutputStream();
+        for (StreamEvent event : events) {
+            if (lastEvent >= 0 && event.id() <= lastEvent) {
+                continue;
+            }
+            if (lastEvent >= 0 && event.id() > lastEvent + 1) {
+                pass(fresh);
+                port.cancel(current);
+                lost(attempt, "event-" + event.id() + "-after-" + lastEvent, nowMillis);
+                return;
+            }
+            lastEvent = event.id();
+            fresh.writeBytes(event.bytes());
+        }
+        pass(fresh);
+        wake(nowMillis);
+    }
+
+    /** Takes the regular end of an event stream. */
+    public void streamEnded(int attempt, long nowMillis) {
+        if (!isCurrent(attempt)) {
+            return;
+        }
+        Attempt ending = release();
+        picker.succeeded(ending.target());
+        open();
+        end("answered", ending, "complete", head.status(), nowMillis);
+        port.endStream();
+    }
+
+    /** Takes that no byte of an attempt was sent. */
+    public void notSent(int attempt, String cause, long nowMillis) {
+        if (!isCurrent(attempt)) {
+            return;
+        }
+        Attempt ending = release();
+        picker.failed(ending.target(), nowMillis);
+        avoided.add(ending.target().id());
+        decide("not-sent", ending, cause, 0, nowMillis);
+        again("not-sent", nowMillis);
+    }
+
+    /** Takes that an attempt ended without an answer after bytes of it had been sent. */
+    public void lost(int attempt, String cause, long nowMillis) {
+        if (!isCurrent(attempt)) {
+            return;
+        }
+        Attempt ending = release();
+        runs++;
+        failedRun(ending, cause, nowMillis);
+    }
+
+    /** Takes the result of a probe. */
+    public void probed(int attempt, boolean reachable, long nowMillis) {
+        if (!isCurrent(attempt) || reachable || activeAtMillis >= probedAtMillis) {
+            return;
+        }
+        port.cancel(current);
+        lost(attempt, "unreachable", nowMillis);
+    }
+
+    /** Takes that the client closed its connection. */
+    public void callerLeft(long nowMillis) {
+        if (ended) {
+            return;
+        }
+        Attempt cancelled = current;
+        if (cancelled != null) {
+            port.cancel(cancelled);
+            release();
+        }
+        end("caller-left", cancelled, "connection-closed", 0, nowMillis);
+    }
+
+    /** Acts on the time that has passed. */
+    public void tick(long nowMillis) {
+        if (ended) {
+            return;
+        }
+        if (nowMillis >= deadlineMillis) {
+            expire(nowMillis);
+        } else if (current == null) {
+            resumeAfterPause(nowMillis);
+        } else {
+            watch(nowMillis);
+        }
+        wake(nowMillis);
+    }
+
+    private void dispatch(String cause, long nowMillis) {
+        Optional<EntryTarget> copy = usableCopy();
+        Optional<EntryTarget> target = copy.or(() -> picker.pick(service.name(), avoided, nowMillis));
+        if (target.isEmpty()) {
+            noTarget("no-target", nowMillis);
+            return;
+        }
+        if (sends > 0 && !budget.tryTake(nowMillis)) {
+            noTarget("repeat-budget", nowMillis);
+            return;
+        }
+        copyHolder = newCopyHolder(target.get(), nowMillis);
+        sends++;
+        current = new Attempt(
+                sends,
+                target.get(),
+                deadlineMillis - nowMillis,
+                lastEvent < 0 ? Optional.empty() : Optional.of(lastEvent),
+                Optional.ofNullable(copyHolder),
+                copy.isPresent(),
+                urgency);
+        picker.started(target.get());
+        sentAtMillis = nowMillis;
+        activeAtMillis = nowMillis;
+        probedAtMillis = nowMillis;
+        decide(copy.isPresent() ? "sent-to-copy" : "sent", current, cause, 0, nowMillis);
+        port.send(current);
+        wake(nowMillis);
+    }
+
+    private Optional<EntryTarget> usableCopy() {
+        EntryTarget holder = copyHolder;
+        copyHolder = null;
+        if (holder == null || avoided.contains(holder.id()) || !picker.registered(holder)) {
+            return Optional.empty();
+        }
+        return Optional.of(holder);
+    }
+
+    private EntryTarget newCopyHolder(EntryTarget target, long nowMillis) {
+        if (!service.copiesRuns() || !route.repeatable()) {
+            return null;
+        }
+        Set<TargetId> excluded = new HashSet<>(avoided);
+        excluded.add(target.id());
+        EntryTarget holder = picker.pickCopyHolder(target, excluded, nowMillis).orElse(null);
+        if (holder != null) {
+            picker.copyStarted(holder);
+        }
+        return holder;
+    }
+
+    private void notRun(Attempt ending, TargetAnswer answer, long nowMillis) {
+        avoided.add(ending.target().id());
+        if (answer.status() == 421) {
+            picker.failed(ending.target(), nowMillis);
+        }
+        decide("not-run", ending, "status-" + answer.status(), answer.status(), nowMillis);
+        again("not-run", nowMillis);
+    }
+
+    private void failedRun(Attempt ending, String cause, long nowMillis) {
+        picker.failed(ending.target(), nowMillis);
+        avoided.add(ending.target().id());
+        decide("lost", ending, cause, 0, nowMillis);
+        if (!route.repeatable() || !mayRepeat()) {
+            giveUp(Rejection.of(502, cause), nowMillis);
+            return;
+        }
+        again(cause, nowMillis);
+    }
+
+    private boolean mayRepeat() {
+        return runs < route.maxAttempts();
+    }
+
+    private void again(String cause, long nowMillis) {
+        if (sends >= route.maxAttempts() + EXTRA_SENDS) {
+            giveUp(finalRejection(cause), nowMillis);
+            return;
+        }
+        dispatch(cause, nowMillis);
+    }
+
+    private void noTarget(String cause, long nowMillis) {
+        if (!opened) {
+            giveUp(finalRejection(cause), nowMillis);
+            return;
+        }
+        avoided.clear();
+        pausedUntilMillis = nowMillis + RESUME_PAUSE_MILLIS;
+        wake(nowMillis);
+    }
+
+    private Rejection finalRejection(String cause) {
+        return runs > 0 ? Rejection.of(502, cause) : Rejection.retryLater(NO_TARGET_RETRY_MILLIS, cause);
+    }
+
+    private void giveUp(Rejection rejection, long nowMillis) {
+        if (opened) {
+            end("broken-off", null, rejection.reason(), 0, nowMillis);
+            port.breakOff();
+            return;
+        }
+        end("rejected", null, rejection.reason(), rejection.status(), nowMillis);
+        port.reject(rejection);
+    }
+
+    private void expire(long nowMillis) {
+        boolean mayHaveRun = current != null || runs > 0;
+        if (current != null) {
+            port.cancel(current);
+            release();
+        }
+        giveUp(mayHaveRun ? Rejection.of(504, "timeout") : Rejection.retryLater(0, "timeout"), nowMillis);
+    }
+
+    private void resumeAfterPause(long nowMillis) {
+        if (nowMillis >= pausedUntilMillis) {
+            dispatch("pause", nowMillis);
+        }
+    }
+
+    private void watch(long nowMillis) {
+        switch (route.kind()) {
+            case IDEMPOTENT -> {
+                boolean slow = nowMillis - sentAtMillis >= IDEMPOTENT_PATIENCE_MILLIS;
+                if (slow && runs + 1 < route.maxAttempts()) {
+                    abandon("no-answer", nowMillis);
+                }
+            }
+            case NON_IDEMPOTENT -> {}
+            case STREAMING -> watchStream(nowMillis);
+        }
+    }
+
+    private void watchStream(long nowMillis) {
+        long silence = nowMillis - activeAtMillis;
+        if (route.repeatable() && silence >= silenceLimit() && mayRepeatOnce()) {
+            abandon(head == null ? "no-first-event" : "stalled", nowMillis);
+            return;
+        }
+        if (nowMillis - Math.max(activeAtMillis, probedAtMillis) >= probeInterval()) {
+            probedAtMillis = nowMillis;
+            port.probe(current);
+        }
+    }
+
+    private boolean mayRepeatOnce() {
+        return runs + 1 < route.maxAttempts();
+    }
+
+    private long silenceLimit() {
+        return opened ? STREAM_STALL_MILLIS : (long) (route.goalMillis() * FIRST_EVENT_SHARE);
+    }
+
+    private long probeInterval() {
+        return opened ? STREAM_SILENCE_MILLIS : FIRST_EVENT_PROBE_MILLIS;
+    }
+
+    private void abandon(String cause, long nowMillis) {
+        port.cancel(current);
+        lost(current.number(), cause, nowMillis);
+    }
+
+    private void pass(ByteArrayOutputStream fresh) {
+        if (fresh.size() > 0) {
+            open();
+            port.writeEvents(fresh.toByteArray());
+        }
+    }
+
+    private void open() {
+        if (!opened) {
+            opened = true;
+            port.openStream(head);
+        }
+    }
+
+    private boolean isCurrent(int attempt) {
+        return !ended && current != null && current.number() == attempt;
+    }
+
+    private Attempt release() {
+        Attempt ending = current;
+        picker.ended(ending.target());
+        ending.copyHolder().ifPresent(picker::copyEnded);
+        current = null;
+        return ending;
+    }
+
+    private void wake(long nowMillis) {
+        if (ended) {
+            return;
+        }
+        port.wakeAt(Math.min(deadlineMillis, nextCheck(nowMillis)));
+    }
+
+    private long nextCheck(long nowMillis) {
+        if (current == null) {
+            return pausedUntilMillis;
+        }
+        return switch (route.kind()) {
+            case IDEMPOTENT ->
+                sentAtMillis + IDEMPOTENT_PATIENCE_MILLIS > nowMillis
+                        ? sentAtMillis + IDEMPOTENT_PATIENCE_MILLIS
+                        : deadlineMillis;
+            case NON_IDEMPOTENT -> deadlineMillis;
+            case STREAMING -> Math.max(activeAtMillis, probedAtMillis) + probeInterval();
+        };
+    }
+
+    private void end(String step, Attempt attempt, String cause, int status, long nowMillis) {
+        ended = true;
+        port.decided(decision(step, attempt, cause, status, nowMillis, true));
+    }
+
+    private void decide(String step, Attempt attempt, String cause, int status, long nowMillis) {
+        port.decided(decision(step, attempt, cause, status, nowMillis, false));
+    }
+
+    private ForwardingDecision decision(
+            String step, Attempt attempt, String cause, int status, long nowMillis, boolean last) {
+        return new ForwardingDecision(
+                step,
+                attempt == null ? sends : attempt.number(),
+                Optional.ofNullable(attempt).map(made -> made.target().id()),
+                cause,
+                status,
+                nowMillis - arrivedAtMillis,
+                lastEvent,
+                last);
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingPort.java
@@ -0,0 +1,37 @@
+package org.amaranthlock.coordination.forwarding;
+
+/** What a forwarded request asks of its surroundings. */
+public interface ForwardingPort {
+    /** Sends the request to a target. */
+    void send(Attempt attempt);
+
+    /** Breaks off an attempt; its target is to stop working on it. */
+    void cancel(Attempt attempt);
+
+    /** Checks whether the host of a target accepts connections; the result comes back for {@code attempt}. */
+    void probe(Attempt attempt);
+
+    /** Asks for a call of {@link ForwardedRequest#tick} at a time; replaces an earlier wish. */
+    void wakeAt(long atMillis);
+
+    /** Gives the client a whole answer of a target. */
+    void answer(TargetAnswer answer);
+
+    /** Gives the client a final answer of this system's own. */
+    void reject(Rejection rejection);
+
+    /** Starts an event stream to the client. */
+    void openStream(TargetAnswer head);
+
+    /** Passes on whole events. */
+    void writeEvents(byte[] events);
+
+    /** Ends an event stream that is complete. */
+    void endStream();
+
+    /** Closes the client's connection so that the answer is recognizably incomplete. */
+    void breakOff();
+
+    /** Notes a decision, for the log. */
+    void decided(ForwardingDecision decision);
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetPicker.java
@@ -0,0 +1,173 @@
+package org.amaranthlock.coordination.forwarding;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.TargetId;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Chooses the target of an attempt by what this host has in flight there and by recent failures.
+ *
+ * <p>Load pattern: most targets of a failure domain die at once. Each failure sets its target aside for a growing time;
+ * a target that was set aside is used only if no other is left. Not thread-safe.
+ */
+public final class TargetPicker {
+    /** First time for which a failed target is set aside, milliseconds; it doubles with each further failure. */
+    private static final long FIRST_PAUSE_MILLIS = 1_000;
+
+    private static final long LONGEST_PAUSE_MILLIS = 4_000;
+
+    /** Advantage of targets in the own failure domain, in requests in flight; traffic inside it is free. */
+    private static final double LOCAL_ADVANTAGE = 0.6;
+
+    /** Handicap of a target that is still warming up, in requests in flight. */
+    private static final double COLD_HANDICAP = 2;
+
+    private final FailureDomain ownDomain;
+    private final UniformRandomProvider random;
+    private final Map<TargetId, Load> loads = new HashMap<>();
+    private TargetTable table = TargetTable.EMPTY;
+
+    private static final class Load {
+        private int inFlight;
+        private int copies;
+        private int failures;
+        private long asideUntilMillis;
+    }
+
+    /** Creates a picker for a host in {@code ownDomain}. */
+    public TargetPicker(FailureDomain ownDomain, UniformRandomProvider random) {
+        this.ownDomain = Objects.requireNonNull(ownDomain, "failure domain");
+        this.random = Objects.requireNonNull(random, "random");
+    }
+
+    /** Replaces the known targets. */
+    public void update(TargetTable fresh) {
+        table = fresh;
+        loads.entrySet()
+                .removeIf(entry -> entry.getValue().inFlight == 0
+                        && fresh.target(entry.getKey()).isEmpty());
+    }
+
+    /** Returns whether this start of a target is still registered. */
+    public boolean registered(EntryTarget target) {
+        return table.holds(target);
+    }
+
+    /** Returns whether a service has a target that takes new requests. */
+    public boolean serves(ServiceName service) {
+        return table.targets(service).stream().anyMatch(target -> !target.draining());
+    }
+
+    /** Returns a number from 0 (inclusive) to 1 (exclusive). */
+    public double draw() {
+        return random.nextDouble();
+    }
+
+    /**
+     * Chooses a target.
+     *
+     * @param avoided targets that this request has failed at
+     */
+    public Optional<EntryTarget> pick(ServiceName service, Set<TargetId> avoided, long nowMillis) {
+        List<EntryTarget> usable = table.targets(service).stream()
+                .filter(target -> !target.draining() && !avoided.contains(target.id()))
+                .toList();
+        List<EntryTarget> sound =
+                usable.stream().filter(target -> sound(target, nowMillis)).toList();
+        return least(sound.isEmpty() ? usable : sound);
+    }
+
+    /** Chooses the engine that keeps a copy of a run: a sound one in another failure domain. */
+    public Optional<EntryTarget> pickCopyHolder(EntryTarget running, Set<TargetId> avoided, long nowMillis) {
+        List<EntryTarget> candidates = table.targets(running.service()).stream()
+                .filter(target -> !target.draining()
+                        && !avoided.contains(target.id())
+                        && !target.failureDomain().equals(running.failureDomain())
+                        && sound(target, nowMillis))
+                .toList();
+        return least(candidates);
+    }
+
+    /** Counts a request that starts at a target. */
+    public void started(EntryTarget target) {
+        load(target).inFlight++;
+    }
+
+    /** Counts a request that ended at a target. */
+    public void ended(EntryTarget target) {
+        Load load = load(target);
+        load.inFlight = Math.max(0, load.inFlight - 1);
+    }
+
+    /** Counts a copy that a target starts to keep. */
+    public void copyStarted(EntryTarget target) {
+        load(target).copies++;
+    }
+
+    /** Counts a copy that a target no longer keeps. */
+    public void copyEnded(EntryTarget target) {
+        Load load = load(target);
+        load.copies = Math.max(0, load.copies - 1);
+    }
+
+    /** Notes that a target answered. */
+    public void succeeded(EntryTarget target) {
+        Load load = load(target);
+        load.failures = 0;
+        load.asideUntilMillis = 0;
+    }
+
+    /** Notes that a target could not be reached, broke off or answered nothing; returns the pause in milliseconds. */
+    public long failed(EntryTarget target, long nowMillis) {
+        Load load = load(target);
+        long pause = Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(load.failures, 8));
+        load.failures++;
+        load.asideUntilMillis = nowMillis + pause;
+        return pause;
+    }
+
+    private boolean sound(EntryTarget target, long nowMillis) {
+        Load load = loads.get(target.id());
+        return load == null || load.asideUntilMillis <= nowMillis;
+    }
+
+    private Optional<EntryTarget> least(List<EntryTarget> candidates) {
+        double best = Double.MAX_VALUE;
+        List<EntryTarget> equal = new ArrayList<>();
+        for (EntryTarget candidate : candidates) {
+            double cost = cost(candidate);
+            if (cost < best) {
+                best = cost;
+                equal.clear();
+            }
+            if (cost == best) {
+                equal.add(candidate);
+            }
+        }
+        return equal.isEmpty() ? Optional.empty() : Optional.of(equal.get(random.nextInt(equal.size())));
+    }
+
+    private double cost(EntryTarget target) {
+        Load load = loads.get(target.id());
+        double cost = load == null ? 0 : load.inFlight + 0.5 * load.copies;
+        if (target.failureDomain().equals(ownDomain)) {
+            cost -= LOCAL_ADVANTAGE;
+        }
+        if (target.coldMillis() > 0) {
+            cost += COLD_HANDICAP;
+        }
+        return cost;
+    }
+
+    private Load load(EntryTarget target) {
+        return loads.computeIfAbsent(target.id(), _ -> new Load());
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetTable.java
@@ -0,0 +1,48 @@
+package org.amaranthlock.coordination.forwarding;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.TargetId;
+
+/** Targets that are known at one moment; immutable. */
+public final class TargetTable {
+    /** Table without targets. */
+    public static final TargetTable EMPTY = new TargetTable(List.of());
+
+    private final Map<TargetId, EntryTarget> byId = new LinkedHashMap<>();
+    private final Map<ServiceName, List<EntryTarget>> byService = new LinkedHashMap<>();
+
+    /** Creates a table. */
+    public TargetTable(Collection<EntryTarget> targets) {
+        for (EntryTarget target : targets) {
+            byId.put(target.id(), target);
+            byService.computeIfAbsent(target.service(), _ -> new ArrayList<>()).add(target);
+        }
+    }
+
+    /** Returns the targets of a service, draining ones included. */
+    public List<EntryTarget> targets(ServiceName service) {
+        return byService.getOrDefault(service, List.of());
+    }
+
+    /** Returns all targets. */
+    public Collection<EntryTarget> targets() {
+        return byId.values();
+    }
+
+    /** Returns the target with an id. */
+    public Optional<EntryTarget> target(TargetId id) {
+        return Optional.ofNullable(byId.get(id));
+    }
+
+    /** Returns whether this start of a target is still registered. */
+    public boolean holds(EntryTarget target) {
+        EntryTarget known = byId.get(target.id());
+        return known != null && known.sameStart(target);
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
@@ -0,0 +1,209 @@
+package org.amaranthlock.entry;
+
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.amaranthlock.coordination.forwarding.Attempt;
+import org.amaranthlock.coordination.forwarding.ForwardedRequest;
+import org.amaranthlock.coordination.forwarding.ForwardingDecision;
+import org.amaranthlock.coordination.forwarding.ForwardingPort;
+import org.amaranthlock.coordination.forwarding.Rejection;
+import org.amaranthlock.coordination.forwarding.StreamEvent;
+import org.amaranthlock.coordination.forwarding.TargetAnswer;
+import org.amaranthlock.entry.front.CallerExchange;
+import org.amaranthlock.entry.log.DecisionLog;
+import org.amaranthlock.entry.metrics.EntryMetrics;
+import org.amaranthlock.entry.target.ExchangeListener;
+import org.amaranthlock.entry.target.TargetConnections;
+import org.amaranthlock.entry.target.TargetExchange;
+import org.amaranthlock.model.AccountId;
+import org.amaranthlock.platform.CallerRequest;
+import org.amaranthlock.platform.TargetRequestEncoder;
+
+/** Joins one forwarded request with the connections and the timer that it uses. */
+final class ActiveRequest implements ForwardingPort {
+    private final CallerRequest request;
+    private final Optional<AccountId> account;
+    private final CallerExchange exchange;
+    private final TargetConnections connections;
+    private final EventLoop loop;
+    private final LongSupplier clockMillis;
+    private final DecisionLog log;
+    private final EntryMetrics metrics;
+    private final Consumer<ActiveRequest> onEnd;
+    private ForwardedRequest life;
+    private TargetExchange sent;
+    private Future<?> timer;
+    private long timerAtMillis;
+
+    ActiveRequest(
+            CallerRequest request,
+            Optional<AccountId> account,
+            CallerExchange exchange,
+            TargetConnections connections,
+            EventLoop loop,
+            LongSupplier clockMillis,
+            DecisionLog log,
+            EntryMetrics metrics,
+            Consumer<ActiveRequest> onEnd) {
+        this.request = Objects.requireNonNull(request, "request");
+        this.account = Objects.requireNonNull(account, "account");
+        this.exchange = Objects.requireNonNull(exchange, "exchange");
+        this.connections = Objects.requireNonNull(connections, "connections");
+        this.loop = Objects.requireNonNull(loop, "loop");
+        this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
+        this.log = Objects.requireNonNull(log, "log");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.onEnd = Objects.requireNonNull(onEnd, "end");
+    }
+
+    void start(ForwardedRequest forwarded) {
+        life = forwarded;
+        exchange.onLeave(() -> life.callerLeft(now()));
+        life.start(now());
+    }
+
+    @Override
+    public void breakOff() {
+        if (!life.ended()) {
+            life.callerLeft(now());
+        }
+        exchange.breakOff();
+    }
+
+    @Override
+    public void send(Attempt attempt) {
+        int number = attempt.number();
+        sent = new TargetExchange(
+                request.id(), TargetRequestEncoder.encode(request, attempt, account), new Listener(number));
+        connections.send(attempt.target(), sent);
+    }
+
+    @Override
+    public void cancel(Attempt attempt) {
+        sent.cancel();
+    }
+
+    @Override
+    public void probe(Attempt attempt) {
+        connections.probe(attempt.target(), reachable -> life.probed(attempt.number(), reachable, now()));
+    }
+
+    @Override
+    public void wakeAt(long atMillis) {
+        if (timer != null && !timer.isDone() && timerAtMillis <= atMillis) {
+            return;
+        }
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        timerAtMillis = atMillis;
+        long delay = Math.max(1, atMillis - now());
+        timer = loop.schedule(this::tick, delay, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void answer(TargetAnswer answer) {
+        exchange.answer(answer);
+    }
+
+    @Override
+    public void reject(Rejection rejection) {
+        exchange.reject(rejection);
+    }
+
+    @Override
+    public void openStream(TargetAnswer head) {
+        exchange.openStream(head);
+    }
+
+    @Override
+    public void writeEvents(byte[] events) {
+        exchange.writeEvents(events);
+    }
+
+    @Override
+    public void endStream() {
+        exchange.endStream();
+    }
+
+    @Override
+    public void decided(ForwardingDecision decision) {
+        metrics.attempt(decision.step(), decision.cause().split("[^a-z]", 2)[0]);
+        log.write(
+                decision.step(),
+                "id",
+                request.id(),
+                "attempt",
+                decision.attempt(),
+                "target",
+                decision.target().map(Object::toString).orElse("-"),
+                "cause",
+                decision.cause(),
+                "status",
+                decision.status(),
+                "elapsed_ms",
+                decision.elapsedMillis(),
+                "last_event",
+                decision.events());
+        if (decision.last()) {
+            metrics.ended(decision.step(), Integer.toString(decision.status()), decision.elapsedMillis());
+            if (timer != null) {
+                timer.cancel(false);
+            }
+            onEnd.accept(this);
+        }
+    }
+
+    private void tick() {
+        timer = null;
+        life.tick(now());
+    }
+
+    private long now() {
+        return clockMillis.getAsLong();
+    }
+
+    private final class Listener implements ExchangeListener {
+        private final int attempt;
+
+        Listener(int attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public void notSent(String cause) {
+            life.notSent(attempt, cause, now());
+        }
+
+        @Override
+        public void lost(String cause) {
+            life.lost(attempt, cause, now());
+        }
+
+        @Override
+        public void answered(TargetAnswer answer) {
+            life.answered(attempt, answer, now());
+        }
+
+        @Override
+        public void streamOpened(TargetAnswer head) {
+            life.streamOpened(attempt, head, now());
+        }
+
+        @Override
+        public void events(List<StreamEvent> events) {
+            life.events(attempt, events, now());
+        }
+
+        @Override
+        public void streamEnded() {
+            life.streamEnded(attempt, now());
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -0,0 +1,189 @@
+package org.amaranthlock.entry;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Objects;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.amaranthlock.coordination.forwarding.AdmissionRules;
+import org.amaranthlock.coordination.forwarding.SuspensionAwareClock;
+import org.amaranthlock.coordination.forwarding.TargetPicker;
+import org.amaranthlock.entry.control.ConfigurationFollower;
+import org.amaranthlock.entry.control.TargetFollower;
+import org.amaranthlock.entry.front.FrontServer;
+import org.amaranthlock.entry.front.StatusServer;
+import org.amaranthlock.entry.front.StatusServer.StatusAnswer;
+import org.amaranthlock.entry.log.DecisionLog;
+import org.amaranthlock.entry.metrics.EntryMetrics;
+import org.amaranthlock.entry.settings.EntrySettings;
+import org.amaranthlock.entry.settings.EntrySettingsReader;
+import org.amaranthlock.entry.target.TargetConnections;
+import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.platform.NettyObjectStore;
+import org.apache.commons.rng.simple.RandomSource;
+import org.jboss.logging.Logger;
+
+/** One running entry daemon. */
+public final class EntryProcess {
+    /** Path that the load balancer asks. */
+    private static final String READY_PATH = "/api/ready";
+
+    /** Time after the signal to end for which new connections are still accepted: the balancer needs two misses. */
+    private static final long ACCEPT_WHILE_DRAINING_MILLIS = 2_600;
+
+    /** Distance to the kill at which streams that still run are broken off, so that clients resume them elsewhere. */
+    private static final long BREAK_OFF_MARGIN_MILLIS = 700;
+
+    private static final long DRAIN_CHECK_MILLIS = 100;
+
+    private volatile EntrySettings settings;
+    private final EventLoopGroup control = new NioEventLoopGroup(1, new DefaultThreadFactory("control", true));
+    private final EventLoopGroup traffic = new NioEventLoopGroup(1, new DefaultThreadFactory("traffic", true));
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private final EntryMetrics metrics = new EntryMetrics();
+    private final DecisionLog log;
+    private final RequestTraffic requests;
+    private final NettyObjectStore store;
+    private final FrontServer front;
+    private final StatusServer ready;
+    private final StatusServer metricsPage;
+    private final ConfigurationFollower configurationFollower;
+    private final TargetFollower targetFollower;
+    private long drainingSinceMillis;
+
+    /** Creates the parts of a daemon; {@link #start} starts them. */
+    public EntryProcess(EntrySettings settings) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.log = new DecisionLog(Logger.getLogger("amaranthlock"), EntryProcess::steadyMillis);
+        EventLoop trafficLoop = traffic.next();
+        EventLoop controlLoop = control.next();
+        SuspensionAwareClock trafficAge = ageClock();
+        SuspensionAwareClock controlAge = ageClock();
+        TargetConnections connections = new TargetConnections(trafficLoop, EntryProcess::steadyMillis, metrics);
+        this.requests = new RequestTraffic(
+                trafficLoop,
+                EntryProcess::steadyMillis,
+                trafficAge::millis,
+                new AdmissionRules(
+                        settings.bounds().revocationMillis(), settings.bounds().configurationMillis()),
+                new TargetPicker(settings.failureDomain(), RandomSource.SPLIT_MIX_64.create()),
+                connections,
+                log,
+                metrics);
+        this.store = new NettyObjectStore(controlLoop, settings.store());
+        this.configurationFollower = new ConfigurationFollower(
+                store,
+                controlLoop,
+                controlAge::millis,
+                (configuration, sentAt) -> {
+                    long age = controlAge.millis() - sentAt;
+                    trafficLoop.execute(() -> requests.confirmed(configuration, trafficAge.millis() - age));
+                },
+                log,
+                metrics);
+        this.targetFollower = new TargetFollower(
+                store,
+                controlLoop,
+                EntryProcess::steadyMillis,
+                table -> trafficLoop.execute(() -> requests.targets(table)),
+                log,
+                metrics);
+        this.front = new FrontServer(traffic, settings.callers(), requests);
+        this.ready = new StatusServer(traffic, settings.ready(), this::readyPage);
+        this.metricsPage = new StatusServer(control, settings.metrics(), path -> new StatusAnswer(200, metrics.text()));
+    }
+
+    /** Starts to serve. */
+    public void start() {
+        configurationFollower.start();
+        targetFollower.start();
+        front.start();
+        ready.start();
+        metricsPage.start();
+        log.write(
+                "started",
+                "host",
+                settings.hostName(),
+                "domain",
+                settings.failureDomain(),
+                "callers",
+                settings.callers().getPort());
+    }
+
+    /** Reads the settings file again; addresses that this process listens on stay as they are. */
+    public void reload(Path file) {
+        control.next().execute(() -> {
+            try {
+                EntrySettings changed = EntrySettingsReader.read(file);
+                if (!changed.store().equals(settings.store())) {
+                    store.address(changed.store());
+                }
+                boolean same = changed.equals(settings);
+                settings = changed;
+                log.write("reloaded", "changed", !same, "store", changed.store());
+            } catch (AmaranthlockException e) {
+                log.write("reload-failed", "cause", e.getMessage());
+            }
+        });
+    }
+
+    /** Starts to end: nothing that runs is broken off before the time for it is nearly over. */
+    public void drain() {
+        traffic.next().execute(() -> {
+            if (requests.draining()) {
+                return;
+            }
+            log.write("draining", "active", requests.activeRequests());
+            requests.drain();
+            drainingSinceMillis = steadyMillis();
+            traffic.schedule(this::closeFront, ACCEPT_WHILE_DRAINING_MILLIS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    /** Waits until the process has ended its work. */
+    public void awaitEnd() throws InterruptedException {
+        ended.await();
+        log.write("stopped", "host", settings.hostName());
+    }
+
+    private void closeFront() {
+        front.drain();
+        checkDrained();
+    }
+
+    private void checkDrained() {
+        long sinceMillis = steadyMillis() - drainingSinceMillis;
+        if (requests.activeRequests() == 0 && front.openConnections() == 0) {
+            ended.countDown();
+            return;
+        }
+        if (sinceMillis >= settings.bounds().graceMillis() - BREAK_OFF_MARGIN_MILLIS) {
+            log.write("drain-timeout", "active", requests.activeRequests());
+            requests.breakOffAll();
+            traffic.schedule(ended::countDown, DRAIN_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        traffic.schedule(this::checkDrained, DRAIN_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private StatusAnswer readyPage(String path) {
+        if (!path.startsWith(READY_PATH)) {
+            return new StatusAnswer(404, "not found\n".getBytes(StandardCharsets.US_ASCII));
+        }
+        boolean serving = requests.ready();
+        byte[] text = (serving ? "ready\n" : "not ready\n").getBytes(StandardCharsets.US_ASCII);
+        return new StatusAnswer(serving ? 200 : 503, text);
+    }
+
+    private static SuspensionAwareClock ageClock() {
+        return new SuspensionAwareClock(EntryProcess::steadyMillis, System::currentTimeMillis);
+    }
+
+    private static long steadyMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestTraffic.java
@@ -0,0 +1,202 @@
+package org.amaranthlock.entry;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.amaranthlock.coordination.forwarding.AdmissionRules;
+import org.amaranthlock.coordination.forwarding.AdmissionVerdict;
+import org.amaranthlock.coordination.forwarding.ConfigurationBelief;
+import org.amaranthlock.coordination.forwarding.EntryConfiguration;
+import org.amaranthlock.coordination.forwarding.ForwardedRequest;
+import org.amaranthlock.coordination.forwarding.KeyHolder;
+import org.amaranthlock.coordination.forwarding.Rejection;
+import org.amaranthlock.coordination.forwarding.RepeatBudget;
+import org.amaranthlock.coordination.forwarding.RequestLimits;
+import org.amaranthlock.coordination.forwarding.Route;
+import org.amaranthlock.coordination.forwarding.ServiceDefinition;
+import org.amaranthlock.coordination.forwarding.TargetPicker;
+import org.amaranthlock.coordination.forwarding.TargetTable;
+import org.amaranthlock.entry.front.CallerExchange;
+import org.amaranthlock.entry.front.RequestHandling;
+import org.amaranthlock.entry.log.DecisionLog;
+import org.amaranthlock.entry.metrics.EntryMetrics;
+import org.amaranthlock.entry.target.TargetConnections;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.platform.CallerRequest;
+
+/** Requests that are on their way; owns the state of the traffic thread. */
+final class RequestTraffic implements RequestHandling {
+    /** Repeats that a first send earns; all hosts together may send 0.8 for each. */
+    private static final double REPEATS_PER_REQUEST = 0.5;
+
+    /** Repeats per second and host beyond that; at nine hosts about half of what the fleet may send. */
+    private static final double REPEATS_PER_SECOND = 0.8;
+
+    private static final double MOST_SAVED_REPEATS = 8;
+
+    private static final int LEAST_URGENT = 9;
+
+    private final EventLoop loop;
+    private final LongSupplier clockMillis;
+    private final LongSupplier ageClockMillis;
+    private final AdmissionRules rules;
+    private final TargetPicker picker;
+    private final TargetConnections connections;
+    private final DecisionLog log;
+    private final EntryMetrics metrics;
+    private final ConfigurationBelief belief = new ConfigurationBelief();
+    private final Map<ServiceName, RepeatBudget> budgets = new HashMap<>();
+    private final Set<ActiveRequest> active = new LinkedHashSet<>();
+    private boolean targetsKnown;
+    private boolean draining;
+
+    RequestTraffic(
+            EventLoop loop,
+            LongSupplier clockMillis,
+            LongSupplier ageClockMillis,
+            AdmissionRules rules,
+            TargetPicker picker,
+            TargetConnections connections,
+            DecisionLog log,
+            EntryMetrics metrics) {
+        this.loop = Objects.requireNonNull(loop, "loop");
+        this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
+        this.ageClockMillis = Objects.requireNonNull(ageClockMillis, "age clock");
+        this.rules = Objects.requireNonNull(rules, "rules");
+        this.picker = Objects.requireNonNull(picker, "picker");
+        this.connections = Objects.requireNonNull(connections, "connections");
+        this.log = Objects.requireNonNull(log, "log");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+    }
+
+    /** Takes over a configuration that a call which was sent at {@code sentAtMillis} found. */
+    void confirmed(EntryConfiguration configuration, long sentAtMillis) {
+        if (belief.confirm(configuration, sentAtMillis)) {
+            metrics.configurationVersion(configuration.version());
+            log.write("configuration-in-force", "version", configuration.version(), "age_ms", age());
+        }
+    }
+
+    /** Takes over the known targets. */
+    void targets(TargetTable table) {
+        targetsKnown = true;
+        picker.update(table);
+        connections.retain(id -> table.target(id).isPresent());
+    }
+
+    /** Returns whether clients should come to this host. */
+    boolean ready() {
+        return !draining && targetsKnown && belief.current().isPresent() && rules.fresh(age());
+    }
+
+    /** Makes connections close after their answers. */
+    void drain() {
+        draining = true;
+    }
+
+    /** Returns how many requests have no final answer yet. */
+    int activeRequests() {
+        return active.size();
+    }
+
+    /** Breaks off what is still running, shortly before the process ends. */
+    void breakOffAll() {
+        for (ActiveRequest request : Set.copyOf(active)) {
+            request.breakOff();
+        }
+    }
+
+    @Override
+    public void start(CallerRequest request, CallerExchange exchange) {
+        long age = age();
+        AdmissionVerdict verdict = rules.decide(belief, request.host(), request.path(), request.key(), age);
+        switch (verdict) {
+            case AdmissionVerdict.Rejected rejected -> {
+                Rejection rejection = rejected.rejection();
+                metrics.ended("rejected", rejection.reason(), 0);
+                log.write(
+                        "rejected",
+                        "id",
+                        request.id(),
+                        "status",
+                        rejection.status(),
+                        "cause",
+                        rejection.reason(),
+                        "version",
+                        belief.current().map(EntryConfiguration::version).orElse(-1L),
+                        "age_ms",
+                        age == Long.MAX_VALUE ? -1 : age);
+                exchange.reject(rejection);
+            }
+            case AdmissionVerdict.Admitted admitted -> forward(request, exchange, admitted);
+        }
+    }
+
+    @Override
+    public RequestLimits limits() {
+        return belief.current().map(EntryConfiguration::limits).orElse(RequestLimits.INITIAL);
+    }
+
+    @Override
+    public boolean draining() {
+        return draining;
+    }
+
+    @Override
+    public void rejectedEarly(String requestId, int status, String reason) {
+        metrics.ended("rejected", reason, 0);
+        log.write("rejected", "id", requestId.isEmpty() ? "-" : requestId, "status", status, "cause", reason);
+    }
+
+    private void forward(CallerRequest request, CallerExchange exchange, AdmissionVerdict.Admitted admitted) {
+        Route route = admitted.route();
+        ServiceDefinition service = admitted.configuration().service(route.service(picker.draw()));
+        Optional<Integer> urgency =
+                service.engine() ? Optional.of(urgency(route, admitted.holder())) : Optional.empty();
+        RepeatBudget budget = budgets.computeIfAbsent(
+                service.name(), _ -> new RepeatBudget(REPEATS_PER_REQUEST, REPEATS_PER_SECOND, MOST_SAVED_REPEATS));
+        ActiveRequest running = new ActiveRequest(
+                request,
+                admitted.holder().map(KeyHolder::account),
+                exchange,
+                connections,
+                loop,
+                clockMillis,
+                log,
+                metrics,
+                active::remove);
+        active.add(running);
+        log.write(
+                "admitted",
+                "id",
+                request.id(),
+                "route",
+                route.name(),
+                "service",
+                service.name(),
+                "kind",
+                route.kind(),
+                "account",
+                admitted.holder().map(holder -> holder.account().value()).orElse("-"),
+                "version",
+                admitted.configuration().version(),
+                "age_ms",
+                age());
+        running.start(new ForwardedRequest(request.call(), route, service, urgency, picker, budget, running));
+    }
+
+    private static int urgency(Route route, Optional<KeyHolder> holder) {
+        OptionalInt ofAccount = holder.isPresent() ? holder.get().priority() : OptionalInt.empty();
+        return Math.clamp(ofAccount.orElse(route.priority()), 0, LEAST_URGENT);
+    }
+
+    private long age() {
+        return belief.ageMillis(ageClockMillis.getAsLong());
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/Rehearsal.java
@@ -0,0 +1,91 @@
+package org.amaranthlock.entry.cli;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Callable;
+import org.amaranthlock.entry.EntryProcess;
+import org.amaranthlock.entry.log.LogOutput;
+import org.amaranthlock.entry.settings.EntrySettings;
+import org.amaranthlock.entry.settings.EntrySettingsReader;
+import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.model.ErrorCode;
+import picocli.CommandLine.Command;
+
+/** Serves a few requests of its own over loopback, so that a class-data archive holds the classes of a real run. */
+@Command(name = "rehearse", hidden = true, description = "Loads the classes of a run, for a class-data archive.")
+final class Rehearsal implements Callable<Integer> {
+    private static final int MAX_WAITS = 200;
+    private static final int WAIT_MILLIS = 25;
+    private static final int ROUNDS = 3;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        LogOutput.configure();
+        EventLoopGroup loops = new NioEventLoopGroup(1);
+        InetSocketAddress store = new RehearsalStore().start(loops);
+        int front = freePort();
+        int ready = freePort();
+        EntrySettings settings = EntrySettingsReader.parse("""
+                [host]
+                name = "rehearsal"
+                failure-domain = "z"
+                [listen]
+                callers = "127.0.0.1:%d"
+                ready = "127.0.0.1:%d"
+                metrics = "127.0.0.1:%d"
+                [store]
+                address = "127.0.0.1:%d"
+                [bounds]
+                configuration-ms = 2500
+                revocation-ms = 5000
+                grace-s = 8
+                """.formatted(front, ready, freePort(), store.getPort()));
+        EntryProcess process = new EntryProcess(settings);
+        process.start();
+        awaitReady(ready);
+        for (int round = 0; round < ROUNDS; round++) {
+            request(front, "POST /s/x HTTP/1.1", "abc");
+            request(front, "GET /p/x HTTP/1.1", "");
+            request(front, "GET /none HTTP/1.1", "");
+        }
+        process.drain();
+        process.awaitEnd();
+        return 0;
+    }
+
+    private static void awaitReady(int port) throws IOException, InterruptedException {
+        for (int i = 0; i < MAX_WAITS; i++) {
+            if (request(port, "GET /api/ready HTTP/1.1", "").contains("200")) {
+                return;
+            }
+            Thread.sleep(WAIT_MILLIS);
+        }
+        throw new AmaranthlockException(
+                ErrorCode.INTERNAL, "the rehearsal did not become ready; run it with a free loopback interface");
+    }
+
+    private static String request(int port, String line, String body) throws IOException {
+        String head = line + "\r\nHost: h\r\nX-Request-Id: rehearsal\r\nX-Time-Left-Ms: 2000\r\n"
+                + "Authorization: Bearer k\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n";
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            OutputStream out = socket.getOutputStream();
+            out.write((head + body).getBytes(StandardCharsets.US_ASCII));
+            out.flush();
+            InputStream in = socket.getInputStream();
+            return new String(in.readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/Signals.java
@@ -0,0 +1,43 @@
+package org.amaranthlock.entry.cli;
+
+import java.lang.reflect.Proxy;
+import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.model.ErrorCode;
+
+/**
+ * Signals of the operating system; without a handler the virtual machine would end on both of them.
+ *
+ * <p>Uses {@code sun.misc.Signal} by reflection: there is no other API for it, and the compiler warns of direct uses.
+ */
+final class Signals {
+    private Signals() {}
+
+    /** Runs {@code action} on SIGTERM. */
+    static void onTerminate(Runnable action) {
+        handle("TERM", action);
+    }
+
+    /** Runs {@code action} on SIGHUP. */
+    static void onHangUp(Runnable action) {
+        handle("HUP", action);
+    }
+
+    private static void handle(String name, Runnable action) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object proxy = Proxy.newProxyInstance(
+                    Signals.class.getClassLoader(), new Class<?>[] {handler}, (self, method, arguments) -> {
+                        action.run();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
+        } catch (ReflectiveOperationException e) {
+            throw new AmaranthlockException(
+                    ErrorCode.INTERNAL,
+                    "cannot handle SIG" + name + "; run on a JDK with the module jdk.unsupported",
+                    e);
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line of the entry daemon. */
+package org.amaranthlock.entry.cli;
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/package-info.java
@@ -0,0 +1,2 @@
+/** Follows the store and keeps what the process believes; runs on the control thread. */
+package org.amaranthlock.entry.control;
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/CallerExchange.java
@@ -0,0 +1,72 @@
+package org.amaranthlock.entry.front;
+
+import java.util.Objects;
+import org.amaranthlock.coordination.forwarding.Rejection;
+import org.amaranthlock.coordination.forwarding.TargetAnswer;
+
+/** One whole request on a client connection, until its final answer. */
+public final class CallerExchange {
+    private final FrontConnection connection;
+    private final String requestId;
+    private final boolean headOnly;
+    private Runnable onLeave = () -> {};
+    private boolean left;
+
+    CallerExchange(FrontConnection connection, String requestId, boolean headOnly) {
+        this.connection = Objects.requireNonNull(connection, "connection");
+        this.requestId = requestId;
+        this.headOnly = headOnly;
+    }
+
+    /** Sets what happens if the client closes its connection before the final answer. */
+    public void onLeave(Runnable action) {
+        onLeave = Objects.requireNonNull(action, "action");
+    }
+
+    /** Gives a target's whole answer. */
+    public void answer(TargetAnswer answer) {
+        if (!left) {
+            connection.answer(answer, headOnly);
+        }
+    }
+
+    /** Gives a final answer of this system's own. */
+    public void reject(Rejection rejection) {
+        if (!left) {
+            connection.reject(rejection, requestId);
+        }
+    }
+
+    /** Starts an event stream. */
+    public void openStream(TargetAnswer head) {
+        if (!left) {
+            connection.openStream(head);
+        }
+    }
+
+    /** Passes on whole events. */
+    public void writeEvents(byte[] events) {
+        if (!left) {
+            connection.writeEvents(events);
+        }
+    }
+
+    /** Ends a complete event stream. */
+    public void endStream() {
+        if (!left) {
+            connection.endStream();
+        }
+    }
+
+    /** Closes the connection, so that the answer is recognizably incomplete. */
+    public void breakOff() {
+        if (!left) {
+            connection.breakOff();
+        }
+    }
+
+    void callerLeft() {
+        left = true;
+        onLeave.run();
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/FrontServer.java
@@ -0,0 +1,76 @@
+package org.amaranthlock.entry.front;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.util.concurrent.ImmediateEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.Objects;
+
+/** Accepts the connections of clients. */
+public final class FrontServer {
+    private static final int BACKLOG = 1_024;
+
+    private final EventLoopGroup loops;
+    private final InetSocketAddress address;
+    private final RequestHandling handling;
+    private final ChannelGroup connections = new DefaultChannelGroup(ImmediateEventExecutor.INSTANCE);
+    private Channel listener;
+
+    /** Creates a server; {@link #start} binds its address. */
+    public FrontServer(EventLoopGroup loops, InetSocketAddress address, RequestHandling handling) {
+        this.loops = Objects.requireNonNull(loops, "loops");
+        this.address = Objects.requireNonNull(address, "address");
+        this.handling = Objects.requireNonNull(handling, "handling");
+    }
+
+    /** Binds the address. */
+    public void start() {
+        listener = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        connections.add(channel);
+                        FrontConnection connection = new FrontConnection(handling);
+                        channel.pipeline()
+                                .addLast(new FirstBytesHandler(connection))
+                                .addLast(new StrictRequestDecoder(
+                                        handling.limits().maxHeaderBytes()))
+                                .addLast(new HttpResponseEncoder())
+                                .addLast(connection);
+                    }
+                })
+                .bind(address)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /** Stops to accept connections and closes those that carry no request. */
+    public void drain() {
+        listener.close();
+        for (Channel channel : connections) {
+            channel.eventLoop().execute(() -> {
+                FrontConnection connection = channel.pipeline().get(FrontConnection.class);
+                if (connection != null) {
+                    connection.drain();
+                }
+            });
+        }
+    }
+
+    /** Returns how many connections are open. */
+    public int openConnections() {
+        return connections.size();
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/RequestFaults.java
@@ -0,0 +1,41 @@
+package org.amaranthlock.entry.front;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import java.util.Optional;
+import org.amaranthlock.coordination.forwarding.Rejection;
+import org.amaranthlock.coordination.forwarding.RequestLimits;
+import org.amaranthlock.platform.WireHeaders;
+
+/** Finds what is wrong with a request before anything of it is forwarded. */
+final class RequestFaults {
+    private RequestFaults() {}
+
+    /** Returns the rejection of a request whose head could not be decoded. */
+    static Rejection undecodable(Throwable cause) {
+        if (cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException) {
+            return Rejection.of(431, "headers-too-large");
+        }
+        return Rejection.of(400, "malformed-request");
+    }
+
+    /** Returns the rejection of a decoded head, if it has a fault. */
+    static Optional<Rejection> find(HttpRequest request, RequestLimits limits) {
+        if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
+            return Optional.of(Rejection.of(400, "host-header"));
+        }
+        if (request.headers().get(WireHeaders.REQUEST_ID, "").isBlank()) {
+            return Optional.of(Rejection.of(400, "no-request-id"));
+        }
+        if (!request.uri().startsWith("/")) {
+            return Optional.of(Rejection.of(400, "request-target"));
+        }
+        if (HttpUtil.getContentLength(request, -1L) > limits.maxBodyBytes()) {
+            return Optional.of(Rejection.of(413, "body-too-large"));
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/package-info.java
@@ -0,0 +1,2 @@
+/** Connections of clients and of the load balancer. */
+package org.amaranthlock.entry.front;
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log of the entry daemon. */
+package org.amaranthlock.entry.log;
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/metrics/EntryMetrics.java
@@ -0,0 +1,83 @@
+package org.amaranthlock.entry.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** Counters and histograms of one process. */
+public final class EntryMetrics {
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter outcomes = Counter.builder()
+            .name("amaranthlock_requests_total")
+            .help("Requests by how they ended.")
+            .labelNames("outcome", "cause")
+            .register(registry);
+    private final Counter attempts = Counter.builder()
+            .name("amaranthlock_attempts_total")
+            .help("Steps of attempts at targets.")
+            .labelNames("step", "cause")
+            .register(registry);
+    private final Histogram duration = Histogram.builder()
+            .name("amaranthlock_request_seconds")
+            .help("Time from the arrival of a request to its final answer.")
+            .labelNames("outcome")
+            .classicOnly()
+            .classicUpperBounds(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6)
+            .register(registry);
+    private final Counter storeCalls = Counter.builder()
+            .name("amaranthlock_store_calls_total")
+            .help("Calls to the platform's store by kind and result.")
+            .labelNames("kind", "result")
+            .register(registry);
+    private final Counter targetConnections = Counter.builder()
+            .name("amaranthlock_target_connections_total")
+            .help("New connections to targets by purpose.")
+            .labelNames("purpose")
+            .register(registry);
+    private final Gauge configurationVersion = Gauge.builder()
+            .name("amaranthlock_configuration_version")
+            .help("Version of the configuration in force.")
+            .register(registry);
+
+    /** Counts the end of a request. */
+    public void ended(String outcome, String cause, long elapsedMillis) {
+        outcomes.labelValues(outcome, cause).inc();
+        duration.labelValues(outcome).observe(elapsedMillis / 1_000.0);
+    }
+
+    /** Counts a step of an attempt. */
+    public void attempt(String step, String cause) {
+        attempts.labelValues(step, cause).inc();
+    }
+
+    /** Counts a call to the store. */
+    public void storeCall(String kind, String result) {
+        storeCalls.labelValues(kind, result).inc();
+    }
+
+    /** Counts a new connection to a target. */
+    public void targetConnection(String purpose) {
+        targetConnections.labelValues(purpose).inc();
+    }
+
+    /** Sets the version of the configuration in force. */
+    public void configurationVersion(long version) {
+        configurationVersion.set(version);
+    }
+
+    /** Returns all metrics in the Prometheus text format. */
+    public byte[] text() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(out, registry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return out.toByteArray();
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and histograms of the entry daemon. */
+package org.amaranthlock.entry.metrics;
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of an entry daemon. */
+package org.amaranthlock.entry.settings;
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnections.java
@@ -0,0 +1,177 @@
+package org.amaranthlock.entry.target;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.nio.channels.ClosedChannelException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.amaranthlock.coordination.forwarding.EntryTarget;
+import org.amaranthlock.entry.metrics.EntryMetrics;
+import org.amaranthlock.model.TargetId;
+
+/** Connections to all targets, kept open between requests. All calls are on one event loop. */
+public final class TargetConnections {
+    /** Time to open a connection; hosts that do not answer at all take longer. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 400;
+
+    /** A lost opening packet is sent again only after a second, so a probe opens a second connection after this. */
+    private static final long SECOND_PROBE_MILLIS = 90;
+
+    private static final long PROBE_TIMEOUT_MILLIS = 180;
+
+    private final EventLoop loop;
+    private final LongSupplier clockMillis;
+    private final EntryMetrics metrics;
+    private final Bootstrap bootstrap;
+    private final Map<TargetId, Deque<TargetConnection>> idle = new HashMap<>();
+
+    /** Creates connections on {@code loop}. */
+    public TargetConnections(EventLoop loop, LongSupplier clockMillis, EntryMetrics metrics) {
+        this.loop = Objects.requireNonNull(loop, "loop");
+        this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+    }
+
+    /** Sends a request to a target. */
+    public void send(EntryTarget target, TargetExchange exchange) {
+        TargetConnection kept = keptConnection(target.id());
+        if (kept != null) {
+            write(kept, exchange);
+            return;
+        }
+        metrics.targetConnection("request");
+        TargetConnection fresh = new TargetConnection(connection -> keep(target.id(), connection), clockMillis);
+        Bootstrap connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new HttpRequestEncoder(), fresh.decoder(), fresh);
+            }
+        });
+        ChannelFuture opened = connecting.connect(target.address(), target.port());
+        exchange.channel(opened.channel());
+        opened.addListener(done -> {
+            if (exchange.ended()) {
+                opened.channel().close();
+                exchange.request().release();
+            } else if (done.isSuccess()) {
+                write(fresh, exchange);
+            } else {
+                exchange.end();
+                exchange.request().release();
+                exchange.listener()
+                        .notSent("connect: " + done.cause().getClass().getSimpleName());
+            }
+        });
+    }
+
+    /** Checks whether a target's host accepts connections. */
+    public void probe(EntryTarget target, Consumer<Boolean> result) {
+        Probe probe = new Probe(result);
+        probe.open(target);
+        loop.schedule(() -> probe.open(target), SECOND_PROBE_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> probe.end(false), PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Closes the connections to targets that are no longer known. */
+    public void retain(java.util.function.Predicate<TargetId> known) {
+        idle.entrySet().removeIf(entry -> {
+            if (known.test(entry.getKey())) {
+                return false;
+            }
+            entry.getValue().forEach(TargetConnection::close);
+            return true;
+        });
+    }
+
+    private TargetConnection keptConnection(TargetId id) {
+        Deque<TargetConnection> kept = idle.get(id);
+        while (kept != null && !kept.isEmpty()) {
+            TargetConnection candidate = kept.pollLast();
+            if (candidate.reusable()) {
+                return candidate;
+            }
+            candidate.close();
+        }
+        return null;
+    }
+
+    private void keep(TargetId id, TargetConnection connection) {
+        idle.computeIfAbsent(id, _ -> new ArrayDeque<>()).addLast(connection);
+    }
+
+    private static void write(TargetConnection connection, TargetExchange exchange) {
+        connection.begin(exchange);
+        connection.channel().writeAndFlush(exchange.request()).addListener(done -> {
+            if (done.isSuccess() || exchange.ended()) {
+                connection.requestWritten();
+                return;
+            }
+            connection.close();
+            exchange.end();
+            // A channel that was closed before the write has sent nothing; after any other failure bytes may be out.
+            if (done.cause() instanceof ClosedChannelException && !connection.wasActiveAtWrite()) {
+                exchange.listener().notSent("connection closed before the request");
+            } else {
+                exchange.listener().lost("write: " + done.cause().getClass().getSimpleName());
+            }
+        });
+    }
+
+    private final class Probe {
+        private final Consumer<Boolean> result;
+        private boolean ended;
+
+        Probe(Consumer<Boolean> result) {
+            this.result = result;
+        }
+
+        void open(EntryTarget target) {
+            if (ended) {
+                return;
+            }
+            metrics.targetConnection("probe");
+            ChannelFuture opened = bootstrap
+                    .clone()
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            // Nothing is exchanged on it.
+                        }
+                    })
+                    .connect(target.address(), target.port());
+            opened.addListener(done -> {
+                opened.channel().close();
+                if (done.isSuccess()) {
+                    end(true);
+                } else if (done.cause() instanceof java.net.ConnectException
+                        && !(done.cause() instanceof io.netty.channel.ConnectTimeoutException)) {
+                    end(false);
+                }
+            });
+        }
+
+        void end(boolean reachable) {
+            if (!ended) {
+                ended = true;
+                result.accept(reachable);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to targets. */
+package org.amaranthlock.entry.target;
