Use a copy of a run only after the run that made it was lost

Cause: an attempt that was not run, or was lost before its first event, left the copy holder named for it as a place to resume, where no copy existed. Each resend then went to an engine that answered 503 until the sends were used up. Ruled out: engines without room (the refusals came only for resends). Conclusion: a copy exists only once a run has sent events; its holder is tried once.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -62,6 +62,10 @@
     private boolean opened;
     private long lastEvent = -1;
     private boolean ended;
+
+    /** Whether the current attempt has sent events; an engine copies a run's memory only once it runs. */
+    private boolean eventsOfAttempt;
+
     private EntryTarget copyHolder;
 
     /** Creates a request; {@link #start} sends it. */
@@ -145,6 +149,7 @@
             return;
         }
         activeAtMillis = nowMillis;
+        eventsOfAttempt = true;
         ByteArrayOutputStream fresh = new ByteArrayOutputStream();
         for (StreamEvent event : events) {
             if (lastEvent >= 0 && event.id() <= lastEvent) {
@@ -194,6 +199,7 @@
         }
         Attempt ending = release();
         runs++;
+        copyHolder = eventsOfAttempt ? ending.copyHolder().orElse(null) : null;
         failedRun(ending, cause, nowMillis);
     }
 
@@ -235,7 +241,7 @@
     }
 
     private void dispatch(String cause, long nowMillis) {
-        Optional<EntryTarget> copy = usableCopy();
+        Optional<EntryTarget> copy = takeCopy();
         Optional<EntryTarget> target = copy.or(() -> picker.pick(service.name(), avoided, nowMillis));
         if (target.isEmpty()) {
             noTarget("no-target", nowMillis);
@@ -245,17 +251,18 @@
             noTarget("repeat-budget", nowMillis);
             return;
         }
-        copyHolder = newCopyHolder(target.get(), nowMillis);
+        EntryTarget nextHolder = newCopyHolder(target.get(), nowMillis);
         sends++;
         current = new Attempt(
                 sends,
                 target.get(),
                 deadlineMillis - nowMillis,
                 lastEvent < 0 ? Optional.empty() : Optional.of(lastEvent),
-                Optional.ofNullable(copyHolder),
+                Optional.ofNullable(nextHolder),
                 copy.isPresent(),
                 urgency);
         picker.started(target.get());
+        eventsOfAttempt = false;
         sentAtMillis = nowMillis;
         activeAtMillis = nowMillis;
         probedAtMillis = nowMillis;
@@ -264,7 +271,8 @@
         wake(nowMillis);
     }
 
-    private Optional<EntryTarget> usableCopy() {
+    /** Returns the engine that keeps a copy of the attempt that was lost last; a copy serves once. */
+    private Optional<EntryTarget> takeCopy() {
         EntryTarget holder = copyHolder;
         copyHolder = null;
         if (holder == null || avoided.contains(holder.id()) || !picker.registered(holder)) {
