Keep following targets after a list that lacks known entries

Cause: TargetRegistry.listed removed entries from the map that it iterated over; the exception left the follower without a next call, and the store client did not log it. Ruled out: a watch that stays silent (the reset was seen and the list was answered). Faults of the program in connection handlers now reach the log.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -366,15 +366,13 @@
     }
 
     private void watch(long nowMillis) {
-        switch (route.kind()) {
-            case IDEMPOTENT -> {
-                boolean slow = nowMillis - sentAtMillis >= IDEMPOTENT_PATIENCE_MILLIS;
-                if (slow && runs + 1 < route.maxAttempts()) {
-                    abandon("no-answer", nowMillis);
-                }
-            }
-            case NON_IDEMPOTENT -> {}
-            case STREAMING -> watchStream(nowMillis);
+        if (route.kind() == RouteKind.STREAMING) {
+            watchStream(nowMillis);
+            return;
+        }
+        boolean slow = nowMillis - sentAtMillis >= IDEMPOTENT_PATIENCE_MILLIS;
+        if (slow && route.kind() == RouteKind.IDEMPOTENT && mayRepeatOnce()) {
+            abandon("no-answer", nowMillis);
         }
     }
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetRegistry.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetRegistry.java
@@ -1,6 +1,7 @@
 package org.amaranthlock.coordination.forwarding;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.amaranthlock.model.TargetId;
@@ -33,7 +34,7 @@
         }
         Map<TargetId, Registered> fresh = new TreeMap<>();
         listed.forEach((target, revision) -> fresh.put(target.id(), new Registered(target, revision)));
-        for (TargetId id : entries.keySet()) {
+        for (TargetId id : List.copyOf(entries.keySet())) {
             if (!fresh.containsKey(id) && !missingSince.containsKey(id)) {
                 missing(id, nowMillis);
             }
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/EntryTargets.java
@@ -0,0 +1,25 @@
+package org.amaranthlock.coordination.forwarding;
+
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.TargetId;
+
+/** Targets for tests. */
+final class EntryTargets {
+    static final ServiceName SERVICE = new ServiceName("desk");
+
+    private EntryTargets() {}
+
+    static EntryTarget ready(String id, String domain) {
+        return target(id, domain, false);
+    }
+
+    static EntryTarget draining(String id, String domain) {
+        return target(id, domain, true);
+    }
+
+    private static EntryTarget target(String id, String domain, boolean draining) {
+        return new EntryTarget(
+                new TargetId(id), SERVICE, "10.0.0.1", 8_000, new FailureDomain(domain), 6, draining, 0, 1);
+    }
+}
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/FrontConnection.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/FrontConnection.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Objects;
@@ -85,6 +86,10 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext failed, Throwable cause) {
         failed.close();
+        if (!(cause instanceof IOException)) {
+            // A fault of the program; the end of the pipeline logs it.
+            failed.fireExceptionCaught(cause);
+        }
     }
 
     @Override
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnection.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -129,6 +130,10 @@
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         failure = cause.getClass().getSimpleName();
         fail(failure);
+        if (!(cause instanceof IOException)) {
+            // A fault of the program; the end of the pipeline logs it.
+            context.fireExceptionCaught(cause);
+        }
     }
 
     private boolean idle() {
