Choose engines without regard to their domain and give a first event more time

Cause: after most engines of a domain died, the hosts of that domain all chose the one that was left (local advantage 0.6 of a request), and streams that waited longer than 0.7 of their goal were sent elsewhere with their whole prompt read again; a resumed stream had 1.5 s for a prompt that takes 1.3 s alone. Ruled out: engines without room (no refusals), dead engines (probes succeeded). Conclusion: a prompt read again costs more than a late answer; wait while the engine lives.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -25,8 +25,11 @@
     /** Silence of a running stream after which it goes on elsewhere although its target accepts connections. */
     private static final long STREAM_STALL_MILLIS = 1_500;
 
-    /** Share of a stream's goal after which a missing first event is sought elsewhere. */
-    private static final double FIRST_EVENT_SHARE = 0.7;
+    /**
+     * Multiple of a stream's goal after which a missing first event is sought elsewhere. Reading a prompt again costs more
+     * than an answer that is late, so an engine that accepts connections gets this time.
+     */
+    private static final double FIRST_EVENT_GOALS = 1.6;
 
     /** Time after which an idempotent request that is not answered goes to another target. */
     private static final long IDEMPOTENT_PATIENCE_MILLIS = 350;
@@ -242,7 +245,7 @@
 
     private void dispatch(String cause, long nowMillis) {
         Optional<EntryTarget> copy = takeCopy();
-        Optional<EntryTarget> target = copy.or(() -> picker.pick(service.name(), avoided, nowMillis));
+        Optional<EntryTarget> target = copy.or(() -> picker.pick(service, avoided, nowMillis));
         if (target.isEmpty()) {
             noTarget("no-target", nowMillis);
             return;
@@ -379,7 +382,7 @@
     private void watchStream(long nowMillis) {
         long silence = nowMillis - activeAtMillis;
         if (route.repeatable() && silence >= silenceLimit() && mayRepeatOnce()) {
-            abandon(head == null ? "no-first-event" : "stalled", nowMillis);
+            abandon(eventsOfAttempt ? "stalled" : "no-first-event", nowMillis);
             return;
         }
         if (nowMillis - Math.max(activeAtMillis, probedAtMillis) >= probeInterval()) {
@@ -393,11 +396,11 @@
     }
 
     private long silenceLimit() {
-        return opened ? STREAM_STALL_MILLIS : (long) (route.goalMillis() * FIRST_EVENT_SHARE);
+        return eventsOfAttempt ? STREAM_STALL_MILLIS : (long) (route.goalMillis() * FIRST_EVENT_GOALS);
     }
 
     private long probeInterval() {
-        return opened ? STREAM_SILENCE_MILLIS : FIRST_EVENT_PROBE_MILLIS;
+        return eventsOfAttempt ? STREAM_SILENCE_MILLIS : FIRST_EVENT_PROBE_MILLIS;
     }
 
     private void abandon(String cause, long nowMillis) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetPicker.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetPicker.java
@@ -24,7 +24,10 @@
 
     private static final long LONGEST_PAUSE_MILLIS = 4_000;
 
-    /** Advantage of targets in the own failure domain, in requests in flight; traffic inside it is free. */
+    /**
+     * Advantage of plain targets in the own failure domain, in requests in flight; traffic inside it is free. Engines get
+     * none: when most of a domain's engines die, all its hosts would choose the few that are left.
+     */
     private static final double LOCAL_ADVANTAGE = 0.6;
 
     /** Handicap of a target that is still warming up, in requests in flight. */
@@ -76,13 +79,13 @@
      *
      * @param avoided targets that this request has failed at
      */
-    public Optional<EntryTarget> pick(ServiceName service, Set<TargetId> avoided, long nowMillis) {
-        List<EntryTarget> usable = table.targets(service).stream()
+    public Optional<EntryTarget> pick(ServiceDefinition service, Set<TargetId> avoided, long nowMillis) {
+        List<EntryTarget> usable = table.targets(service.name()).stream()
                 .filter(target -> !target.draining() && !avoided.contains(target.id()))
                 .toList();
         List<EntryTarget> sound =
                 usable.stream().filter(target -> sound(target, nowMillis)).toList();
-        return least(sound.isEmpty() ? usable : sound);
+        return least(sound.isEmpty() ? usable : sound, service.engine() ? 0 : LOCAL_ADVANTAGE);
     }
 
     /** Chooses the engine that keeps a copy of a run: a sound one in another failure domain. */
@@ -93,7 +96,7 @@
                         && !target.failureDomain().equals(running.failureDomain())
                         && sound(target, nowMillis))
                 .toList();
-        return least(candidates);
+        return least(candidates, 0);
     }
 
     /** Counts a request that starts at a target. */
@@ -139,11 +142,11 @@
         return load == null || load.asideUntilMillis <= nowMillis;
     }
 
-    private Optional<EntryTarget> least(List<EntryTarget> candidates) {
+    private Optional<EntryTarget> least(List<EntryTarget> candidates, double localAdvantage) {
         double best = Double.MAX_VALUE;
         List<EntryTarget> equal = new ArrayList<>();
         for (EntryTarget candidate : candidates) {
-            double cost = cost(candidate);
+            double cost = cost(candidate, localAdvantage);
             if (cost < best) {
                 best = cost;
                 equal.clear();
@@ -155,11 +158,11 @@
         return equal.isEmpty() ? Optional.empty() : Optional.of(equal.get(random.nextInt(equal.size())));
     }
 
-    private double cost(EntryTarget target) {
+    private double cost(EntryTarget target, double localAdvantage) {
         Load load = loads.get(target.id());
         double cost = load == null ? 0 : load.inFlight + 0.5 * load.copies;
         if (target.failureDomain().equals(ownDomain)) {
-            cost -= LOCAL_ADVANTAGE;
+            cost -= localAdvantage;
         }
         if (target.coldMillis() > 0) {
             cost += COLD_HANDICAP;
