Go back to an engine that lost an answer, and ask a silent engine for its report

Cause: an engine that ran a stream but lost its answer kept the client waiting until the first-event limit, and every lost stream read its whole prompt again elsewhere although the engine that lost it was alive and had the prompt in its cache.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -22,6 +22,15 @@
     /** Time between two probes of a target that has not sent its first event. */
     private static final long FIRST_EVENT_PROBE_MILLIS = 400;
 
+    /** Wait for a first event after which the engine is asked about the request; most prompts are read by then. */
+    private static final long FIRST_EVENT_REPORT_MILLIS = 1_800;
+
+    /** Silence of a running stream after which the engine is asked about it. */
+    private static final long STREAM_REPORT_MILLIS = 400;
+
+    /** Events that may be on their way when an engine reports that it made them. */
+    private static final long EVENTS_ON_THE_WAY = 2;
+
     /** Silence of a running stream after which it goes on elsewhere although its target accepts connections. */
     private static final long STREAM_STALL_MILLIS = 1_500;
 
@@ -43,6 +52,9 @@
     /** Advice to a client whose request found no target. */
     private static final long NO_TARGET_RETRY_MILLIS = 300;
 
+    /** Causes after which an engine is not tried again: it is dead, or does not make progress. */
+    private static final Set<String> NO_RETURN = Set.of("unreachable", "stalled", "no-first-event");
+
     private final ForwardedCall call;
     private final Route route;
     private final ServiceDefinition service;
@@ -69,8 +81,15 @@
     /** Whether the current attempt has sent events; an engine copies a run's memory only once it runs. */
     private boolean eventsOfAttempt;
 
+    /** Engine that keeps a copy of the attempt that was lost last. */
     private EntryTarget copyHolder;
 
+    /** Engine that lost the last attempt but may have the prompt in its cache. */
+    private EntryTarget returnTo;
+
+    private boolean returned;
+    private long reportedAtMillis;
+
     /** Creates a request; {@link #start} sends it. */
     public ForwardedRequest(
             ForwardedCall call,
@@ -152,7 +171,10 @@
             return;
         }
         activeAtMillis = nowMillis;
-        eventsOfAttempt = true;
+        if (!eventsOfAttempt) {
+            eventsOfAttempt = true;
+            picker.succeeded(current.target());
+        }
         ByteArrayOutputStream fresh = new ByteArrayOutputStream();
         for (StreamEvent event : events) {
             if (lastEvent >= 0 && event.id() <= lastEvent) {
@@ -202,10 +224,30 @@
         }
         Attempt ending = release();
         runs++;
-        copyHolder = eventsOfAttempt ? ending.copyHolder().orElse(null) : null;
+        if (eventsOfAttempt) {
+            copyHolder = ending.copyHolder().orElse(null);
+        }
+        boolean mayHavePrompt = route.kind() == RouteKind.STREAMING && !returned && !NO_RETURN.contains(cause);
+        returnTo = mayHavePrompt ? ending.target() : null;
         failedRun(ending, cause, nowMillis);
     }
 
+    /**
+     * Takes an engine's report; empty if it could not be had.
+     *
+     * <p>An engine that has made events which did not arrive has lost its answer. That the request is missing in the report
+     * says nothing, because an engine lists it only once its prompt has been read.
+     */
+    public void reported(int attempt, Optional<EngineReport> report, long nowMillis) {
+        if (!isCurrent(attempt) || report.isEmpty() || nowMillis - activeAtMillis < STREAM_REPORT_MILLIS) {
+            return;
+        }
+        Long made = report.get().eventsByRequest().get(call.id());
+        if (made != null && made > lastEvent + 1 + EVENTS_ON_THE_WAY) {
+            abandon("events-missing", nowMillis);
+        }
+    }
+
     /** Takes the result of a probe. */
     public void probed(int attempt, boolean reachable, long nowMillis) {
         if (!isCurrent(attempt) || reachable || activeAtMillis >= probedAtMillis) {
@@ -244,8 +286,9 @@
     }
 
     private void dispatch(String cause, long nowMillis) {
-        Optional<EntryTarget> copy = takeCopy();
-        Optional<EntryTarget> target = copy.or(() -> picker.pick(service, avoided, nowMillis));
+        Optional<EntryTarget> back = takeReturn();
+        Optional<EntryTarget> copy = back.isPresent() ? Optional.empty() : takeCopy();
+        Optional<EntryTarget> target = back.or(() -> copy).or(() -> picker.pick(service, avoided, nowMillis));
         if (target.isEmpty()) {
             noTarget("no-target", nowMillis);
             return;
@@ -269,11 +312,23 @@
         sentAtMillis = nowMillis;
         activeAtMillis = nowMillis;
         probedAtMillis = nowMillis;
+        reportedAtMillis = nowMillis;
         decide(copy.isPresent() ? "sent-to-copy" : "sent", current, cause, 0, nowMillis);
         port.send(current);
         wake(nowMillis);
     }
 
+    /** Returns the engine that lost the last attempt; each request goes back once. */
+    private Optional<EntryTarget> takeReturn() {
+        EntryTarget target = returnTo;
+        returnTo = null;
+        if (target == null || !picker.registered(target)) {
+            return Optional.empty();
+        }
+        returned = true;
+        return Optional.of(target);
+    }
+
     /** Returns the engine that keeps a copy of the attempt that was lost last; a copy serves once. */
     private Optional<EntryTarget> takeCopy() {
         EntryTarget holder = copyHolder;
@@ -389,6 +444,12 @@
             probedAtMillis = nowMillis;
             port.probe(current);
         }
+        long reportAfter = eventsOfAttempt ? STREAM_REPORT_MILLIS : FIRST_EVENT_REPORT_MILLIS;
+        boolean due = nowMillis - Math.max(activeAtMillis, reportedAtMillis) >= STREAM_REPORT_MILLIS;
+        if (service.engine() && silence >= reportAfter && due) {
+            reportedAtMillis = nowMillis;
+            port.askReport(current);
+        }
     }
 
     private boolean mayRepeatOnce() {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingPort.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingPort.java
@@ -11,6 +11,9 @@
     /** Checks whether the host of a target accepts connections; the result comes back for {@code attempt}. */
     void probe(Attempt attempt);
 
+    /** Asks the engine of an attempt for its report; the result comes back for {@code attempt}. */
+    void askReport(Attempt attempt);
+
     /** Asks for a call of {@link ForwardedRequest#tick} at a time; replaces an earlier wish. */
     void wakeAt(long atMillis);
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.amaranthlock.coordination.forwarding.Attempt;
+import org.amaranthlock.coordination.forwarding.EngineReport;
 import org.amaranthlock.coordination.forwarding.ForwardedRequest;
 import org.amaranthlock.coordination.forwarding.ForwardingDecision;
 import org.amaranthlock.coordination.forwarding.ForwardingPort;
@@ -94,6 +95,28 @@
         connections.probe(attempt.target(), reachable -> life.probed(attempt.number(), reachable, now()));
     }
 
+    @Override
+    public void askReport(Attempt attempt) {
+        connections.report(attempt.target(), report -> {
+            log.write(
+                    "engine-report",
+                    "id",
+                    request.id(),
+                    "attempt",
+                    attempt.number(),
+                    "target",
+                    attempt.target().id(),
+                    "queued",
+                    report.map(EngineReport::queued).orElse(-1),
+                    "running",
+                    report.map(known -> known.eventsByRequest().size()).orElse(-1),
+                    "events_made",
+                    report.map(known -> known.eventsByRequest().getOrDefault(request.id(), -1L))
+                            .orElse(-1L));
+            life.reported(attempt.number(), report, now());
+        });
+    }
+
     @Override
     public void wakeAt(long atMillis) {
         if (timer != null && !timer.isDone() && timerAtMillis <= atMillis) {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnections.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnections.java
@@ -1,25 +1,38 @@
 package org.amaranthlock.entry.target;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpVersion;
 import java.nio.channels.ClosedChannelException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.amaranthlock.coordination.forwarding.EngineReport;
 import org.amaranthlock.coordination.forwarding.EntryTarget;
+import org.amaranthlock.coordination.forwarding.StreamEvent;
+import org.amaranthlock.coordination.forwarding.TargetAnswer;
 import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.model.TargetId;
+import org.amaranthlock.platform.EngineReportDecoder;
+import org.amaranthlock.platform.TargetAnswerDecoder;
 
 /** Connections to all targets, kept open between requests. All calls are on one event loop. */
 public final class TargetConnections {
@@ -30,6 +43,7 @@
     private static final long SECOND_PROBE_MILLIS = 90;
 
     private static final long PROBE_TIMEOUT_MILLIS = 180;
+    private static final long REPORT_TIMEOUT_MILLIS = 300;
 
     private final EventLoop loop;
     private final LongSupplier clockMillis;
@@ -89,6 +103,23 @@
         loop.schedule(() -> probe.end(false), PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Asks an engine for its report; empty if it does not come in time or cannot be read. */
+    public void report(EntryTarget target, Consumer<Optional<EngineReport>> result) {
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, HttpMethod.GET, EngineReportDecoder.PATH, Unpooled.EMPTY_BUFFER);
+        request.headers().set(HttpHeaderNames.HOST, target.authority());
+        ReportListener listener = new ReportListener(result);
+        TargetExchange exchange = new TargetExchange(TargetAnswerDecoder.NO_REQUEST, request, listener);
+        send(target, exchange);
+        loop.schedule(
+                () -> {
+                    exchange.cancel();
+                    listener.end(Optional.empty());
+                },
+                REPORT_TIMEOUT_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
     /** Closes the connections to targets that are no longer known. */
     public void retain(java.util.function.Predicate<TargetId> known) {
         idle.entrySet().removeIf(entry -> {
@@ -134,6 +165,52 @@
         });
     }
 
+    private static final class ReportListener implements ExchangeListener {
+        private final Consumer<Optional<EngineReport>> result;
+        private boolean ended;
+
+        ReportListener(Consumer<Optional<EngineReport>> result) {
+            this.result = result;
+        }
+
+        void end(Optional<EngineReport> report) {
+            if (!ended) {
+                ended = true;
+                result.accept(report);
+            }
+        }
+
+        @Override
+        public void notSent(String cause) {
+            end(Optional.empty());
+        }
+
+        @Override
+        public void lost(String cause) {
+            end(Optional.empty());
+        }
+
+        @Override
+        public void answered(TargetAnswer answer) {
+            end(answer.success() ? EngineReportDecoder.decode(answer.body()) : Optional.empty());
+        }
+
+        @Override
+        public void streamOpened(TargetAnswer head) {
+            end(Optional.empty());
+        }
+
+        @Override
+        public void events(List<StreamEvent> events) {
+            end(Optional.empty());
+        }
+
+        @Override
+        public void streamEnded() {
+            end(Optional.empty());
+        }
+    }
+
     private final class Probe {
         private final Consumer<Boolean> result;
         private boolean ended;
