--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetPicker.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetPicker.java
@@ -7,13 +7,14 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.amaranthlock.model.FailureDomain;
 import org.amaranthlock.model.ServiceName;
 import org.amaranthlock.model.TargetId;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
- * Chooses the target of an attempt by what this host has in flight there and by recent failures.
+ * Chooses the target of an attempt by what the hosts have in flight there and by recent failures.
  *
  * <p>Load pattern: most targets of a failure domain die at once. Each failure sets its target aside for a growing time;
  * a target that was set aside is used only if no other is left. Not thread-safe.
@@ -30,14 +31,20 @@
      */
     private static final double LOCAL_ADVANTAGE = 0.6;
 
+    /** Time for which a host's news count; a host that lives repeats them more often, milliseconds. */
+    private static final long NEWS_MILLIS = 4_000;
+
     /** Handicap of a target that is still warming up, in requests in flight. */
     private static final double COLD_HANDICAP = 2;
 
     private final FailureDomain ownDomain;
     private final UniformRandomProvider random;
     private final Map<TargetId, Load> loads = new HashMap<>();
+    private final Map<String, HeardNews> news = new HashMap<>();
     private TargetTable table = TargetTable.EMPTY;
 
+    private record HeardNews(Map<TargetId, Integer> inFlight, long atMillis) {}
+
     private static final class Load {
         private int inFlight;
         private int copies;
@@ -85,7 +92,7 @@
                 .toList();
         List<EntryTarget> sound =
                 usable.stream().filter(target -> sound(target, nowMillis)).toList();
-        return least(sound.isEmpty() ? usable : sound, service.engine() ? 0 : LOCAL_ADVANTAGE);
+        return least(sound.isEmpty() ? usable : sound, service.engine() ? 0 : LOCAL_ADVANTAGE, nowMillis);
     }
 
     /** Chooses the engine that keeps a copy of a run: a sound one in another failure domain. */
@@ -96,7 +103,26 @@
                         && !target.failureDomain().equals(running.failureDomain())
                         && sound(target, nowMillis))
                 .toList();
-        return least(candidates, 0);
+        return least(candidates, 0, nowMillis);
+    }
+
+    /** Takes over what another host has in flight at engines. */
+    public void heard(LoadNews heard, long nowMillis) {
+        news.put(heard.host(), new HeardNews(heard.inFlight(), nowMillis));
+    }
+
+    /** Returns what this host has in flight at the engines of {@code engines}, to be told to other hosts. */
+    public Map<TargetId, Integer> inFlight(Predicate<ServiceName> engines) {
+        Map<TargetId, Integer> told = new HashMap<>();
+        loads.forEach((id, load) -> {
+            boolean engine = table.target(id)
+                    .map(target -> engines.test(target.service()))
+                    .orElse(false);
+            if (engine && load.inFlight > 0) {
+                told.put(id, load.inFlight);
+            }
+        });
+        return told;
     }
 
     /** Counts a request that starts at a target. */
@@ -142,7 +168,8 @@
         return load == null || load.asideUntilMillis <= nowMillis;
     }
 
-    private Optional<EntryTarget> least(List<EntryTarget> candidates, double localAdvantage) {
+    private Optional<EntryTarget> least(List<EntryTarget> candidates, double localAdvantage, long nowMillis) {
+        news.values().removeIf(heard -> nowMillis - heard.atMillis() > NEWS_MILLIS);
         double best = Double.MAX_VALUE;
         List<EntryTarget> equal = new ArrayList<>();
         for (EntryTarget candidate : candidates) {
@@ -161,6 +188,9 @@
     private double cost(EntryTarget target, double localAdvantage) {
         Load load = loads.get(target.id());
         double cost = load == null ? 0 : load.inFlight + 0.5 * load.copies;
+        for (HeardNews heard : news.values()) {
+            cost += heard.inFlight().getOrDefault(target.id(), 0);
+        }
         if (target.failureDomain().equals(ownDomain)) {
             cost -= localAdvantage;
         }
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
@@ -0,0 +1,390 @@
+package org.amaranthlock.coordination.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import org.amaranthlock.model.FailureDomain;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ForwardedRequestTest {
+    private static final long TIMEOUT_MILLIS = 25_000;
+    private static final long GOAL_MILLIS = 4_500;
+    private static final int MAX_ATTEMPTS = 3;
+
+    private final RecordingPort port = new RecordingPort();
+    private final TargetPicker picker = new TargetPicker(new FailureDomain("a"), RandomSource.SPLIT_MIX_64.create(1L));
+    private final RepeatBudget budget = new RepeatBudget(0.5, 1, 20);
+
+    ForwardedRequestTest() {
+        targets(6);
+    }
+
+    @Nested
+    class OfANonIdempotentRoute {
+        // Guards against running an order twice after its target broke off.
+        @Test
+        void isNotSentAgainAfterItsTargetBrokeOff() {
+            ForwardedRequest request = start(RouteKind.NON_IDEMPOTENT);
+            request.lost(1, "closed", 10);
+            assertThat(port.sent).hasSize(1);
+            assertThat(port.rejections.getFirst().status()).isEqualTo(502);
+        }
+
+        // Guards against a promise "not run" for an order that may be running.
+        @Test
+        void isNotCalledNotRunWhenItsTimeIsOver() {
+            ForwardedRequest request = start(RouteKind.NON_IDEMPOTENT);
+            request.tick(TIMEOUT_MILLIS);
+            assertThat(port.rejections.getFirst().status()).isEqualTo(504);
+            assertThat(port.cancelled).hasSize(1);
+        }
+
+        @Test
+        void goesToAnotherTargetIfTheFirstDidNotRunIt() {
+            ForwardedRequest request = start(RouteKind.NON_IDEMPOTENT);
+            request.answered(1, answer(503, true, true), 10);
+            assertThat(port.sent).hasSize(2);
+            assertThat(port.sent.get(1).target()).isNotEqualTo(port.sent.get(0).target());
+        }
+
+        @Test
+        void goesToAnotherTargetIfNoByteWasSent() {
+            ForwardedRequest request = start(RouteKind.NON_IDEMPOTENT);
+            request.notSent(1, "connect", 10);
+            assertThat(port.sent).hasSize(2);
+        }
+
+        @Test
+        void passesOnTheFailureOfItsTarget() {
+            ForwardedRequest request = start(RouteKind.NON_IDEMPOTENT);
+            request.answered(1, answer(500, true, false), 10);
+            assertThat(port.answers.getFirst().status()).isEqualTo(500);
+            assertThat(port.sent).hasSize(1);
+        }
+
+        @Test
+        void waitsForASlowTargetUntilItsTimeIsOver() {
+            ForwardedRequest request = start(RouteKind.NON_IDEMPOTENT);
+            request.tick(TIMEOUT_MILLIS - 1);
+            assertThat(port.cancelled).isEmpty();
+        }
+    }
+
+    @Nested
+    class OfAnIdempotentRoute {
+        @Test
+        void goesToAnotherTargetAfterAFailure() {
+            ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+            request.answered(1, answer(500, true, false), 10);
+            request.answered(2, answer(200, true, false), 20);
+            assertThat(port.answers.getFirst().status()).isEqualTo(200);
+        }
+
+        @Test
+        void runsOnNoMoreTargetsThanItsRouteAllows() {
+            ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+            IntStream.rangeClosed(1, MAX_ATTEMPTS).forEach(attempt -> request.lost(attempt, "closed", 10));
+            assertThat(port.sent).hasSize(MAX_ATTEMPTS);
+            assertThat(port.rejections).hasSize(1);
+        }
+
+        // Guards against a success that no target vouches for.
+        @Test
+        void doesNotPassOnASuccessWithoutAStamp() {
+            ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+            request.answered(1, answer(200, false, false), 10);
+            assertThat(port.answers).isEmpty();
+            assertThat(port.sent).hasSize(2);
+        }
+
+        @Test
+        void goesElsewhereIfItsTargetDoesNotAnswer() {
+            ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+            request.tick(port.wakeAtMillis);
+            assertThat(port.cancelled).hasSize(1);
+            assertThat(port.sent).hasSize(2);
+        }
+
+        @Test
+        void ignoresTheLateAnswerOfAnAttemptThatWasGivenUp() {
+            ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+            request.lost(1, "closed", 10);
+            request.answered(1, answer(200, true, false), 20);
+            assertThat(port.answers).isEmpty();
+        }
+
+        // Guards against a client that waits although nothing can serve it.
+        @Test
+        void isRefusedAtOnceAsNotRunIfThereIsNoTarget() {
+            targets(0);
+            start(RouteKind.IDEMPOTENT);
+            assertThat(port.rejections.getFirst().status()).isEqualTo(503);
+            assertThat(port.rejections.getFirst().retryAfterMillis().isPresent())
+                    .isTrue();
+        }
+
+        @Test
+        void isNotRepeatedOnceTheBudgetIsUsedUp() {
+            LongStream.range(0, 21).forEach(i -> budget.tryTake(0));
+            ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+            request.lost(1, "closed", 10);
+            assertThat(port.sent).hasSize(1);
+            assertThat(port.rejections.getFirst().status()).isEqualTo(502);
+        }
+    }
+
+    @Nested
+    class OfAStream {
+        @Test
+        void goesOnBehindTheLastEventOfALostEngine() {
+            ForwardedRequest request = startStream();
+            request.events(1, events(0, 1, 2), 100);
+            request.lost(1, "unreachable", 400);
+            assertThat(port.lastSent().lastEventId()).hasValue(2L);
+            request.streamOpened(2, answer(200, true, false), 450);
+            request.events(2, events(3, 4), 500);
+            request.streamEnded(2, 510);
+            assertThat(port.events.toString()).isEqualTo("0;1;2;3;4;");
+            assertThat(port.streamEnded).isTrue();
+            assertThat(port.heads).hasSize(1);
+        }
+
+        // Guards against tokens that are delivered twice after a resumption.
+        @Test
+        void dropsEventsThatTheClientHas() {
+            ForwardedRequest request = startStream();
+            request.events(1, events(0, 1, 2), 100);
+            request.lost(1, "unreachable", 400);
+            request.events(2, events(1, 2, 3), 500);
+            assertThat(port.events.toString()).isEqualTo("0;1;2;3;");
+        }
+
+        // Guards against a hole in an answer that looks complete.
+        @Test
+        void goesElsewhereIfAnEventIsMissing() {
+            ForwardedRequest request = startStream();
+            request.events(1, events(0, 1, 5), 100);
+            assertThat(port.events.toString()).isEqualTo("0;1;");
+            assertThat(port.sent).hasSize(2);
+            assertThat(port.lastSent().lastEventId()).hasValue(1L);
+        }
+
+        @Test
+        void goesOnFromTheCopyOfARunWhoseEngineIsUnreachable() {
+            ForwardedRequest request = startStream();
+            EntryTarget holder = port.sent.getFirst().copyHolder().orElseThrow();
+            assertThat(holder.failureDomain())
+                    .isNotEqualTo(port.sent.getFirst().target().failureDomain());
+            request.events(1, events(0), 100);
+            request.lost(1, "unreachable", 400);
+            assertThat(port.lastSent().target()).isEqualTo(holder);
+            assertThat(port.lastSent().resumesCopy()).isTrue();
+        }
+
+        // Guards against resends that all ask for copies which do not exist.
+        @Test
+        void doesNotAskForACopyOfAnAttemptThatMadeNoEvent() {
+            ForwardedRequest request = startStream();
+            request.lost(1, "unreachable", 400);
+            assertThat(port.lastSent().resumesCopy()).isFalse();
+        }
+
+        @Test
+        void asksForACopyOnlyOnce() {
+            ForwardedRequest request = startStream();
+            request.events(1, events(0), 100);
+            request.lost(1, "unreachable", 400);
+            request.answered(2, answer(503, true, true), 450);
+            assertThat(port.lastSent().resumesCopy()).isFalse();
+        }
+
+        // Guards against reading a prompt again that lies in the cache of an engine that only lost its answer.
+        @Test
+        void goesBackOnceToAnEngineThatBrokeOff() {
+            ForwardedRequest request = startStream();
+            request.events(1, events(0), 100);
+            request.lost(1, "closed", 200);
+            assertThat(port.lastSent().target()).isEqualTo(port.sent.getFirst().target());
+            assertThat(port.lastSent().resumesCopy()).isFalse();
+            request.notSent(2, "connect", 210);
+            assertThat(port.lastSent().resumesCopy()).isTrue();
+        }
+
+        @Test
+        void isSentElsewhereWhenAProbeFindsItsEngineDead() {
+            ForwardedRequest request = startStream();
+            request.events(1, events(0), 100);
+            request.tick(port.wakeAtMillis);
+            assertThat(port.probed).hasSize(1);
+            request.probed(1, false, 550);
+            assertThat(port.cancelled).hasSize(1);
+            assertThat(port.sent).hasSize(2);
+        }
+
+        // Guards against giving up a living stream because a probe was lost while events arrived.
+        @Test
+        void staysIfEventsArrivedAfterTheProbe() {
+            ForwardedRequest request = startStream();
+            request.events(1, events(0), 100);
+            request.tick(port.wakeAtMillis);
+            request.events(1, events(1), 400);
+            request.probed(1, false, 550);
+            assertThat(port.sent).hasSize(1);
+        }
+
+        @Test
+        void isSentAgainIfItsEngineMadeEventsThatDidNotArrive() {
+            ForwardedRequest request = startStream();
+            request.tick(1_900);
+            assertThat(port.asked).hasSize(1);
+            request.reported(1, Optional.of(new EngineReport(0, Map.of("r", 12L))), 1_950);
+            assertThat(port.sent).hasSize(2);
+        }
+
+        // An engine lists a request only once its prompt has been read.
+        @Test
+        void waitsIfTheReportDoesNotListIt() {
+            ForwardedRequest request = startStream();
+            request.tick(1_900);
+            request.reported(1, Optional.of(new EngineReport(0, Map.of())), 1_950);
+            assertThat(port.sent).hasSize(1);
+        }
+
+        // Guards against cutting off a prompt that is being read: reading it again costs more than waiting.
+        @Test
+        void waitsBeyondItsGoalForTheFirstEventOfALivingEngine() {
+            ForwardedRequest request = startStream();
+            request.tick(GOAL_MILLIS);
+            assertThat(port.sent).hasSize(1);
+        }
+
+        @Test
+        void looksForAnEngineAgainIfNoneIsLeftInMidStream() {
+            ForwardedRequest request = startStream();
+            request.events(1, events(0), 100);
+            targets(0);
+            request.lost(1, "unreachable", 400);
+            assertThat(port.brokenOff).isFalse();
+            targets(6);
+            request.tick(port.wakeAtMillis);
+            assertThat(port.sent).hasSize(2);
+        }
+
+        // Guards against an incomplete answer that looks complete.
+        @Test
+        void isBrokenOffRecognizablyWhenItsTimeIsOver() {
+            ForwardedRequest request = startStream();
+            request.events(1, events(0), 100);
+            request.tick(TIMEOUT_MILLIS);
+            assertThat(port.brokenOff).isTrue();
+            assertThat(port.streamEnded).isFalse();
+        }
+
+        // Guards against engines that work for clients who have left.
+        @Test
+        void isCancelledAtItsEngineWhenTheClientLeaves() {
+            ForwardedRequest request = startStream();
+            request.callerLeft(100);
+            assertThat(port.cancelled).hasSize(1);
+            assertThat(request.ended()).isTrue();
+        }
+
+        @Test
+        void startsBehindTheEventThatTheClientNames() {
+            ForwardedRequest request = new ForwardedRequest(
+                    new ForwardedCall("r", OptionalLong.empty(), Optional.of(12L), 0),
+                    route(RouteKind.STREAMING),
+                    engines(),
+                    Optional.empty(),
+                    picker,
+                    budget,
+                    port);
+            request.start(0);
+            assertThat(port.lastSent().lastEventId()).hasValue(12L);
+        }
+    }
+
+    @Test
+    void endsInExactlyOneDecision() {
+        for (RouteKind kind : RouteKind.values()) {
+            RecordingPort own = new RecordingPort();
+            ForwardedRequest request =
+                    new ForwardedRequest(call(), route(kind), engines(), Optional.empty(), picker, budget, own);
+            request.start(0);
+            request.answered(1, answer(404, true, false), 10);
+            request.lost(1, "closed", 20);
+            request.callerLeft(30);
+            request.tick(TIMEOUT_MILLIS);
+            assertThat(own.finalDecisions()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void tellsItsTargetTheTimeThatIsLeftAtEachSend() {
+        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+        request.lost(1, "closed", 300);
+        assertThat(port.sent.get(0).timeLeftMillis()).isEqualTo(TIMEOUT_MILLIS);
+        assertThat(port.sent.get(1).timeLeftMillis()).isEqualTo(TIMEOUT_MILLIS - 300);
+    }
+
+    private ForwardedRequest startStream() {
+        ForwardedRequest request = start(RouteKind.STREAMING);
+        request.streamOpened(1, answer(200, true, false), 50);
+        return request;
+    }
+
+    private ForwardedRequest start(RouteKind kind) {
+        ForwardedRequest request =
+                new ForwardedRequest(call(), route(kind), engines(), Optional.empty(), picker, budget, port);
+        request.start(0);
+        return request;
+    }
+
+    private void targets(int count) {
+        List<EntryTarget> targets = IntStream.range(0, count)
+                .mapToObj(i -> EntryTargets.ready("t" + i, i % 2 == 0 ? "a" : "b"))
+                .toList();
+        picker.update(new TargetTable(targets));
+    }
+
+    private static ForwardedCall call() {
+        return new ForwardedCall("r", OptionalLong.of(60_000), Optional.empty(), 0);
+    }
+
+    private static Route route(RouteKind kind) {
+        return new Route(
+                "route",
+                "h",
+                "/p/",
+                kind,
+                TIMEOUT_MILLIS,
+                GOAL_MILLIS,
+                MAX_ATTEMPTS,
+                1,
+                true,
+                true,
+                List.of(new WeightedService(EntryTargets.SERVICE, 1)));
+    }
+
+    private static ServiceDefinition engines() {
+        return new ServiceDefinition(EntryTargets.SERVICE, 100, true, true);
+    }
+
+    private static TargetAnswer answer(int status, boolean stamped, boolean notRun) {
+        return new TargetAnswer(status, List.of(), stamped, notRun, new byte[0]);
+    }
+
+    private static List<StreamEvent> events(long... ids) {
+        return LongStream.of(ids)
+                .mapToObj(id -> new StreamEvent(id, (id + ";").getBytes(StandardCharsets.US_ASCII)))
+                .toList();
+    }
+}
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
@@ -36,6 +36,7 @@
     private final LongSupplier clockMillis;
     private final DecisionLog log;
     private final EntryMetrics metrics;
+    private final Runnable onLoad;
     private final Consumer<ActiveRequest> onEnd;
     private ForwardedRequest life;
     private TargetExchange sent;
@@ -51,6 +52,7 @@
             LongSupplier clockMillis,
             DecisionLog log,
             EntryMetrics metrics,
+            Runnable onLoad,
             Consumer<ActiveRequest> onEnd) {
         this.request = Objects.requireNonNull(request, "request");
         this.account = Objects.requireNonNull(account, "account");
@@ -60,6 +62,7 @@
         this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
         this.log = Objects.requireNonNull(log, "log");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.onLoad = Objects.requireNonNull(onLoad, "load");
         this.onEnd = Objects.requireNonNull(onEnd, "end");
     }
 
@@ -157,6 +160,7 @@
 
     @Override
     public void decided(ForwardingDecision decision) {
+        onLoad.run();
         metrics.attempt(decision.step(), decision.cause().split("[^a-z]", 2)[0]);
         log.write(
                 decision.step(),
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -6,23 +6,28 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.amaranthlock.coordination.forwarding.AdmissionRules;
+import org.amaranthlock.coordination.forwarding.LoadNews;
 import org.amaranthlock.coordination.forwarding.SuspensionAwareClock;
 import org.amaranthlock.coordination.forwarding.TargetPicker;
 import org.amaranthlock.entry.control.ConfigurationFollower;
+import org.amaranthlock.entry.control.PeerDirectory;
 import org.amaranthlock.entry.control.TargetFollower;
 import org.amaranthlock.entry.front.FrontServer;
 import org.amaranthlock.entry.front.StatusServer;
 import org.amaranthlock.entry.front.StatusServer.StatusAnswer;
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.metrics.EntryMetrics;
+import org.amaranthlock.entry.peer.PeerLinks;
 import org.amaranthlock.entry.settings.EntrySettings;
 import org.amaranthlock.entry.settings.EntrySettingsReader;
 import org.amaranthlock.entry.target.TargetConnections;
 import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.model.TargetId;
 import org.amaranthlock.platform.NettyObjectStore;
 import org.apache.commons.rng.simple.RandomSource;
 import org.jboss.logging.Logger;
@@ -53,6 +58,9 @@
     private final StatusServer metricsPage;
     private final ConfigurationFollower configurationFollower;
     private final TargetFollower targetFollower;
+    private final PeerLinks peers;
+    private final PeerDirectory peerDirectory;
+    private volatile Map<TargetId, Integer> engineLoad = Map.of();
     private long drainingSinceMillis;
 
     /** Creates the parts of a daemon; {@link #start} starts them. */
@@ -73,7 +81,8 @@
                 new TargetPicker(settings.failureDomain(), RandomSource.SPLIT_MIX_64.create()),
                 connections,
                 log,
-                metrics);
+                metrics,
+                this::engineLoadChanged);
         this.store = new NettyObjectStore(controlLoop, settings.store());
         this.configurationFollower = new ConfigurationFollower(
                 store,
@@ -92,6 +101,21 @@
                 table -> trafficLoop.execute(() -> requests.targets(table)),
                 log,
                 metrics);
+        this.peers = new PeerLinks(
+                controlLoop,
+                settings.peers(),
+                () -> new LoadNews(settings.hostName(), engineLoad),
+                news -> trafficLoop.execute(() -> requests.heard(news)),
+                log);
+        this.peerDirectory = new PeerDirectory(
+                store,
+                controlLoop,
+                settings.hostName(),
+                settings.peers().getAddress().getHostAddress() + ":"
+                        + settings.peers().getPort(),
+                peers::peers,
+                log,
+                metrics);
         this.front = new FrontServer(traffic, settings.callers(), requests);
         this.ready = new StatusServer(traffic, settings.ready(), this::readyPage);
         this.metricsPage = new StatusServer(control, settings.metrics(), path -> new StatusAnswer(200, metrics.text()));
@@ -101,6 +125,8 @@
     public void start() {
         configurationFollower.start();
         targetFollower.start();
+        peers.start();
+        peerDirectory.start();
         front.start();
         ready.start();
         metricsPage.start();
@@ -150,6 +176,15 @@
         log.write("stopped", "host", settings.hostName());
     }
 
+    /** Runs on the traffic thread after each change. */
+    private void engineLoadChanged() {
+        Map<TargetId, Integer> load = requests.inFlightAtEngines();
+        if (!load.equals(engineLoad)) {
+            engineLoad = load;
+            control.next().execute(peers::changed);
+        }
+    }
+
     private void closeFront() {
         front.drain();
         checkDrained();
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestTraffic.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestTraffic.java
@@ -15,6 +15,7 @@
 import org.amaranthlock.coordination.forwarding.EntryConfiguration;
 import org.amaranthlock.coordination.forwarding.ForwardedRequest;
 import org.amaranthlock.coordination.forwarding.KeyHolder;
+import org.amaranthlock.coordination.forwarding.LoadNews;
 import org.amaranthlock.coordination.forwarding.Rejection;
 import org.amaranthlock.coordination.forwarding.RepeatBudget;
 import org.amaranthlock.coordination.forwarding.RequestLimits;
@@ -28,6 +29,7 @@
 import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.entry.target.TargetConnections;
 import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.TargetId;
 import org.amaranthlock.platform.CallerRequest;
 
 /** Requests that are on their way; owns the state of the traffic thread. */
@@ -50,6 +52,7 @@
     private final TargetConnections connections;
     private final DecisionLog log;
     private final EntryMetrics metrics;
+    private final Runnable onEngineLoad;
     private final ConfigurationBelief belief = new ConfigurationBelief();
     private final Map<ServiceName, RepeatBudget> budgets = new HashMap<>();
     private final Set<ActiveRequest> active = new LinkedHashSet<>();
@@ -64,7 +67,8 @@
             TargetPicker picker,
             TargetConnections connections,
             DecisionLog log,
-            EntryMetrics metrics) {
+            EntryMetrics metrics,
+            Runnable onEngineLoad) {
         this.loop = Objects.requireNonNull(loop, "loop");
         this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
         this.ageClockMillis = Objects.requireNonNull(ageClockMillis, "age clock");
@@ -73,6 +77,7 @@
         this.connections = Objects.requireNonNull(connections, "connections");
         this.log = Objects.requireNonNull(log, "log");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.onEngineLoad = Objects.requireNonNull(onEngineLoad, "engine load");
     }
 
     /** Takes over a configuration that a call which was sent at {@code sentAtMillis} found. */
@@ -90,6 +95,20 @@
         connections.retain(id -> table.target(id).isPresent());
     }
 
+    /** Takes over what another host has in flight. */
+    void heard(LoadNews news) {
+        picker.heard(news, clockMillis.getAsLong());
+    }
+
+    /** Returns what this host has in flight at engines. */
+    Map<TargetId, Integer> inFlightAtEngines() {
+        Optional<EntryConfiguration> configuration = belief.current();
+        return configuration.isEmpty()
+                ? Map.of()
+                : picker.inFlight(
+                        service -> configuration.get().service(service).engine());
+    }
+
     /** Returns whether clients should come to this host. */
     boolean ready() {
         return !draining && targetsKnown && belief.current().isPresent() && rules.fresh(age());
@@ -170,6 +189,7 @@
                 clockMillis,
                 log,
                 metrics,
+                service.engine() ? onEngineLoad : () -> {},
                 active::remove);
         active.add(running);
         log.write(
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/Rehearsal.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/Rehearsal.java
@@ -32,7 +32,8 @@
         InetSocketAddress store = new RehearsalStore().start(loops);
         int front = freePort();
         int ready = freePort();
-        EntrySettings settings = EntrySettingsReader.parse("""
+        EntrySettings settings =
+                EntrySettingsReader.parse("""
                 [host]
                 name = "rehearsal"
                 failure-domain = "z"
@@ -40,13 +41,14 @@
                 callers = "127.0.0.1:%d"
                 ready = "127.0.0.1:%d"
                 metrics = "127.0.0.1:%d"
+                peers = "127.0.0.1:%d"
                 [store]
                 address = "127.0.0.1:%d"
                 [bounds]
                 configuration-ms = 2500
                 revocation-ms = 5000
                 grace-s = 8
-                """.formatted(front, ready, freePort(), store.getPort()));
+                """.formatted(front, ready, freePort(), freePort(), store.getPort()));
         EntryProcess process = new EntryProcess(settings);
         process.start();
         awaitReady(ready);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/settings/EntrySettings.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/settings/EntrySettings.java
@@ -12,6 +12,7 @@
  * @param callers address for clients
  * @param ready address for the load balancer's checks
  * @param metrics address for metrics
+ * @param peers address for the other entry hosts
  * @param store address of the platform's store
  * @param bounds times and shares that the platform sets
  */
@@ -21,6 +22,7 @@
         InetSocketAddress callers,
         InetSocketAddress ready,
         InetSocketAddress metrics,
+        InetSocketAddress peers,
         InetSocketAddress store,
         Bounds bounds) {
     public EntrySettings {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/settings/EntrySettingsReader.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/settings/EntrySettingsReader.java
@@ -51,6 +51,7 @@
                 address(root, "listen", "callers"),
                 address(root, "listen", "ready"),
                 address(root, "listen", "metrics"),
+                address(root, "listen", "peers"),
                 address(root, "store", "address"),
                 new Bounds(
                         positive(root, "bounds", "configuration-ms"),
--- /dev/null
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/FrontConnectionTest.java
@@ -0,0 +1,197 @@
+package org.amaranthlock.entry.front;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.amaranthlock.coordination.forwarding.RequestLimits;
+import org.amaranthlock.coordination.forwarding.TargetAnswer;
+import org.amaranthlock.platform.CallerRequest;
+import org.junit.jupiter.api.Test;
+
+class FrontConnectionTest {
+    private static final String HEAD = "Host: h\r\nX-Request-Id: r1\r\n";
+    private static final RequestLimits LIMITS = new RequestLimits(1_024, 100, 3_000, 15_000);
+
+    private final Requests requests = new Requests();
+    private final EmbeddedChannel channel = channel();
+
+    private static final class Requests implements RequestHandling {
+        final List<CallerRequest> started = new ArrayList<>();
+        final List<CallerExchange> exchanges = new ArrayList<>();
+        int left;
+        boolean draining;
+
+        @Override
+        public void start(CallerRequest request, CallerExchange exchange) {
+            started.add(request);
+            exchanges.add(exchange);
+            exchange.onLeave(() -> left++);
+        }
+
+        @Override
+        public RequestLimits limits() {
+            return LIMITS;
+        }
+
+        @Override
+        public boolean draining() {
+            return draining;
+        }
+
+        @Override
+        public void rejectedEarly(String requestId, int status, String reason) {
+            // The status is checked on the wire.
+        }
+    }
+
+    @Test
+    void givesAWholeRequestToTheRoutesAndItsAnswerToTheClient() {
+        send("POST /p/x HTTP/1.1\r\n" + HEAD + "Content-Length: 3\r\n\r\nabc");
+        assertThat(requests.started.getFirst().body()).hasLength(3);
+        requests.exchanges.getFirst().answer(answer());
+        assertThat(received()).contains("HTTP/1.1 200 OK");
+        assertThat(channel.isOpen()).isTrue();
+    }
+
+    @Test
+    void readsABodyInChunks() {
+        send("POST /p/x HTTP/1.1\r\n" + HEAD + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+        assertThat(new String(requests.started.getFirst().body(), StandardCharsets.US_ASCII))
+                .isEqualTo("abc");
+    }
+
+    // Guards against a request that is hidden in the body of another one.
+    @Test
+    void refusesABodyWhoseLengthIsToldInTwoWays() {
+        send("POST /p/x HTTP/1.1\r\n" + HEAD + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + "0\r\n\r\nGET /hidden HTTP/1.1\r\n" + HEAD + "\r\n");
+        assertThat(received()).contains("HTTP/1.1 400");
+        assertThat(requests.started).isEmpty();
+    }
+
+    @Test
+    void refusesTwoLengths() {
+        send("POST /p/x HTTP/1.1\r\n" + HEAD + "Content-Length: 3\r\nContent-Length: 30\r\n\r\nabc");
+        assertThat(received()).contains("HTTP/1.1 400");
+        assertThat(requests.started).isEmpty();
+    }
+
+    @Test
+    void takesWhatLooksLikeARequestInABodyForTheBody() {
+        String body = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n";
+        send("POST /p/x HTTP/1.1\r\n" + HEAD + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+        requests.exchanges.getFirst().answer(answer());
+        assertThat(requests.started).hasSize(1);
+    }
+
+    @Test
+    void refusesABodyThatIsTooLarge() {
+        send("POST /p/x HTTP/1.1\r\n" + HEAD + "Content-Length: 101\r\n\r\n");
+        assertThat(received()).contains("HTTP/1.1 413");
+    }
+
+    @Test
+    void refusesChunksThatAreTooLargeTogether() {
+        send("POST /p/x HTTP/1.1\r\n" + HEAD + "Transfer-Encoding: chunked\r\n\r\n80\r\n" + "a".repeat(128) + "\r\n");
+        assertThat(received()).contains("HTTP/1.1 413");
+    }
+
+    @Test
+    void refusesHeadersThatAreTooLarge() {
+        send("GET /p/x HTTP/1.1\r\n" + HEAD + "X-Long: " + "a".repeat(1_100) + "\r\n\r\n");
+        assertThat(received()).contains("HTTP/1.1 431");
+    }
+
+    @Test
+    void refusesHeadersThatDoNotEndInTime() {
+        send("GET /p/x HTTP/1.1\r\nHost: h\r\n");
+        channel.advanceTimeBy(3_001, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        assertThat(received()).contains("HTTP/1.1 408");
+    }
+
+    // Guards against connections that close before the client expects it.
+    @Test
+    void keepsAnIdleConnectionForItsWholeTime() {
+        channel.advanceTimeBy(14_900, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        assertThat(channel.isOpen()).isTrue();
+        channel.advanceTimeBy(200, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    @Test
+    void answersRequestsOneAfterTheOther() {
+        send("GET /p/1 HTTP/1.1\r\n" + HEAD + "\r\nGET /p/2 HTTP/1.1\r\n" + HEAD + "\r\n");
+        assertThat(requests.started).hasSize(1);
+        requests.exchanges.getFirst().answer(answer());
+        assertThat(requests.started.get(1).path()).isEqualTo("/p/2");
+    }
+
+    @Test
+    void tellsTheRequestWhenItsClientLeaves() {
+        send("GET /p/1 HTTP/1.1\r\n" + HEAD + "\r\n");
+        channel.close();
+        assertThat(requests.left).isEqualTo(1);
+    }
+
+    @Test
+    void closesAfterAnAnswerWhileTheProcessEnds() {
+        requests.draining = true;
+        send("GET /p/1 HTTP/1.1\r\n" + HEAD + "\r\n");
+        assertThat(channel.isOpen()).isTrue();
+        requests.exchanges.getFirst().answer(answer());
+        assertThat(received().toLowerCase(java.util.Locale.ROOT)).contains("connection: close");
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    // Guards against a stream that is cut and looks complete.
+    @Test
+    void closesABrokenStreamWithoutItsLastChunk() {
+        send("POST /s/1 HTTP/1.1\r\n" + HEAD + "\r\n");
+        CallerExchange exchange = requests.exchanges.getFirst();
+        exchange.openStream(answer());
+        exchange.writeEvents("id: 0\n\n".getBytes(StandardCharsets.US_ASCII));
+        exchange.breakOff();
+        assertThat(received()).doesNotContain("\r\n0\r\n\r\n");
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    private EmbeddedChannel channel() {
+        FrontConnection connection = new FrontConnection(requests);
+        EmbeddedChannel made = new EmbeddedChannel();
+        made.freezeTime();
+        made.pipeline()
+                .addLast(new FirstBytesHandler(connection))
+                .addLast(new StrictRequestDecoder(LIMITS.maxHeaderBytes()))
+                .addLast(new HttpResponseEncoder())
+                .addLast(connection);
+        connection.channelActive(made.pipeline().context(connection));
+        return made;
+    }
+
+    private void send(String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+    }
+
+    private String received() {
+        StringBuilder text = new StringBuilder();
+        for (Object part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+            text.append(((ByteBuf) part).toString(StandardCharsets.US_ASCII));
+        }
+        return text.toString();
+    }
+
+    private static TargetAnswer answer() {
+        return new TargetAnswer(200, List.of(Map.entry("X-Request-Id", "r1")), true, false, new byte[] {'o', 'k'});
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/log/DecisionLogTest.java
@@ -0,0 +1,71 @@
+package org.amaranthlock.entry.log;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import org.jboss.logging.Logger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class DecisionLogTest {
+    private static final String NAME = "decision-log-test";
+
+    private final List<String> lines = new ArrayList<>();
+    private final long[] clock = {10_000};
+    private final DecisionLog log = new DecisionLog(Logger.getLogger(NAME), () -> clock[0]);
+    private final Handler handler = new Handler() {
+        @Override
+        public void publish(LogRecord entry) {
+            lines.add(entry.getMessage());
+        }
+
+        @Override
+        public void flush() {
+            // Nothing is held back.
+        }
+
+        @Override
+        public void close() {
+            // Nothing to release.
+        }
+    };
+
+    @BeforeEach
+    void listen() {
+        java.util.logging.Logger.getLogger(NAME).addHandler(handler);
+    }
+
+    @AfterEach
+    void stopListening() {
+        java.util.logging.Logger.getLogger(NAME).removeHandler(handler);
+    }
+
+    @Test
+    void writesNamesAndValues() {
+        log.write("sent", "id", "r1", "cause", "two words");
+        assertThat(lines).containsExactly("event=sent id=r1 cause=\"two words\"");
+    }
+
+    // Guards against a log line that a client forges by a line break.
+    @Test
+    void keepsAValueOnOneLine() {
+        log.write("sent", "id", "r1\nevent=forged");
+        assertThat(lines.getFirst()).doesNotContain("\n");
+    }
+
+    // Guards against logs that grow with the load.
+    @Test
+    void writesNoMoreThanItsBoundInASecondAndTellsWhatItLeftOut() {
+        for (int i = 0; i < 10 * DecisionLog.LINES_PER_SECOND; i++) {
+            log.write("sent", "id", i);
+        }
+        assertThat(lines).hasSize(DecisionLog.LINES_PER_SECOND);
+        clock[0] += 1_000;
+        log.write("sent", "id", "next");
+        assertThat(lines.getLast()).contains("lines_dropped=" + 9 * DecisionLog.LINES_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/LoadNewsCodecTest.java
@@ -0,0 +1,34 @@
+package org.amaranthlock.entry.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.amaranthlock.coordination.forwarding.LoadNews;
+import org.amaranthlock.model.TargetId;
+import org.junit.jupiter.api.Test;
+
+class LoadNewsCodecTest {
+    @Test
+    void readsWhatItWrote() {
+        LoadNews news = new LoadNews("entry-1", Map.of(new TargetId("e1"), 3, new TargetId("e2"), 1));
+        assertThat(LoadNewsCodec.decode(LoadNewsCodec.encode(news))).isEqualTo(news);
+    }
+
+    // Guards against a frame of another program that stops the control thread.
+    @Property(tries = 500)
+    void anyOtherFrameIsRefusedWithOneKindOfError(@ForAll byte[] frame) {
+        try {
+            LoadNewsCodec.decode(frame);
+        } catch (IllegalArgumentException e) {
+            assertThat(e).hasMessageThat().isNotEmpty();
+        }
+    }
+
+    @Test
+    void aFrameOfAnotherVersionIsRefused() {
+        assertThrows(IllegalArgumentException.class, () -> LoadNewsCodec.decode(new byte[] {(byte) 0x93, 2, 0, 0}));
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/settings/EntrySettingsReaderTest.java
@@ -0,0 +1,69 @@
+package org.amaranthlock.entry.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.file.Path;
+import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.model.ErrorCode;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class EntrySettingsReaderTest {
+    private static final String WHOLE = """
+            [host]
+            name = "entry-1"
+            failure-domain = "z"
+            region = "unused"
+            [listen]
+            callers = "127.0.0.1:8740"
+            ready = "127.0.0.1:8749"
+            metrics = "127.0.0.1:9464"
+            peers = "127.0.0.1:7200"
+            [store]
+            address = "127.0.0.1:8742"
+            [bounds]
+            configuration-ms = 2500
+            revocation-ms = 5000
+            grace-s = 8
+            """;
+
+    @Test
+    void readsWholeSettingsAndIgnoresFieldsThatItDoesNotKnow() {
+        EntrySettings settings = EntrySettingsReader.parse(WHOLE);
+        assertThat(settings.callers().getPort()).isEqualTo(8_740);
+        assertThat(settings.bounds().graceMillis()).isEqualTo(8_000);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"name = \"entry-1\"", "callers = \"127.0.0.1:8740\"", "peers = \"127.0.0.1:7200\"", "grace-s = 8"
+            })
+    void namesTheFieldThatIsMissing(String line) {
+        AmaranthlockException error = assertThrows(
+                AmaranthlockException.class, () -> EntrySettingsReader.parse(WHOLE.replace(line + "\n", "")));
+        assertThat(error.code()).isEqualTo(ErrorCode.INVALID_SETTINGS);
+        assertThat(error).hasMessageThat().contains(line.substring(0, line.indexOf(' ')));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"callers = \"127.0.0.1\"", "callers = \"127.0.0.1:x\"", "callers = 7"})
+    void refusesAnAddressOfAnotherForm(String line) {
+        String text = WHOLE.replace("callers = \"127.0.0.1:8740\"", line);
+        AmaranthlockException error = assertThrows(AmaranthlockException.class, () -> EntrySettingsReader.parse(text));
+        assertThat(error).hasMessageThat().contains("callers");
+    }
+
+    @Test
+    void refusesTextThatIsNotToml() {
+        assertThrows(AmaranthlockException.class, () -> EntrySettingsReader.parse("[[["));
+    }
+
+    @Test
+    void namesAFileThatCannotBeRead() {
+        AmaranthlockException error = assertThrows(
+                AmaranthlockException.class, () -> EntrySettingsReader.read(Path.of("target", "no-such-settings")));
+        assertThat(error).hasMessageThat().contains("no-such-settings");
+    }
+}
