Tell other hosts which engines could not be reached

Cause: each host found out for itself that an engine was dead, at 400 ms per connection attempt. Change: the load news carry the engines that a host could not reach at first hand; a host that hears of one sets it aside for a second, unless it answered a short time ago, and does not pass the suspicion on.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -144,7 +144,7 @@
             failedRun(ending, "status-" + answer.status(), nowMillis);
             return;
         }
-        picker.succeeded(ending.target());
+        picker.succeeded(ending.target(), nowMillis);
         end("answered", ending, "whole", answer.status(), nowMillis);
         port.answer(answer);
     }
@@ -173,7 +173,7 @@
         activeAtMillis = nowMillis;
         if (!eventsOfAttempt) {
             eventsOfAttempt = true;
-            picker.succeeded(current.target());
+            picker.succeeded(current.target(), nowMillis);
         }
         ByteArrayOutputStream fresh = new ByteArrayOutputStream();
         for (StreamEvent event : events) {
@@ -199,7 +199,7 @@
             return;
         }
         Attempt ending = release();
-        picker.succeeded(ending.target());
+        picker.succeeded(ending.target(), nowMillis);
         open();
         end("answered", ending, "complete", head.status(), nowMillis);
         port.endStream();
@@ -211,7 +211,7 @@
             return;
         }
         Attempt ending = release();
-        picker.failed(ending.target(), nowMillis);
+        picker.unreachable(ending.target(), nowMillis);
         avoided.add(ending.target().id());
         decide("not-sent", ending, cause, 0, nowMillis);
         again("not-sent", nowMillis);
@@ -253,6 +253,7 @@
         if (!isCurrent(attempt) || reachable || activeAtMillis >= probedAtMillis) {
             return;
         }
+        picker.unreachable(current.target(), nowMillis);
         port.cancel(current);
         lost(attempt, "unreachable", nowMillis);
     }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetPicker.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetPicker.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -43,13 +44,15 @@
     private final Map<String, HeardNews> news = new HashMap<>();
     private TargetTable table = TargetTable.EMPTY;
 
-    private record HeardNews(Map<TargetId, Integer> inFlight, long atMillis) {}
+    private record HeardNews(LoadNews news, long atMillis) {}
 
     private static final class Load {
         private int inFlight;
         private int copies;
         private int failures;
         private long asideUntilMillis;
+        private long unreachableUntilMillis;
+        private long answeredAtMillis = Long.MIN_VALUE / 2;
     }
 
     /** Creates a picker for a host in {@code ownDomain}. */
@@ -106,23 +109,37 @@
         return least(candidates, 0, nowMillis);
     }
 
-    /** Takes over what another host has in flight at engines. */
-    public void heard(LoadNews heard, long nowMillis) {
-        news.put(heard.host(), new HeardNews(heard.inFlight(), nowMillis));
+    /**
+     * Takes over what another host tells of engines. One that it has found unreachable is set aside here too, unless it
+     * answered this host a short time ago.
+     */
+    public void heard(LoadNews told, long nowMillis) {
+        HeardNews before = news.put(told.host(), new HeardNews(told, nowMillis));
+        for (TargetId id : told.unreachable()) {
+            boolean fresh = before == null || !before.news().unreachable().contains(id);
+            Load load = loads.computeIfAbsent(id, _ -> new Load());
+            if (fresh && nowMillis - load.answeredAtMillis > FIRST_PAUSE_MILLIS / 2) {
+                load.asideUntilMillis = Math.max(load.asideUntilMillis, nowMillis + FIRST_PAUSE_MILLIS);
+            }
+        }
     }
 
-    /** Returns what this host has in flight at the engines of {@code engines}, to be told to other hosts. */
-    public Map<TargetId, Integer> inFlight(Predicate<ServiceName> engines) {
-        Map<TargetId, Integer> told = new HashMap<>();
+    /** Returns what this host knows of the engines of {@code engines} at first hand, to be told to other hosts. */
+    public LoadNews news(String host, Predicate<ServiceName> engines, long nowMillis) {
+        Map<TargetId, Integer> inFlight = new HashMap<>();
+        Set<TargetId> unreachable = new HashSet<>();
         loads.forEach((id, load) -> {
             boolean engine = table.target(id)
                     .map(target -> engines.test(target.service()))
                     .orElse(false);
             if (engine && load.inFlight > 0) {
-                told.put(id, load.inFlight);
+                inFlight.put(id, load.inFlight);
+            }
+            if (engine && load.unreachableUntilMillis > nowMillis) {
+                unreachable.add(id);
             }
         });
-        return told;
+        return new LoadNews(host, inFlight, unreachable);
     }
 
     /** Counts a request that starts at a target. */
@@ -148,10 +165,12 @@
     }
 
     /** Notes that a target answered. */
-    public void succeeded(EntryTarget target) {
+    public void succeeded(EntryTarget target, long nowMillis) {
         Load load = load(target);
         load.failures = 0;
         load.asideUntilMillis = 0;
+        load.unreachableUntilMillis = 0;
+        load.answeredAtMillis = nowMillis;
     }
 
     /** Notes that a target could not be reached, broke off or answered nothing; returns the pause in milliseconds. */
@@ -163,6 +182,12 @@
         return pause;
     }
 
+    /** Notes that a target's host did not accept a connection. */
+    public void unreachable(EntryTarget target, long nowMillis) {
+        long pause = failed(target, nowMillis);
+        load(target).unreachableUntilMillis = nowMillis + pause;
+    }
+
     private boolean sound(EntryTarget target, long nowMillis) {
         Load load = loads.get(target.id());
         return load == null || load.asideUntilMillis <= nowMillis;
@@ -189,7 +214,7 @@
         Load load = loads.get(target.id());
         double cost = load == null ? 0 : load.inFlight + 0.5 * load.copies;
         for (HeardNews heard : news.values()) {
-            cost += heard.inFlight().getOrDefault(target.id(), 0);
+            cost += heard.news().inFlight().getOrDefault(target.id(), 0);
         }
         if (target.failureDomain().equals(ownDomain)) {
             cost -= localAdvantage;
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/TargetPickerTest.java
@@ -0,0 +1,129 @@
+package org.amaranthlock.coordination.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.model.TargetId;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+
+class TargetPickerTest {
+    private static final ServiceDefinition ENGINES = new ServiceDefinition(EntryTargets.SERVICE, 100, true, true);
+    private static final ServiceDefinition PLAIN = new ServiceDefinition(EntryTargets.SERVICE, 100, false, false);
+
+    private final TargetPicker picker = picker(1);
+
+    @Test
+    void aDrainingTargetGetsNothing() {
+        picker.update(new TargetTable(List.of(EntryTargets.draining("t1", "a"))));
+        assertThat(picker.pick(ENGINES, Set.of(), 0)).isEmpty();
+    }
+
+    @Test
+    void aFailedTargetIsUsedOnlyIfNoOtherIsLeft() {
+        EntryTarget failed = EntryTargets.ready("t1", "a");
+        EntryTarget sound = EntryTargets.ready("t2", "b");
+        picker.update(new TargetTable(List.of(failed, sound)));
+        picker.failed(failed, 0);
+        assertThat(picker.pick(ENGINES, Set.of(), 10)).hasValue(sound);
+        assertThat(picker.pick(ENGINES, Set.of(sound.id()), 10)).hasValue(failed);
+    }
+
+    @Test
+    void aPlainTargetOfTheOwnDomainIsPreferredWhileItIsNotBusier() {
+        EntryTarget local = EntryTargets.ready("t1", "a");
+        EntryTarget remote = EntryTargets.ready("t2", "b");
+        picker.update(new TargetTable(List.of(local, remote)));
+        assertThat(picker.pick(PLAIN, Set.of(), 0)).hasValue(local);
+        picker.started(local);
+        assertThat(picker.pick(PLAIN, Set.of(), 0)).hasValue(remote);
+    }
+
+    // Load pattern: most engines of a domain die at once. Guards against hosts of that domain that all choose the one
+    // which is left there.
+    @Test
+    void theLastEngineOfTheOwnDomainIsNotPreferred() {
+        List<EntryTarget> targets = new ArrayList<>(List.of(EntryTargets.ready("local", "a")));
+        IntStream.range(0, 8).forEach(i -> targets.add(EntryTargets.ready("r" + i, "b")));
+        int local = 0;
+        for (int seed = 0; seed < 90; seed++) {
+            TargetPicker host = picker(seed);
+            host.update(new TargetTable(targets));
+            boolean choseLocal =
+                    host.pick(ENGINES, Set.of(), 0).orElseThrow().id().value().equals("local");
+            local += choseLocal ? 1 : 0;
+        }
+        assertThat(local).isAtMost(25);
+    }
+
+    // Load pattern: seven hosts resume streams within some milliseconds. Guards against queues on one engine.
+    @Test
+    void hostsThatHearOfEachOtherSpreadTheirRequests() {
+        List<TargetPicker> hosts =
+                IntStream.range(0, 7).mapToObj(TargetPickerTest::picker).toList();
+        List<EntryTarget> engines = IntStream.range(0, 14)
+                .mapToObj(i -> EntryTargets.ready("e" + i, "b"))
+                .toList();
+        hosts.forEach(host -> host.update(new TargetTable(engines)));
+        Map<TargetId, Integer> placed = new HashMap<>();
+        for (int round = 0; round < 4; round++) {
+            for (int i = 0; i < hosts.size(); i++) {
+                TargetPicker host = hosts.get(i);
+                EntryTarget chosen = host.pick(ENGINES, Set.of(), round).orElseThrow();
+                host.started(chosen);
+                placed.merge(chosen.id(), 1, Integer::sum);
+                LoadNews news = host.news("host-" + i, service -> true, round);
+                long now = round;
+                hosts.stream().filter(other -> other != host).forEach(other -> other.heard(news, now));
+            }
+        }
+        assertThat(placed.values().stream().mapToInt(Integer::intValue).max().orElseThrow())
+                .isEqualTo(2);
+    }
+
+    // Guards against hosts that each wait for the same dead engine.
+    @Test
+    void anEngineThatAnotherHostCouldNotReachIsSetAside() {
+        EntryTarget dead = EntryTargets.ready("t1", "a");
+        EntryTarget sound = EntryTargets.ready("t2", "b");
+        TargetPicker other = picker(2);
+        for (TargetPicker host : List.of(picker, other)) {
+            host.update(new TargetTable(List.of(dead, sound)));
+        }
+        picker.started(sound);
+        other.unreachable(dead, 1_000);
+        picker.heard(other.news("other", service -> true, 1_010), 1_010);
+        assertThat(picker.pick(ENGINES, Set.of(), 1_020)).hasValue(sound);
+        assertThat(picker.pick(ENGINES, Set.of(), 2_100)).hasValue(dead);
+    }
+
+    // Guards against hosts that pass a suspicion on to each other for ever.
+    @Test
+    void aSuspicionThatWasHeardIsNotPassedOn() {
+        EntryTarget dead = EntryTargets.ready("t1", "a");
+        picker.update(new TargetTable(List.of(dead)));
+        picker.heard(new LoadNews("other", Map.of(), Set.of(dead.id())), 1_000);
+        assertThat(picker.news("own", service -> true, 1_010).unreachable()).isEmpty();
+    }
+
+    @Test
+    void theNewsOfAHostThatWentSilentDoNotCount() {
+        EntryTarget first = EntryTargets.ready("t1", "a");
+        EntryTarget second = EntryTargets.ready("t2", "b");
+        picker.update(new TargetTable(List.of(first, second)));
+        picker.heard(new LoadNews("other", Map.of(first.id(), 9), Set.of()), 0);
+        picker.started(second);
+        assertThat(picker.pick(ENGINES, Set.of(), 3_900)).hasValue(second);
+        assertThat(picker.pick(ENGINES, Set.of(), 4_100)).hasValue(first);
+    }
+
+    private static TargetPicker picker(long seed) {
+        return new TargetPicker(new FailureDomain("a"), RandomSource.SPLIT_MIX_64.create(seed));
+    }
+}
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.amaranthlock.coordination.forwarding.AdmissionRules;
@@ -27,7 +28,6 @@
 import org.amaranthlock.entry.settings.EntrySettingsReader;
 import org.amaranthlock.entry.target.TargetConnections;
 import org.amaranthlock.model.AmaranthlockException;
-import org.amaranthlock.model.TargetId;
 import org.amaranthlock.platform.NettyObjectStore;
 import org.apache.commons.rng.simple.RandomSource;
 import org.jboss.logging.Logger;
@@ -60,7 +60,7 @@
     private final TargetFollower targetFollower;
     private final PeerLinks peers;
     private final PeerDirectory peerDirectory;
-    private volatile Map<TargetId, Integer> engineLoad = Map.of();
+    private volatile LoadNews news;
     private long drainingSinceMillis;
 
     /** Creates the parts of a daemon; {@link #start} starts them. */
@@ -101,11 +101,12 @@
                 table -> trafficLoop.execute(() -> requests.targets(table)),
                 log,
                 metrics);
+        this.news = new LoadNews(settings.hostName(), Map.of(), Set.of());
         this.peers = new PeerLinks(
                 controlLoop,
                 settings.peers(),
-                () -> new LoadNews(settings.hostName(), engineLoad),
-                news -> trafficLoop.execute(() -> requests.heard(news)),
+                () -> news,
+                heard -> trafficLoop.execute(() -> requests.heard(heard)),
                 log);
         this.peerDirectory = new PeerDirectory(
                 store,
@@ -178,9 +179,9 @@
 
     /** Runs on the traffic thread after each change. */
     private void engineLoadChanged() {
-        Map<TargetId, Integer> load = requests.inFlightAtEngines();
-        if (!load.equals(engineLoad)) {
-            engineLoad = load;
+        LoadNews fresh = requests.news(settings.hostName());
+        if (!fresh.equals(news)) {
+            news = fresh;
             control.next().execute(peers::changed);
         }
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestTraffic.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestTraffic.java
@@ -9,6 +9,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.amaranthlock.coordination.forwarding.AdmissionRules;
 import org.amaranthlock.coordination.forwarding.AdmissionVerdict;
 import org.amaranthlock.coordination.forwarding.ConfigurationBelief;
@@ -29,7 +30,6 @@
 import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.entry.target.TargetConnections;
 import org.amaranthlock.model.ServiceName;
-import org.amaranthlock.model.TargetId;
 import org.amaranthlock.platform.CallerRequest;
 
 /** Requests that are on their way; owns the state of the traffic thread. */
@@ -100,13 +100,11 @@
         picker.heard(news, clockMillis.getAsLong());
     }
 
-    /** Returns what this host has in flight at engines. */
-    Map<TargetId, Integer> inFlightAtEngines() {
-        Optional<EntryConfiguration> configuration = belief.current();
-        return configuration.isEmpty()
-                ? Map.of()
-                : picker.inFlight(
-                        service -> configuration.get().service(service).engine());
+    /** Returns what this host knows of engines at first hand. */
+    LoadNews news(String host) {
+        Predicate<ServiceName> engines = service ->
+                belief.current().map(known -> known.service(service).engine()).orElse(false);
+        return picker.news(host, engines, clockMillis.getAsLong());
     }
 
     /** Returns whether clients should come to this host. */
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/LoadNewsCodec.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/LoadNewsCodec.java
@@ -3,23 +3,27 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.amaranthlock.coordination.forwarding.LoadNews;
 import org.amaranthlock.model.TargetId;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 
-/** MessagePack format of {@link LoadNews}: an array of version, host and a map from engine to requests in flight. */
+/** MessagePack format of {@link LoadNews}: an array of version, host, a map from engine to requests in flight, and
+ * a list of engines that could not be reached. */
 final class LoadNewsCodec {
     private static final int VERSION = 1;
+    private static final int FIELDS = 4;
     private static final int MAX_ENGINES = 10_000;
 
     private LoadNewsCodec() {}
 
     static byte[] encode(LoadNews news) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-            packer.packArrayHeader(3);
+            packer.packArrayHeader(FIELDS);
             packer.packInt(VERSION);
             packer.packString(news.host());
             packer.packMapHeader(news.inFlight().size());
@@ -27,6 +31,10 @@
                 packer.packString(engine.getKey().value());
                 packer.packInt(engine.getValue());
             }
+            packer.packArrayHeader(news.unreachable().size());
+            for (TargetId engine : news.unreachable()) {
+                packer.packString(engine.value());
+            }
             return packer.toByteArray();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -40,21 +48,30 @@
      */
     static LoadNews decode(byte[] frame) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(frame)) {
-            if (unpacker.unpackArrayHeader() != 3 || unpacker.unpackInt() != VERSION) {
+            if (unpacker.unpackArrayHeader() != FIELDS || unpacker.unpackInt() != VERSION) {
                 throw new IllegalArgumentException("load news of another version");
             }
             String host = unpacker.unpackString();
-            int engines = unpacker.unpackMapHeader();
-            if (engines > MAX_ENGINES) {
-                throw new IllegalArgumentException("load news of " + engines + " engines");
-            }
+            int engines = checked(unpacker.unpackMapHeader());
             Map<TargetId, Integer> inFlight = new HashMap<>();
             for (int i = 0; i < engines; i++) {
                 inFlight.put(new TargetId(unpacker.unpackString()), unpacker.unpackInt());
             }
-            return new LoadNews(host, inFlight);
+            Set<TargetId> unreachable = new HashSet<>();
+            int count = checked(unpacker.unpackArrayHeader());
+            for (int i = 0; i < count; i++) {
+                unreachable.add(new TargetId(unpacker.unpackString()));
+            }
+            return new LoadNews(host, inFlight, unreachable);
         } catch (IOException | org.msgpack.core.MessagePackException e) {
             throw new IllegalArgumentException("load news that cannot be read: " + e.getMessage(), e);
         }
     }
+
+    private static int checked(int engines) {
+        if (engines > MAX_ENGINES) {
+            throw new IllegalArgumentException("load news of " + engines + " engines");
+        }
+        return engines;
+    }
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerLinks.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerLinks.java
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -142,7 +143,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new LengthFieldPrepender(LENGTH_BYTES));
+                        channel.pipeline().addLast(new LengthFieldPrepender(LENGTH_BYTES), new LinkErrors());
                     }
                 })
                 .connect(peer.substring(0, colon), Integer.parseInt(peer.substring(colon + 1)));
@@ -168,4 +169,15 @@
             }
         }
     }
+
+    /** Closes a link that fails; it is opened anew with the next frame. */
+    private static final class LinkErrors extends ChannelInboundHandlerAdapter {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+            if (!(cause instanceof IOException)) {
+                context.fireExceptionCaught(cause);
+            }
+        }
+    }
 }
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/LoadNewsCodecTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/LoadNewsCodecTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.Map;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.amaranthlock.coordination.forwarding.LoadNews;
@@ -13,7 +14,8 @@
 class LoadNewsCodecTest {
     @Test
     void readsWhatItWrote() {
-        LoadNews news = new LoadNews("entry-1", Map.of(new TargetId("e1"), 3, new TargetId("e2"), 1));
+        LoadNews news = new LoadNews(
+                "entry-1", Map.of(new TargetId("e1"), 3, new TargetId("e2"), 1), Set.of(new TargetId("e3")));
         assertThat(LoadNewsCodec.decode(LoadNewsCodec.encode(news))).isEqualTo(news);
     }
 
@@ -29,6 +31,6 @@
 
     @Test
     void aFrameOfAnotherVersionIsRefused() {
-        assertThrows(IllegalArgumentException.class, () -> LoadNewsCodec.decode(new byte[] {(byte) 0x93, 2, 0, 0}));
+        assertThrows(IllegalArgumentException.class, () -> LoadNewsCodec.decode(new byte[] {(byte) 0x94, 2, 0, 0, 0}));
     }
 }
