--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/Fleet.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/Fleet.java
@@ -20,8 +20,8 @@
 import org.amaranthlock.model.Region;
 import org.amaranthlock.protocol.PeerFrame;
 import org.amaranthlock.protocol.PeerMessageCodec;
+import org.amaranthlock.protocol.objectapi.HostEntry;
 import org.amaranthlock.protocol.peer.PeerMessage;
-import org.amaranthlock.protocol.platform.HostEntry;
 
 /** Routers in one process and in virtual time, joined by encoded messages and an object store in memory. */
 final class Fleet {
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/ObjectStore.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/capacity/ObjectStore.java
@@ -11,9 +11,9 @@
 import org.amaranthlock.coordination.PlatformCommand;
 import org.amaranthlock.coordination.PlatformEvent;
 import org.amaranthlock.protocol.PlatformValueCodec;
-import org.amaranthlock.protocol.platform.HostEntry;
-import org.amaranthlock.protocol.platform.PlatformValue;
-import org.amaranthlock.protocol.platform.Versioned;
+import org.amaranthlock.protocol.objectapi.HostEntry;
+import org.amaranthlock.protocol.objectapi.PlatformValue;
+import org.amaranthlock.protocol.objectapi.Versioned;
 
 /** Object API in memory; each reader gets its own copy of a value, as over a network. */
 final class ObjectStore {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/PlatformCommand.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/PlatformCommand.java
@@ -1,6 +1,6 @@
 package org.amaranthlock.coordination;
 
-import org.amaranthlock.protocol.platform.PlatformValue;
+import org.amaranthlock.protocol.objectapi.PlatformValue;
 
 /** Operation on the platform; answered by the {@link PlatformEvent} with the same operation number. */
 public sealed interface PlatformCommand extends Command {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/PlatformEvent.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/PlatformEvent.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.amaranthlock.protocol.platform.HostEntry;
-import org.amaranthlock.protocol.platform.Versioned;
+import org.amaranthlock.protocol.objectapi.HostEntry;
+import org.amaranthlock.protocol.objectapi.Versioned;
 
 /** Answer of the platform, or its absence. */
 public sealed interface PlatformEvent extends Event {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/configuration/ConfigurationDistribution.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/configuration/ConfigurationDistribution.java
@@ -11,11 +11,11 @@
 import org.amaranthlock.coordination.membership.Relays;
 import org.amaranthlock.coordination.membership.RouterMember;
 import org.amaranthlock.model.HostId;
+import org.amaranthlock.protocol.objectapi.PlatformValue.ConfigurationEntry;
+import org.amaranthlock.protocol.objectapi.Versioned;
 import org.amaranthlock.protocol.peer.PeerMessage.ConfigPull;
 import org.amaranthlock.protocol.peer.PeerMessage.ConfigPush;
 import org.amaranthlock.protocol.peer.PeerMessage.News;
-import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationEntry;
-import org.amaranthlock.protocol.platform.Versioned;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/configuration/ConfigurationWriter.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/configuration/ConfigurationWriter.java
@@ -15,9 +15,9 @@
 import org.amaranthlock.coordination.PlatformEvent;
 import org.amaranthlock.model.AmaranthlockException;
 import org.amaranthlock.model.ErrorCode;
-import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationEntry;
-import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationVersion;
-import org.amaranthlock.protocol.platform.Versioned;
+import org.amaranthlock.protocol.objectapi.PlatformValue.ConfigurationEntry;
+import org.amaranthlock.protocol.objectapi.PlatformValue.ConfigurationVersion;
+import org.amaranthlock.protocol.objectapi.Versioned;
 
 /**
  * Writes the changes of operators with conditional updates.
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/configuration/DefaultConfiguration.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/configuration/DefaultConfiguration.java
@@ -16,8 +16,8 @@
 import org.amaranthlock.model.HostId;
 import org.amaranthlock.model.ServiceName;
 import org.amaranthlock.model.Target;
+import org.amaranthlock.protocol.objectapi.PlatformValue.ConfigurationEntry;
 import org.amaranthlock.protocol.peer.PeerMessage;
-import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationEntry;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /** The router's copy of the configuration; it stays in force while the platform is down and never goes back. */
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/engineorder/EngineLeaseHolder.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/engineorder/EngineLeaseHolder.java
@@ -7,8 +7,8 @@
 import org.amaranthlock.coordination.PlatformCommand;
 import org.amaranthlock.coordination.PlatformEvent;
 import org.amaranthlock.model.HostId;
-import org.amaranthlock.protocol.platform.PlatformValue.EngineLease;
-import org.amaranthlock.protocol.platform.Versioned;
+import org.amaranthlock.protocol.objectapi.PlatformValue.EngineLease;
+import org.amaranthlock.protocol.objectapi.Versioned;
 
 /**
  * This router's part in the lease of one engine group.
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/LedgerState.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/LedgerState.java
@@ -9,15 +9,15 @@
 import org.amaranthlock.model.HostId;
 import org.amaranthlock.model.OutcomeRecord;
 import org.amaranthlock.model.RequestId;
+import org.amaranthlock.protocol.objectapi.PlatformValue.ClaimEntry;
+import org.amaranthlock.protocol.objectapi.PlatformValue.FencedClaim;
+import org.amaranthlock.protocol.objectapi.PlatformValue.LedgerBatch;
+import org.amaranthlock.protocol.objectapi.PlatformValue.LedgerEntry;
+import org.amaranthlock.protocol.objectapi.PlatformValue.LedgerSnapshot;
+import org.amaranthlock.protocol.objectapi.PlatformValue.OutcomeEntry;
 import org.amaranthlock.protocol.peer.ClaimVerdict;
 import org.amaranthlock.protocol.peer.PeerMessage.ClaimRequest;
 import org.amaranthlock.protocol.peer.PeerMessage.FinalOutcome;
-import org.amaranthlock.protocol.platform.PlatformValue.ClaimEntry;
-import org.amaranthlock.protocol.platform.PlatformValue.FencedClaim;
-import org.amaranthlock.protocol.platform.PlatformValue.LedgerBatch;
-import org.amaranthlock.protocol.platform.PlatformValue.LedgerEntry;
-import org.amaranthlock.protocol.platform.PlatformValue.LedgerSnapshot;
-import org.amaranthlock.protocol.platform.PlatformValue.OutcomeEntry;
 
 /** Claims and outcomes of a partition up to a position of its log. */
 final class LedgerState {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/LogReader.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/LogReader.java
@@ -6,9 +6,9 @@
 import org.amaranthlock.coordination.OperationNumbers;
 import org.amaranthlock.coordination.PlatformCommand;
 import org.amaranthlock.coordination.PlatformEvent;
-import org.amaranthlock.protocol.platform.PlatformValue.LedgerBatch;
-import org.amaranthlock.protocol.platform.PlatformValue.LedgerSnapshot;
-import org.amaranthlock.protocol.platform.Versioned;
+import org.amaranthlock.protocol.objectapi.PlatformValue.LedgerBatch;
+import org.amaranthlock.protocol.objectapi.PlatformValue.LedgerSnapshot;
+import org.amaranthlock.protocol.objectapi.Versioned;
 
 /**
  * Reads the state of a partition from its newest snapshot and the log after it.
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/LogSearch.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/LogSearch.java
@@ -9,9 +9,9 @@
 import org.amaranthlock.model.HostId;
 import org.amaranthlock.model.OutcomeRecord;
 import org.amaranthlock.model.RequestId;
-import org.amaranthlock.protocol.platform.PlatformValue.LedgerBatch;
-import org.amaranthlock.protocol.platform.PlatformValue.LedgerEntry;
-import org.amaranthlock.protocol.platform.PlatformValue.OutcomeEntry;
+import org.amaranthlock.protocol.objectapi.PlatformValue.LedgerBatch;
+import org.amaranthlock.protocol.objectapi.PlatformValue.LedgerEntry;
+import org.amaranthlock.protocol.objectapi.PlatformValue.OutcomeEntry;
 
 /** Search for an outcome record in the log: first ahead of the records in memory, where a successor wrote, then back. */
 final class LogSearch {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/LogWrite.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/LogWrite.java
@@ -6,8 +6,8 @@
 import org.amaranthlock.coordination.OperationNumbers;
 import org.amaranthlock.coordination.PlatformCommand;
 import org.amaranthlock.coordination.PlatformEvent;
-import org.amaranthlock.protocol.platform.PlatformValue.LedgerBatch;
-import org.amaranthlock.protocol.platform.Versioned;
+import org.amaranthlock.protocol.objectapi.PlatformValue.LedgerBatch;
+import org.amaranthlock.protocol.objectapi.Versioned;
 
 /**
  * Write of one position of a log, until it is certain whether it took effect.
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PartitionOwner.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PartitionOwner.java
@@ -12,6 +12,7 @@
 import org.amaranthlock.coordination.PlatformEvent;
 import org.amaranthlock.model.HostId;
 import org.amaranthlock.model.OutcomeRecord;
+import org.amaranthlock.protocol.objectapi.PlatformValue.LedgerBatch;
 import org.amaranthlock.protocol.peer.ClaimVerdict;
 import org.amaranthlock.protocol.peer.PeerMessage.ClaimReply;
 import org.amaranthlock.protocol.peer.PeerMessage.ClaimRequest;
@@ -20,7 +21,6 @@
 import org.amaranthlock.protocol.peer.PeerMessage.OutcomeAnswer;
 import org.amaranthlock.protocol.peer.PeerMessage.OutcomeBatch;
 import org.amaranthlock.protocol.peer.PeerMessage.OutcomeQuery;
-import org.amaranthlock.protocol.platform.PlatformValue.LedgerBatch;
 
 /**
  * Owner side of one ledger partition.
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PendingWork.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/PendingWork.java
@@ -10,13 +10,13 @@
 import java.util.Set;
 import org.amaranthlock.model.HostId;
 import org.amaranthlock.model.RequestId;
+import org.amaranthlock.protocol.objectapi.PlatformValue.ClaimEntry;
+import org.amaranthlock.protocol.objectapi.PlatformValue.LedgerEntry;
+import org.amaranthlock.protocol.objectapi.PlatformValue.OutcomeEntry;
 import org.amaranthlock.protocol.peer.ClaimVerdict;
 import org.amaranthlock.protocol.peer.PeerMessage.ClaimRequest;
 import org.amaranthlock.protocol.peer.PeerMessage.FinalOutcome;
 import org.amaranthlock.protocol.peer.PeerMessage.OutcomeBatch;
-import org.amaranthlock.protocol.platform.PlatformValue.ClaimEntry;
-import org.amaranthlock.protocol.platform.PlatformValue.LedgerEntry;
-import org.amaranthlock.protocol.platform.PlatformValue.OutcomeEntry;
 
 /** Claims and outcomes that wait for the next write of a partition. */
 final class PendingWork {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/SnapshotParts.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/SnapshotParts.java
@@ -3,9 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.amaranthlock.protocol.objectapi.PlatformValue.FencedClaim;
+import org.amaranthlock.protocol.objectapi.PlatformValue.LedgerSnapshot;
 import org.amaranthlock.protocol.peer.PeerMessage.FinalOutcome;
-import org.amaranthlock.protocol.platform.PlatformValue.FencedClaim;
-import org.amaranthlock.protocol.platform.PlatformValue.LedgerSnapshot;
 
 /** Divides a snapshot into parts that fit into one platform object each; an empty part marks the end. */
 final class SnapshotParts {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/SnapshotWriter.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/ledger/SnapshotWriter.java
@@ -5,8 +5,8 @@
 import org.amaranthlock.coordination.OperationNumbers;
 import org.amaranthlock.coordination.PlatformCommand;
 import org.amaranthlock.coordination.PlatformEvent;
-import org.amaranthlock.protocol.platform.PlatformValue.LedgerSnapshot;
-import org.amaranthlock.protocol.platform.Versioned;
+import org.amaranthlock.protocol.objectapi.PlatformValue.LedgerSnapshot;
+import org.amaranthlock.protocol.objectapi.Versioned;
 
 /**
  * Writes the snapshots of a partition: first the further parts, then the main object.
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/DefaultMembership.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/DefaultMembership.java
@@ -16,6 +16,7 @@
 import org.amaranthlock.coordination.OperatorEvent;
 import org.amaranthlock.coordination.PlatformEvent;
 import org.amaranthlock.model.HostId;
+import org.amaranthlock.protocol.objectapi.HostEntry;
 import org.amaranthlock.protocol.peer.MemberUpdate;
 import org.amaranthlock.protocol.peer.PeerMessage;
 import org.amaranthlock.protocol.peer.PeerMessage.Ack;
@@ -25,7 +26,6 @@
 import org.amaranthlock.protocol.peer.PoisonMark;
 import org.amaranthlock.protocol.peer.RouterState;
 import org.amaranthlock.protocol.peer.TargetUpdate;
-import org.amaranthlock.protocol.platform.HostEntry;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/DefaultTargetDirectory.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/membership/DefaultTargetDirectory.java
@@ -19,10 +19,10 @@
 import org.amaranthlock.model.ServiceName;
 import org.amaranthlock.model.Target;
 import org.amaranthlock.model.TargetId;
+import org.amaranthlock.protocol.objectapi.HostEntry;
 import org.amaranthlock.protocol.peer.PeerMessage.Ack;
 import org.amaranthlock.protocol.peer.PeerMessage.News;
 import org.amaranthlock.protocol.peer.TargetUpdate;
-import org.amaranthlock.protocol.platform.HostEntry;
 import org.amaranthlock.state.TargetDirectory;
 import org.apache.commons.rng.UniformRandomProvider;
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/protocol/platform/PlatformValue.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/protocol/objectapi/PlatformValue.java
@@ -1,4 +1,4 @@
-package org.amaranthlock.protocol.platform;
+package org.amaranthlock.protocol.objectapi;
 
 import java.util.List;
 import java.util.Objects;
--- a/amaranthlock-core/src/main/java/org/amaranthlock/protocol/platform/Versioned.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/protocol/objectapi/Versioned.java
@@ -1,4 +1,4 @@
-package org.amaranthlock.protocol.platform;
+package org.amaranthlock.protocol.objectapi;
 
 import java.util.Objects;
 import org.amaranthlock.model.Arguments;
--- a/amaranthlock-core/src/main/java/org/amaranthlock/protocol/platform/package-info.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/protocol/objectapi/package-info.java
@@ -1,2 +1,2 @@
 /** Objects that are kept in the platform's object API, and operations on them. */
-package org.amaranthlock.protocol.platform;
+package org.amaranthlock.protocol.objectapi;
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/ledger/LedgerFixture.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/ledger/LedgerFixture.java
@@ -31,13 +31,13 @@
 import org.amaranthlock.model.RequestSpec;
 import org.amaranthlock.model.ServiceName;
 import org.amaranthlock.model.Work;
+import org.amaranthlock.protocol.objectapi.PlatformValue.ClaimEntry;
+import org.amaranthlock.protocol.objectapi.PlatformValue.LedgerBatch;
+import org.amaranthlock.protocol.objectapi.PlatformValue.LedgerEntry;
+import org.amaranthlock.protocol.objectapi.PlatformValue.OutcomeEntry;
+import org.amaranthlock.protocol.objectapi.Versioned;
 import org.amaranthlock.protocol.peer.ClaimVerdict;
 import org.amaranthlock.protocol.peer.PeerMessage.FinalOutcome;
-import org.amaranthlock.protocol.platform.PlatformValue.ClaimEntry;
-import org.amaranthlock.protocol.platform.PlatformValue.LedgerBatch;
-import org.amaranthlock.protocol.platform.PlatformValue.LedgerEntry;
-import org.amaranthlock.protocol.platform.PlatformValue.OutcomeEntry;
-import org.amaranthlock.protocol.platform.Versioned;
 import org.amaranthlock.simulation.SimulatedRouter;
 import org.amaranthlock.simulation.Simulation;
 
--- a/amaranthlock-core/src/test/java/org/amaranthlock/faults/Operators.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/faults/Operators.java
@@ -3,8 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.amaranthlock.model.AccountId;
-import org.amaranthlock.protocol.platform.PlatformValue.ConfigurationEntry;
-import org.amaranthlock.protocol.platform.Versioned;
+import org.amaranthlock.protocol.objectapi.PlatformValue.ConfigurationEntry;
+import org.amaranthlock.protocol.objectapi.Versioned;
 
 /** Operators that change the weight of an account. */
 final class Operators {
--- a/amaranthlock-core/src/test/java/org/amaranthlock/simulation/InMemoryPlatform.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/simulation/InMemoryPlatform.java
@@ -9,9 +9,9 @@
 import org.amaranthlock.coordination.PlatformCommand;
 import org.amaranthlock.coordination.PlatformEvent;
 import org.amaranthlock.model.HostId;
-import org.amaranthlock.protocol.platform.HostEntry;
-import org.amaranthlock.protocol.platform.PlatformValue;
-import org.amaranthlock.protocol.platform.Versioned;
+import org.amaranthlock.protocol.objectapi.HostEntry;
+import org.amaranthlock.protocol.objectapi.PlatformValue;
+import org.amaranthlock.protocol.objectapi.Versioned;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /** Object API with versions, watches, lost answers, delayed writes, stale lists and outages. */
--- a/amaranthlock-net/src/main/java/org/amaranthlock/transport/platform/HttpPlatformTransport.java
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/transport/objectapi/HttpPlatformTransport.java
@@ -1,4 +1,4 @@
-package org.amaranthlock.transport.platform;
+package org.amaranthlock.transport.objectapi;
 
 import com.google.common.net.UrlEscapers;
 import io.servicetalk.buffer.api.Buffer;
@@ -22,7 +22,7 @@
 import org.amaranthlock.coordination.PlatformEvent.WriteUnknown;
 import org.amaranthlock.model.Arguments;
 import org.amaranthlock.protocol.PlatformValueCodec;
-import org.amaranthlock.protocol.platform.Versioned;
+import org.amaranthlock.protocol.objectapi.Versioned;
 import org.amaranthlock.transport.EventSink;
 import org.amaranthlock.transport.PlatformTransport;
 import org.amaranthlock.transport.http.HttpClientSupport;
--- a/amaranthlock-net/src/main/java/org/amaranthlock/transport/platform/PlatformAnswers.java
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/transport/objectapi/PlatformAnswers.java
@@ -1,4 +1,4 @@
-package org.amaranthlock.transport.platform;
+package org.amaranthlock.transport.objectapi;
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -13,8 +13,8 @@
 import org.amaranthlock.model.Region;
 import org.amaranthlock.protocol.MalformedDataException;
 import org.amaranthlock.protocol.PlatformValueCodec;
-import org.amaranthlock.protocol.platform.HostEntry;
-import org.amaranthlock.protocol.platform.Versioned;
+import org.amaranthlock.protocol.objectapi.HostEntry;
+import org.amaranthlock.protocol.objectapi.Versioned;
 import org.jboss.logging.Logger;
 
 /** Reads the JSON answers of the platform; rows that can't be read are skipped, so one bad object blocks no others. */
--- /dev/null
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/transport/objectapi/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the platform's object API. */
+package org.amaranthlock.transport.objectapi;
--- a/amaranthlock-net/src/main/java/org/amaranthlock/transport/platform/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Client of the platform's object API. */
-package org.amaranthlock.transport.platform;
--- a/amaranthlock-net/src/test/java/org/amaranthlock/protocol/CodecProperties.java
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/protocol/CodecProperties.java
@@ -10,8 +10,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
 import org.amaranthlock.model.HostId;
+import org.amaranthlock.protocol.objectapi.PlatformValue;
 import org.amaranthlock.protocol.peer.PeerMessage;
-import org.amaranthlock.protocol.platform.PlatformValue;
 
 class CodecProperties {
     private final PeerMessageCodec peers = new PeerMessageCodec();
--- a/amaranthlock-net/src/test/java/org/amaranthlock/transport/platform/HttpPlatformTransportTest.java
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/transport/objectapi/HttpPlatformTransportTest.java
@@ -1,4 +1,4 @@
-package org.amaranthlock.transport.platform;
+package org.amaranthlock.transport.objectapi;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -12,7 +12,7 @@
 import org.amaranthlock.coordination.PlatformEvent;
 import org.amaranthlock.model.HostId;
 import org.amaranthlock.protocol.PlatformValueCodec;
-import org.amaranthlock.protocol.platform.PlatformValue.EngineLease;
+import org.amaranthlock.protocol.objectapi.PlatformValue.EngineLease;
 import org.amaranthlock.transport.EventQueue;
 import org.amaranthlock.transport.RawServer;
 import org.junit.jupiter.api.Test;
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/platform/ObjectStore.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/objectapi/ObjectStore.java
@@ -1,4 +1,4 @@
-package org.amaranthlock.standin.platform;
+package org.amaranthlock.standin.objectapi;
 
 import java.util.ArrayList;
 import java.util.Collections;
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/platform/PlatformOptions.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/objectapi/PlatformOptions.java
@@ -1,4 +1,4 @@
-package org.amaranthlock.standin.platform;
+package org.amaranthlock.standin.objectapi;
 
 /**
  * Settings of a platform stand-in.
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/platform/package-info.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/objectapi/package-info.java
@@ -1,2 +1,2 @@
 /** Stand-in for the platform: object API, host list and faults. */
-package org.amaranthlock.standin.platform;
+package org.amaranthlock.standin.objectapi;
--- a/amaranthlock-standins/src/test/java/org/amaranthlock/standin/platform/PlatformStandinTest.java
+++ b/amaranthlock-standins/src/test/java/org/amaranthlock/standin/objectapi/PlatformStandinTest.java
@@ -1,4 +1,4 @@
-package org.amaranthlock.standin.platform;
+package org.amaranthlock.standin.objectapi;
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
