Count only arrivals as repeats and doubt the other engines of a failing domain

Change: connections that fail give their repeat back; two unreachable engines put the rest of their domain behind others for a second; a connection attempt takes 250 ms at most. Tests: connectionsThatFailDoNotDrawOnTheBudget fails without the change (seen in a scratch copy); theOtherEnginesOfAFailingDomainAreDoubtedForASecond tests what is new here.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -46,8 +46,8 @@
     /** Pause before a running stream looks for a target again. */
     private static final long RESUME_PAUSE_MILLIS = 60;
 
-    /** Sends beyond the attempts of the route, for those that did not run. */
-    private static final int EXTRA_SENDS = 3;
+    /** Arrivals at targets beyond the attempts of the route, for those that did not run. */
+    private static final int EXTRA_ARRIVALS = 3;
 
     /** Advice to a client whose request found no target. */
     private static final long NO_TARGET_RETRY_MILLIS = 300;
@@ -72,6 +72,7 @@
     private long probedAtMillis;
     private long pausedUntilMillis;
     private int sends;
+    private int arrivals;
     private int runs;
     private TargetAnswer head;
     private boolean opened;
@@ -211,6 +212,10 @@
             return;
         }
         Attempt ending = release();
+        arrivals--;
+        if (arrivals > 0) {
+            budget.giveBack();
+        }
         picker.unreachable(ending.target(), nowMillis);
         avoided.add(ending.target().id());
         decide("not-sent", ending, cause, 0, nowMillis);
@@ -287,19 +292,20 @@
     }
 
     private void dispatch(String cause, long nowMillis) {
-        Optional<EntryTarget> back = takeReturn();
+        Optional<EntryTarget> back = takeReturn(nowMillis);
         Optional<EntryTarget> copy = back.isPresent() ? Optional.empty() : takeCopy();
         Optional<EntryTarget> target = back.or(() -> copy).or(() -> picker.pick(service, avoided, nowMillis));
         if (target.isEmpty()) {
             noTarget("no-target", nowMillis);
             return;
         }
-        if (sends > 0 && !budget.tryTake(nowMillis)) {
+        if (arrivals > 0 && !budget.tryTake(nowMillis)) {
             noTarget("repeat-budget", nowMillis);
             return;
         }
         EntryTarget nextHolder = newCopyHolder(target.get(), nowMillis);
         sends++;
+        arrivals++;
         current = new Attempt(
                 sends,
                 target.get(),
@@ -320,10 +326,10 @@
     }
 
     /** Returns the engine that lost the last attempt; each request goes back once. */
-    private Optional<EntryTarget> takeReturn() {
+    private Optional<EntryTarget> takeReturn(long nowMillis) {
         EntryTarget target = returnTo;
         returnTo = null;
-        if (target == null || !picker.registered(target)) {
+        if (target == null || !picker.registered(target) || picker.failing(target.failureDomain(), nowMillis)) {
             return Optional.empty();
         }
         returned = true;
@@ -378,7 +384,7 @@
     }
 
     private void again(String cause, long nowMillis) {
-        if (sends >= route.maxAttempts() + EXTRA_SENDS) {
+        if (arrivals >= route.maxAttempts() + EXTRA_ARRIVALS) {
             giveUp(finalRejection(cause), nowMillis);
             return;
         }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RepeatBudget.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RepeatBudget.java
@@ -44,4 +44,9 @@
         saved -= 1;
         return true;
     }
+
+    /** Gives back a repeat that did not reach its target. */
+    public void giveBack() {
+        saved = Math.min(mostSaved, saved + 1);
+    }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetPicker.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetPicker.java
@@ -18,7 +18,8 @@
  * Chooses the target of an attempt by what the hosts have in flight there and by recent failures.
  *
  * <p>Load pattern: most targets of a failure domain die at once. Each failure sets its target aside for a growing time;
- * a target that was set aside is used only if no other is left. Not thread-safe.
+ * a target that was set aside is used only if no other is left. Once two of a domain are unreachable, the others of it
+ * are doubted too until they answer. Not thread-safe.
  */
 public final class TargetPicker {
     /** First time for which a failed target is set aside, milliseconds; it doubles with each further failure. */
@@ -35,6 +36,15 @@
     /** Time for which a host's news count; a host that lives repeats them more often, milliseconds. */
     private static final long NEWS_MILLIS = 4_000;
 
+    /** Time for which engines that could not be reached count against their failure domain, milliseconds. */
+    private static final long DOMAIN_MILLIS = 1_000;
+
+    /** Engines of a failure domain that must be unreachable before the others of it are doubted. */
+    private static final int DOMAIN_FAILURES = 2;
+
+    /** Handicap of an engine in a failing domain, in requests in flight; it is used before a queue of this length. */
+    private static final double DOMAIN_HANDICAP = 4;
+
     /** Handicap of a target that is still warming up, in requests in flight. */
     private static final double COLD_HANDICAP = 2;
 
@@ -42,6 +52,7 @@
     private final UniformRandomProvider random;
     private final Map<TargetId, Load> loads = new HashMap<>();
     private final Map<String, HeardNews> news = new HashMap<>();
+    private final Map<FailureDomain, Map<TargetId, Long>> domainFailures = new HashMap<>();
     private TargetTable table = TargetTable.EMPTY;
 
     private record HeardNews(LoadNews news, long atMillis) {}
@@ -118,6 +129,9 @@
         for (TargetId id : told.unreachable()) {
             boolean fresh = before == null || !before.news().unreachable().contains(id);
             Load load = loads.computeIfAbsent(id, _ -> new Load());
+            if (fresh) {
+                table.target(id).ifPresent(target -> noteDomainFailure(target, nowMillis));
+            }
             if (fresh && nowMillis - load.answeredAtMillis > FIRST_PAUSE_MILLIS / 2) {
                 load.asideUntilMillis = Math.max(load.asideUntilMillis, nowMillis + FIRST_PAUSE_MILLIS);
             }
@@ -186,6 +200,22 @@
     public void unreachable(EntryTarget target, long nowMillis) {
         long pause = failed(target, nowMillis);
         load(target).unreachableUntilMillis = nowMillis + pause;
+        noteDomainFailure(target, nowMillis);
+    }
+
+    /** Returns whether several targets of a failure domain could not be reached a short time ago. */
+    public boolean failing(FailureDomain domain, long nowMillis) {
+        Map<TargetId, Long> failures = domainFailures.getOrDefault(domain, Map.of());
+        return failures.values().stream()
+                        .filter(at -> nowMillis - at < DOMAIN_MILLIS)
+                        .count()
+                >= DOMAIN_FAILURES;
+    }
+
+    private void noteDomainFailure(EntryTarget target, long nowMillis) {
+        Map<TargetId, Long> failures = domainFailures.computeIfAbsent(target.failureDomain(), _ -> new HashMap<>());
+        failures.values().removeIf(at -> nowMillis - at >= DOMAIN_MILLIS);
+        failures.put(target.id(), nowMillis);
     }
 
     private boolean sound(EntryTarget target, long nowMillis) {
@@ -198,7 +228,7 @@
         double best = Double.MAX_VALUE;
         List<EntryTarget> equal = new ArrayList<>();
         for (EntryTarget candidate : candidates) {
-            double cost = cost(candidate, localAdvantage);
+            double cost = cost(candidate, localAdvantage, nowMillis);
             if (cost < best) {
                 best = cost;
                 equal.clear();
@@ -210,7 +240,7 @@
         return equal.isEmpty() ? Optional.empty() : Optional.of(equal.get(random.nextInt(equal.size())));
     }
 
-    private double cost(EntryTarget target, double localAdvantage) {
+    private double cost(EntryTarget target, double localAdvantage, long nowMillis) {
         Load load = loads.get(target.id());
         double cost = load == null ? 0 : load.inFlight + 0.5 * load.copies;
         for (HeardNews heard : news.values()) {
@@ -219,6 +249,10 @@
         if (target.failureDomain().equals(ownDomain)) {
             cost -= localAdvantage;
         }
+        boolean answered = load != null && nowMillis - load.answeredAtMillis < DOMAIN_MILLIS / 2;
+        if (!answered && failing(target.failureDomain(), nowMillis)) {
+            cost += DOMAIN_HANDICAP;
+        }
         if (target.coldMillis() > 0) {
             cost += COLD_HANDICAP;
         }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
@@ -297,6 +297,16 @@
             assertThat(request.ended()).isTrue();
         }
 
+        // Guards against a stream that is given up because dead engines used up the budget of repeats.
+        @Test
+        void connectionsThatFailDoNotDrawOnTheBudget() {
+            LongStream.range(0, 20).forEach(i -> budget.tryTake(0));
+            ForwardedRequest request = start(RouteKind.STREAMING);
+            IntStream.rangeClosed(1, 4).forEach(attempt -> request.notSent(attempt, "connect", 10));
+            assertThat(port.sent).hasSize(5);
+            assertThat(port.rejections).isEmpty();
+        }
+
         @Test
         void startsBehindTheEventThatTheClientNames() {
             ForwardedRequest request = new ForwardedRequest(
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/TargetPickerTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/TargetPickerTest.java
@@ -103,6 +103,24 @@
         assertThat(picker.pick(ENGINES, Set.of(), 2_100)).hasValue(dead);
     }
 
+    // Load pattern: a failure domain goes dark; each connection attempt there costs its whole timeout.
+    @Test
+    void theOtherEnginesOfAFailingDomainAreDoubtedForASecond() {
+        List<EntryTarget> dark = IntStream.range(0, 4)
+                .mapToObj(i -> EntryTargets.ready("d" + i, "a"))
+                .toList();
+        EntryTarget busy = EntryTargets.ready("b1", "b");
+        List<EntryTarget> all = new ArrayList<>(dark);
+        all.add(busy);
+        picker.update(new TargetTable(all));
+        IntStream.range(0, 3).forEach(i -> picker.started(busy));
+        picker.unreachable(dark.get(0), 1_000);
+        assertThat(picker.failing(new FailureDomain("a"), 1_010)).isFalse();
+        picker.unreachable(dark.get(1), 1_010);
+        assertThat(picker.pick(ENGINES, Set.of(), 1_020)).hasValue(busy);
+        assertThat(picker.failing(new FailureDomain("a"), 2_020)).isFalse();
+    }
+
     // Guards against hosts that pass a suspicion on to each other for ever.
     @Test
     void aSuspicionThatWasHeardIsNotPassedOn() {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnections.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnections.java
@@ -37,7 +37,7 @@
 /** Connections to all targets, kept open between requests. All calls are on one event loop. */
 public final class TargetConnections {
     /** Time to open a connection; hosts that do not answer at all take longer. */
-    private static final int CONNECT_TIMEOUT_MILLIS = 400;
+    private static final int CONNECT_TIMEOUT_MILLIS = 250;
 
     /** A lost opening packet is sent again only after a second, so a probe opens a second connection after this. */
     private static final long SECOND_PROBE_MILLIS = 90;
