Add stand-ins for the users' platform and test the whole daemon on them

The stand-ins are a store with watches and a forgotten history, and workers that write raw bytes and can shed, hang, reset, tear, send surplus, crossed or unframed answers. EntryProcessTest runs the daemon between them: orders run at most once under each fault, lookups and streams survive. Traced in a later failing run: the fixture sent requests before the daemon had read the second worker's entry. Workers are now registered before the daemon starts; ports are bound by the daemon itself (port 0), not searched beforehand.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.Map;
@@ -108,15 +109,7 @@
                 () -> news,
                 heard -> trafficLoop.execute(() -> requests.heard(heard)),
                 log);
-        this.peerDirectory = new PeerDirectory(
-                store,
-                controlLoop,
-                settings.hostName(),
-                settings.peers().getAddress().getHostAddress() + ":"
-                        + settings.peers().getPort(),
-                peers::peers,
-                log,
-                metrics);
+        this.peerDirectory = new PeerDirectory(store, controlLoop, settings.hostName(), peers::peers, log, metrics);
         this.front = new FrontServer(traffic, settings.callers(), requests);
         this.ready = new StatusServer(traffic, settings.ready(), this::readyPage);
         this.metricsPage = new StatusServer(control, settings.metrics(), path -> new StatusAnswer(200, metrics.text()));
@@ -126,8 +119,8 @@
     public void start() {
         configurationFollower.start();
         targetFollower.start();
-        peers.start();
-        peerDirectory.start();
+        InetSocketAddress listening = peers.start();
+        peerDirectory.start(listening.getAddress().getHostAddress() + ":" + listening.getPort());
         front.start();
         ready.start();
         metricsPage.start();
@@ -141,6 +134,16 @@
                 settings.callers().getPort());
     }
 
+    /** Returns the address for clients. */
+    public InetSocketAddress callersAddress() {
+        return front.address();
+    }
+
+    /** Returns the address for the load balancer's checks. */
+    public InetSocketAddress readyAddress() {
+        return ready.address();
+    }
+
     /** Reads the settings file again; addresses that this process listens on stay as they are. */
     public void reload(Path file) {
         control.next().execute(() -> {
@@ -171,6 +174,13 @@
         });
     }
 
+    /** Ends at once; what is running is broken off. */
+    public void stop() {
+        control.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        traffic.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+        ended.countDown();
+    }
+
     /** Waits until the process has ended its work. */
     public void awaitEnd() throws InterruptedException {
         ended.await();
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/Rehearsal.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/Rehearsal.java
@@ -6,7 +6,6 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Callable;
@@ -30,27 +29,26 @@
         LogOutput.configure();
         EventLoopGroup loops = new NioEventLoopGroup(1);
         InetSocketAddress store = new RehearsalStore().start(loops);
-        int front = freePort();
-        int ready = freePort();
-        EntrySettings settings =
-                EntrySettingsReader.parse("""
+        EntrySettings settings = EntrySettingsReader.parse("""
                 [host]
                 name = "rehearsal"
                 failure-domain = "z"
                 [listen]
-                callers = "127.0.0.1:%d"
-                ready = "127.0.0.1:%d"
-                metrics = "127.0.0.1:%d"
-                peers = "127.0.0.1:%d"
+                callers = "127.0.0.1:0"
+                ready = "127.0.0.1:0"
+                metrics = "127.0.0.1:0"
+                peers = "127.0.0.1:0"
                 [store]
                 address = "127.0.0.1:%d"
                 [bounds]
                 configuration-ms = 2500
                 revocation-ms = 5000
                 grace-s = 8
-                """.formatted(front, ready, freePort(), freePort(), store.getPort()));
+                """.formatted(store.getPort()));
         EntryProcess process = new EntryProcess(settings);
         process.start();
+        int front = process.callersAddress().getPort();
+        int ready = process.readyAddress().getPort();
         awaitReady(ready);
         for (int round = 0; round < ROUNDS; round++) {
             request(front, "POST /s/x HTTP/1.1", "abc");
@@ -84,10 +82,4 @@
             return new String(in.readAllBytes(), StandardCharsets.US_ASCII);
         }
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerDirectory.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerDirectory.java
@@ -24,7 +24,7 @@
     private final ObjectStore store;
     private final EventLoop loop;
     private final String hostName;
-    private final String ownAddress;
+    private String ownAddress;
     private final Consumer<Set<String>> listener;
     private final DecisionLog log;
     private final EntryMetrics metrics;
@@ -35,21 +35,20 @@
             ObjectStore store,
             EventLoop loop,
             String hostName,
-            String ownAddress,
             Consumer<Set<String>> listener,
             DecisionLog log,
             EntryMetrics metrics) {
         this.store = Objects.requireNonNull(store, "store");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.hostName = Objects.requireNonNull(hostName, "host name");
-        this.ownAddress = Objects.requireNonNull(ownAddress, "own address");
         this.listener = Objects.requireNonNull(listener, "listener");
         this.log = Objects.requireNonNull(log, "log");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
     }
 
-    /** Starts to register and to list. */
-    public void start() {
+    /** Starts to register under {@code address} (IP:PORT) and to list. */
+    public void start(String address) {
+        ownAddress = Objects.requireNonNull(address, "address");
         loop.execute(this::register);
         loop.schedule(this::list, FIRST_LIST_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/FrontServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/FrontServer.java
@@ -56,6 +56,11 @@
                 .channel();
     }
 
+    /** Returns the address that it listens on. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
     /** Stops to accept connections and closes those that carry no request. */
     public void drain() {
         listener.close();
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/StatusServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/StatusServer.java
@@ -63,6 +63,11 @@
                 .channel();
     }
 
+    /** Returns the address that it listens on. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
     /** Closes the address. */
     public void stop() {
         if (listener != null) {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerLinks.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerLinks.java
@@ -69,9 +69,9 @@
         this.log = Objects.requireNonNull(log, "log");
     }
 
-    /** Listens for other hosts and starts to repeat the state. */
-    public void start() {
-        new ServerBootstrap()
+    /** Listens for other hosts, starts to repeat the state and returns the address that it listens on. */
+    public InetSocketAddress start() {
+        Channel listening = new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -85,8 +85,10 @@
                     }
                 })
                 .bind(address)
-                .syncUninterruptibly();
+                .syncUninterruptibly()
+                .channel();
         loop.scheduleAtFixedRate(this::send, REPEAT_MILLIS, REPEAT_MILLIS, TimeUnit.MILLISECONDS);
+        return (InetSocketAddress) listening.localAddress();
     }
 
     /** Replaces the addresses of the other hosts. */
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/WorkerFault.java
@@ -0,0 +1,25 @@
+package org.amaranthlock.standin.fleet;
+
+/** What a worker does instead of answering the next request. */
+public enum WorkerFault {
+    /** Says that it did not run the request. */
+    SHED,
+    /** Says that it is another worker. */
+    MISDIRECTED,
+    /** Runs the request and answers nothing. */
+    HANG,
+    /** Runs the request and resets the connection. */
+    RESET,
+    /** Runs the request and closes in the middle of the answer. */
+    TORN,
+    /** Sends bytes that are no answer. */
+    GARBAGE,
+    /** Sends the answer twice. */
+    SURPLUS,
+    /** Sends an answer to another request before its own. */
+    CROSSED,
+    /** Sends an answer without a length and ends it by closing. */
+    UNFRAMED,
+    /** Fails after running the request. */
+    ERROR
+}
