Stop sending a request that has crashed three targets

Change: a host that loses an attempt before its first event checks whether the target accepts connections; if not, it counts a crash under the request's fingerprint (caller, path, body). The counts travel with the load news and add up; at three the request is refused. Streams that die in the middle are not counted. Ruled out: counting each lost attempt (answers are lost without a crash, too).

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -55,12 +55,16 @@
     /** Causes after which an engine is not tried again: it is dead, or does not make progress. */
     private static final Set<String> NO_RETURN = Set.of("unreachable", "stalled", "no-first-event");
 
+    /** Causes with which a target may have crashed; others were this host's own decisions. */
+    private static final Set<String> BROKEN_OFF = Set.of("closed", "SocketException", "unreachable");
+
     private final ForwardedCall call;
     private final Route route;
     private final ServiceDefinition service;
     private final Optional<Integer> urgency;
     private final TargetPicker picker;
     private final RepeatBudget budget;
+    private final CrashRecords crashes;
     private final ForwardingPort port;
     private final Set<TargetId> avoided = new HashSet<>();
 
@@ -99,6 +103,7 @@
             Optional<Integer> urgency,
             TargetPicker picker,
             RepeatBudget budget,
+            CrashRecords crashes,
             ForwardingPort port) {
         this.call = Objects.requireNonNull(call, "call");
         this.route = Objects.requireNonNull(route, "route");
@@ -106,6 +111,7 @@
         this.urgency = Objects.requireNonNull(urgency, "urgency");
         this.picker = Objects.requireNonNull(picker, "picker");
         this.budget = Objects.requireNonNull(budget, "budget");
+        this.crashes = Objects.requireNonNull(crashes, "crashes");
         this.port = Objects.requireNonNull(port, "port");
     }
 
@@ -232,6 +238,9 @@
         if (eventsOfAttempt) {
             copyHolder = ending.copyHolder().orElse(null);
         }
+        if (!eventsOfAttempt && BROKEN_OFF.contains(cause)) {
+            port.checkCrash(ending);
+        }
         boolean mayHavePrompt = route.kind() == RouteKind.STREAMING && !returned && !NO_RETURN.contains(cause);
         returnTo = mayHavePrompt ? ending.target() : null;
         failedRun(ending, cause, nowMillis);
@@ -292,6 +301,10 @@
     }
 
     private void dispatch(String cause, long nowMillis) {
+        if (crashes.condemned(call.fingerprint(), nowMillis)) {
+            giveUp(Rejection.of(502, "crashes-targets"), nowMillis);
+            return;
+        }
         Optional<EntryTarget> back = takeReturn(nowMillis);
         Optional<EntryTarget> copy = back.isPresent() ? Optional.empty() : takeCopy();
         Optional<EntryTarget> target = back.or(() -> copy).or(() -> picker.pick(service, avoided, nowMillis));
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/LoadNews.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/LoadNews.java
@@ -6,16 +6,19 @@
 import org.amaranthlock.model.TargetId;
 
 /**
- * What one host knows of engines at first hand, told to the other hosts.
+ * What one host knows of targets at first hand, told to the other hosts.
  *
  * @param host name of the host
  * @param inFlight its requests in flight by engine; engines without any are left out
  * @param unreachable engines that it could not reach a short time ago
+ * @param crashes targets that crashed when they began to run a request, by the fingerprint of the request
  */
-public record LoadNews(String host, Map<TargetId, Integer> inFlight, Set<TargetId> unreachable) {
+public record LoadNews(
+        String host, Map<TargetId, Integer> inFlight, Set<TargetId> unreachable, Map<Long, Integer> crashes) {
     public LoadNews {
         Arguments.requireText(host, "host");
         inFlight = Map.copyOf(inFlight);
         unreachable = Set.copyOf(unreachable);
+        crashes = Map.copyOf(crashes);
     }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetPicker.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetPicker.java
@@ -138,8 +138,13 @@
         }
     }
 
-    /** Returns what this host knows of the engines of {@code engines} at first hand, to be told to other hosts. */
-    public LoadNews news(String host, Predicate<ServiceName> engines, long nowMillis) {
+    /**
+     * Returns what this host knows at first hand, to be told to other hosts.
+     *
+     * @param engines tells the services whose targets are engines
+     * @param crashes what this host has counted in its {@link CrashRecords}
+     */
+    public LoadNews news(String host, Predicate<ServiceName> engines, Map<Long, Integer> crashes, long nowMillis) {
         Map<TargetId, Integer> inFlight = new HashMap<>();
         Set<TargetId> unreachable = new HashSet<>();
         loads.forEach((id, load) -> {
@@ -153,7 +158,7 @@
                 unreachable.add(id);
             }
         });
-        return new LoadNews(host, inFlight, unreachable);
+        return new LoadNews(host, inFlight, unreachable, crashes);
     }
 
     /** Counts a request that starts at a target. */
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
@@ -21,6 +21,7 @@
 
     private final RecordingPort port = new RecordingPort();
     private final TargetPicker picker = new TargetPicker(new FailureDomain("a"), RandomSource.SPLIT_MIX_64.create(1L));
+    private final CrashRecords crashes = new CrashRecords();
     private final RepeatBudget budget = new RepeatBudget(0.5, 1, 20);
 
     ForwardedRequestTest() {
@@ -316,18 +317,39 @@
                     Optional.empty(),
                     picker,
                     budget,
+                    crashes,
                     port);
             request.start(0);
             assertThat(port.lastSent().lastEventId()).hasValue(12L);
         }
     }
 
+    // Guards against a request that crashes each target it reaches.
+    @Test
+    void isNotSentAnyMoreOnceItHasCrashedThreeTargets() {
+        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+        IntStream.range(0, 3).forEach(i -> crashes.crashed(call().fingerprint(), 5));
+        request.lost(1, "closed", 10);
+        assertThat(port.checked).hasSize(1);
+        assertThat(port.sent).hasSize(1);
+        assertThat(port.rejections.getFirst().reason()).isEqualTo("crashes-targets");
+    }
+
+    // Guards against counting an engine that died in mid-stream as crashed by the stream.
+    @Test
+    void isNotSuspectedIfItsRunHadBegunWell() {
+        ForwardedRequest request = startStream();
+        request.events(1, events(0), 100);
+        request.lost(1, "closed", 200);
+        assertThat(port.checked).isEmpty();
+    }
+
     @Test
     void endsInExactlyOneDecision() {
         for (RouteKind kind : RouteKind.values()) {
             RecordingPort own = new RecordingPort();
-            ForwardedRequest request =
-                    new ForwardedRequest(call(), route(kind), engines(), Optional.empty(), picker, budget, own);
+            ForwardedRequest request = new ForwardedRequest(
+                    call(), route(kind), engines(), Optional.empty(), picker, budget, crashes, own);
             request.start(0);
             request.answered(1, answer(404, true, false), 10);
             request.lost(1, "closed", 20);
@@ -353,7 +375,7 @@
 
     private ForwardedRequest start(RouteKind kind) {
         ForwardedRequest request =
-                new ForwardedRequest(call(), route(kind), engines(), Optional.empty(), picker, budget, port);
+                new ForwardedRequest(call(), route(kind), engines(), Optional.empty(), picker, budget, crashes, port);
         request.start(0);
         return request;
     }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/RecordingPort.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/RecordingPort.java
@@ -9,6 +9,7 @@
     final List<Attempt> sent = new ArrayList<>();
     final List<Attempt> cancelled = new ArrayList<>();
     final List<Attempt> probed = new ArrayList<>();
+    final List<Attempt> checked = new ArrayList<>();
     final List<Attempt> asked = new ArrayList<>();
     final List<TargetAnswer> answers = new ArrayList<>();
     final List<Rejection> rejections = new ArrayList<>();
@@ -42,6 +43,11 @@
         probed.add(attempt);
     }
 
+    @Override
+    public void checkCrash(Attempt attempt) {
+        checked.add(attempt);
+    }
+
     @Override
     public void askReport(Attempt attempt) {
         asked.add(attempt);
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/TargetPickerTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/TargetPickerTest.java
@@ -78,7 +78,7 @@
                 EntryTarget chosen = host.pick(ENGINES, Set.of(), round).orElseThrow();
                 host.started(chosen);
                 placed.merge(chosen.id(), 1, Integer::sum);
-                LoadNews news = host.news("host-" + i, service -> true, round);
+                LoadNews news = host.news("host-" + i, service -> true, Map.of(), round);
                 long now = round;
                 hosts.stream().filter(other -> other != host).forEach(other -> other.heard(news, now));
             }
@@ -98,7 +98,7 @@
         }
         picker.started(sound);
         other.unreachable(dead, 1_000);
-        picker.heard(other.news("other", service -> true, 1_010), 1_010);
+        picker.heard(other.news("other", service -> true, Map.of(), 1_010), 1_010);
         assertThat(picker.pick(ENGINES, Set.of(), 1_020)).hasValue(sound);
         assertThat(picker.pick(ENGINES, Set.of(), 2_100)).hasValue(dead);
     }
@@ -126,8 +126,9 @@
     void aSuspicionThatWasHeardIsNotPassedOn() {
         EntryTarget dead = EntryTargets.ready("t1", "a");
         picker.update(new TargetTable(List.of(dead)));
-        picker.heard(new LoadNews("other", Map.of(), Set.of(dead.id())), 1_000);
-        assertThat(picker.news("own", service -> true, 1_010).unreachable()).isEmpty();
+        picker.heard(new LoadNews("other", Map.of(), Set.of(dead.id()), Map.of()), 1_000);
+        assertThat(picker.news("own", service -> true, Map.of(), 1_010).unreachable())
+                .isEmpty();
     }
 
     @Test
@@ -135,7 +136,7 @@
         EntryTarget first = EntryTargets.ready("t1", "a");
         EntryTarget second = EntryTargets.ready("t2", "b");
         picker.update(new TargetTable(List.of(first, second)));
-        picker.heard(new LoadNews("other", Map.of(first.id(), 9), Set.of()), 0);
+        picker.heard(new LoadNews("other", Map.of(first.id(), 9), Set.of(), Map.of()), 0);
         picker.started(second);
         assertThat(picker.pick(ENGINES, Set.of(), 3_900)).hasValue(second);
         assertThat(picker.pick(ENGINES, Set.of(), 4_100)).hasValue(first);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -83,7 +83,7 @@
                 connections,
                 log,
                 metrics,
-                this::engineLoadChanged);
+                this::newsChanged);
         this.store = new NettyObjectStore(controlLoop, settings.store());
         this.configurationFollower = new ConfigurationFollower(
                 store,
@@ -102,7 +102,7 @@
                 table -> trafficLoop.execute(() -> requests.targets(table)),
                 log,
                 metrics);
-        this.news = new LoadNews(settings.hostName(), Map.of(), Set.of());
+        this.news = new LoadNews(settings.hostName(), Map.of(), Set.of(), Map.of());
         this.peers = new PeerLinks(
                 controlLoop,
                 settings.peers(),
@@ -188,7 +188,7 @@
     }
 
     /** Runs on the traffic thread after each change. */
-    private void engineLoadChanged() {
+    private void newsChanged() {
         LoadNews fresh = requests.news(settings.hostName());
         if (!fresh.equals(news)) {
             news = fresh;
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestTraffic.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestTraffic.java
@@ -13,6 +13,7 @@
 import org.amaranthlock.coordination.forwarding.AdmissionRules;
 import org.amaranthlock.coordination.forwarding.AdmissionVerdict;
 import org.amaranthlock.coordination.forwarding.ConfigurationBelief;
+import org.amaranthlock.coordination.forwarding.CrashRecords;
 import org.amaranthlock.coordination.forwarding.EntryConfiguration;
 import org.amaranthlock.coordination.forwarding.ForwardedRequest;
 import org.amaranthlock.coordination.forwarding.KeyHolder;
@@ -52,7 +53,8 @@
     private final TargetConnections connections;
     private final DecisionLog log;
     private final EntryMetrics metrics;
-    private final Runnable onEngineLoad;
+    private final Runnable onNews;
+    private final CrashRecords crashes = new CrashRecords();
     private final ConfigurationBelief belief = new ConfigurationBelief();
     private final Map<ServiceName, RepeatBudget> budgets = new HashMap<>();
     private final Set<ActiveRequest> active = new LinkedHashSet<>();
@@ -68,7 +70,7 @@
             TargetConnections connections,
             DecisionLog log,
             EntryMetrics metrics,
-            Runnable onEngineLoad) {
+            Runnable onNews) {
         this.loop = Objects.requireNonNull(loop, "loop");
         this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
         this.ageClockMillis = Objects.requireNonNull(ageClockMillis, "age clock");
@@ -77,7 +79,7 @@
         this.connections = Objects.requireNonNull(connections, "connections");
         this.log = Objects.requireNonNull(log, "log");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
-        this.onEngineLoad = Objects.requireNonNull(onEngineLoad, "engine load");
+        this.onNews = Objects.requireNonNull(onNews, "news");
     }
 
     /** Takes over a configuration that a call which was sent at {@code sentAtMillis} found. */
@@ -98,13 +100,15 @@
     /** Takes over what another host has in flight. */
     void heard(LoadNews news) {
         picker.heard(news, clockMillis.getAsLong());
+        crashes.heard(news.host(), news.crashes());
     }
 
     /** Returns what this host knows of engines at first hand. */
     LoadNews news(String host) {
         Predicate<ServiceName> engines = service ->
                 belief.current().map(known -> known.service(service).engine()).orElse(false);
-        return picker.news(host, engines, clockMillis.getAsLong());
+        long now = clockMillis.getAsLong();
+        return picker.news(host, engines, crashes.own(now), now);
     }
 
     /** Returns whether clients should come to this host. */
@@ -187,7 +191,8 @@
                 clockMillis,
                 log,
                 metrics,
-                service.engine() ? onEngineLoad : () -> {},
+                crashes,
+                onNews,
                 active::remove);
         active.add(running);
         log.write(
@@ -206,7 +211,7 @@
                 admitted.configuration().version(),
                 "age_ms",
                 age());
-        running.start(new ForwardedRequest(request.call(), route, service, urgency, picker, budget, running));
+        running.start(new ForwardedRequest(request.call(), route, service, urgency, picker, budget, crashes, running));
     }
 
     private static int urgency(Route route, Optional<KeyHolder> holder) {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/LoadNewsCodec.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/LoadNewsCodec.java
@@ -13,11 +13,11 @@
 import org.msgpack.core.MessageUnpacker;
 
 /** MessagePack format of {@link LoadNews}: an array of version, host, a map from engine to requests in flight, and
- * a list of engines that could not be reached. */
+ * a list of engines that could not be reached, and a map from request fingerprint to crashed targets. */
 final class LoadNewsCodec {
     private static final int VERSION = 1;
-    private static final int FIELDS = 4;
-    private static final int MAX_ENGINES = 10_000;
+    private static final int FIELDS = 5;
+    private static final int MAX_ENTRIES = 10_000;
 
     private LoadNewsCodec() {}
 
@@ -35,6 +35,11 @@
             for (TargetId engine : news.unreachable()) {
                 packer.packString(engine.value());
             }
+            packer.packMapHeader(news.crashes().size());
+            for (Map.Entry<Long, Integer> crash : news.crashes().entrySet()) {
+                packer.packLong(crash.getKey());
+                packer.packInt(crash.getValue());
+            }
             return packer.toByteArray();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -62,16 +67,25 @@
             for (int i = 0; i < count; i++) {
                 unreachable.add(new TargetId(unpacker.unpackString()));
             }
-            return new LoadNews(host, inFlight, unreachable);
+            return new LoadNews(host, inFlight, unreachable, crashes(unpacker));
         } catch (IOException | org.msgpack.core.MessagePackException e) {
             throw new IllegalArgumentException("load news that cannot be read: " + e.getMessage(), e);
         }
     }
 
-    private static int checked(int engines) {
-        if (engines > MAX_ENGINES) {
-            throw new IllegalArgumentException("load news of " + engines + " engines");
+    private static Map<Long, Integer> crashes(MessageUnpacker unpacker) throws IOException {
+        Map<Long, Integer> crashes = new HashMap<>();
+        int count = checked(unpacker.unpackMapHeader());
+        for (int i = 0; i < count; i++) {
+            crashes.put(unpacker.unpackLong(), unpacker.unpackInt());
+        }
+        return crashes;
+    }
+
+    private static int checked(int entries) {
+        if (entries > MAX_ENTRIES) {
+            throw new IllegalArgumentException("load news of " + entries + " entries");
         }
-        return engines;
+        return entries;
     }
 }
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/LoadNewsCodecTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/LoadNewsCodecTest.java
@@ -15,7 +15,10 @@
     @Test
     void readsWhatItWrote() {
         LoadNews news = new LoadNews(
-                "entry-1", Map.of(new TargetId("e1"), 3, new TargetId("e2"), 1), Set.of(new TargetId("e3")));
+                "entry-1",
+                Map.of(new TargetId("e1"), 3, new TargetId("e2"), 1),
+                Set.of(new TargetId("e3")),
+                Map.of(-7L, 2));
         assertThat(LoadNewsCodec.decode(LoadNewsCodec.encode(news))).isEqualTo(news);
     }
 
@@ -31,6 +34,7 @@
 
     @Test
     void aFrameOfAnotherVersionIsRefused() {
-        assertThrows(IllegalArgumentException.class, () -> LoadNewsCodec.decode(new byte[] {(byte) 0x94, 2, 0, 0, 0}));
+        assertThrows(
+                IllegalArgumentException.class, () -> LoadNewsCodec.decode(new byte[] {(byte) 0x95, 2, 0, 0, 0, 0}));
     }
 }
