--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -131,7 +131,7 @@
                 "domain",
                 settings.failureDomain(),
                 "callers",
-                settings.callers().getPort());
+                front.address().getPort());
     }
 
     /** Returns the address for clients. */
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetLoad.java
@@ -0,0 +1,86 @@
+package org.amaranthlock.standin.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/**
+ * Seeded load on entry hosts: streams that are resumed after a broken connection, orders that are repeated only after a
+ * promise that they did not run, and lookups. Checks each answer and prints one summary line.
+ */
+@Command(name = "fleet-load", mixinStandardHelpOptions = true, description = "Seeded load that checks its answers.")
+public final class FleetLoad implements Callable<Integer> {
+    @Option(names = "--entries", required = true, split = ",", description = "IP:PORT of the entry hosts.")
+    private List<String> entries;
+
+    @Option(names = "--streams", defaultValue = "30", description = "Streams.")
+    private int streams;
+
+    @Option(names = "--orders", defaultValue = "200", description = "Orders.")
+    private int orders;
+
+    @Option(names = "--lookups", defaultValue = "200", description = "Lookups.")
+    private int lookups;
+
+    @Option(names = "--millis", defaultValue = "8000", description = "Time over which the requests start.")
+    private int millis;
+
+    @Option(names = "--seed", defaultValue = "1", description = "Seed of the start times and of the hosts.")
+    private long seed;
+
+    /** Runs the load; the exit code is 1 if an answer was wrong or incomplete. */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new FleetLoad()).execute(args));
+    }
+
+    @Override
+    public Integer call() throws Exception {
+        Random random = new Random(seed);
+        List<Future<LoadOutcome>> outcomes = new ArrayList<>();
+        try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+            for (int i = 0; i < streams + orders + lookups; i++) {
+                int number = i;
+                int delay = random.nextInt(millis);
+                int first = random.nextInt(entries.size());
+                outcomes.add(threads.submit(() -> {
+                    Thread.sleep(delay);
+                    return request(number, first);
+                }));
+            }
+        }
+        return report(outcomes);
+    }
+
+    private LoadOutcome request(int number, int first) {
+        LoadCaller caller = new LoadCaller(entries, first);
+        if (number < streams) {
+            return caller.stream("s" + number);
+        }
+        return number < streams + orders ? caller.order("o" + number) : caller.lookup("l" + number);
+    }
+
+    private int report(List<Future<LoadOutcome>> outcomes) throws Exception {
+        Map<LoadOutcome, Integer> counts = new TreeMap<>();
+        for (Future<LoadOutcome> outcome : outcomes) {
+            counts.merge(outcome.get(), 1, Integer::sum);
+        }
+        StringBuilder line = new StringBuilder("load:");
+        for (LoadOutcome outcome : LoadOutcome.values()) {
+            line.append(' ').append(outcome.name().toLowerCase(java.util.Locale.ROOT));
+            line.append('=').append(counts.getOrDefault(outcome, 0));
+        }
+        System.out.println(line);
+        return counts.getOrDefault(LoadOutcome.WRONG, 0) == 0 && counts.getOrDefault(LoadOutcome.LOST_STREAM, 0) == 0
+                ? 0
+                : 1;
+    }
+}
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetStoreMain.java
@@ -0,0 +1,33 @@
+package org.amaranthlock.standin.fleet;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import org.amaranthlock.standin.ServeOptions;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/** Runs the stand-in for the platform's store as a process. */
+@Command(name = "fleet-store", mixinStandardHelpOptions = true, description = "Stand-in for the platform's store.")
+public final class FleetStoreMain implements Callable<Integer> {
+    @Mixin
+    private ServeOptions serve;
+
+    @Option(names = "--configuration", required = true, description = "JSON file with the operator's configuration.")
+    private Path configuration;
+
+    /** Runs the process. */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new FleetStoreMain()).execute(args));
+    }
+
+    @Override
+    public Integer call() throws Exception {
+        FleetStore store = new FleetStore(serve.host(), serve.port());
+        store.put("config", "main", new ObjectMapper().readTree(Files.readString(configuration)));
+        return ServeOptions.serve(store);
+    }
+}
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/LoadCaller.java
@@ -0,0 +1,163 @@
+package org.amaranthlock.standin.fleet;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.jboss.logging.Logger;
+
+/** Caller of one request, which goes to another entry host with each try. */
+final class LoadCaller {
+    private static final Logger LOG = Logger.getLogger(LoadCaller.class);
+    private static final int TRIES = 12;
+    private static final long PAUSE_MILLIS = 250;
+    private static final int TIMEOUT_MILLIS = 15_000;
+
+    private final List<String> entries;
+    private int next;
+
+    private record Reply(int status, String body, boolean whole) {}
+
+    LoadCaller(List<String> entries, int first) {
+        this.entries = entries;
+        this.next = first;
+    }
+
+    LoadOutcome stream(String id) {
+        StringBuilder received = new StringBuilder();
+        int tries = 0;
+        for (; tries < TRIES; tries++) {
+            int last = received.toString().split("\n\n", -1).length - 2;
+            String resume = last < 0 ? "" : "Last-Event-Id: " + last + "\r\n";
+            Reply reply = call("POST /draft/x", id + "-" + tries, resume, id);
+            if (reply.status() == 200) {
+                int end = reply.body().lastIndexOf("\n\n");
+                received.append(end < 0 ? "" : reply.body().substring(0, end + 2));
+                if (reply.whole()) {
+                    break;
+                }
+            }
+            pause();
+        }
+        StringBuilder expected = new StringBuilder();
+        for (int number = 0; number < FleetWorker.EVENTS; number++) {
+            expected.append(FleetWorker.event(number, id));
+        }
+        if (tries == TRIES) {
+            return LoadOutcome.LOST_STREAM;
+        }
+        if (!received.toString().contentEquals(expected)) {
+            return LoadOutcome.WRONG;
+        }
+        return tries == 0 ? LoadOutcome.COMPLETE : LoadOutcome.RESUMED;
+    }
+
+    LoadOutcome order(String id) {
+        for (int tries = 0; tries < TRIES; tries++) {
+            String attempt = id + "-" + tries;
+            Reply reply = call("POST /order/x", attempt, "", "pallet");
+            if (reply.status() == 200) {
+                return right(reply, attempt);
+            }
+            // Only a promise that the order did not run, or a connection that was never opened, allows another try.
+            if (reply.status() != 503 && reply.status() != NOT_CONNECTED) {
+                return LoadOutcome.UNKNOWN;
+            }
+            pause();
+        }
+        return LoadOutcome.REFUSED;
+    }
+
+    LoadOutcome lookup(String id) {
+        for (int tries = 0; tries < TRIES; tries++) {
+            String attempt = id + "-" + tries;
+            Reply reply = call("GET /look/x", attempt, "", "");
+            if (reply.status() == 200 && reply.whole()) {
+                return right(reply, attempt);
+            }
+            pause();
+        }
+        return LoadOutcome.REFUSED;
+    }
+
+    private static final int NOT_CONNECTED = -1;
+    private static final int BROKEN = 0;
+
+    private static LoadOutcome right(Reply reply, String id) {
+        return reply.body().equals("done " + id) ? LoadOutcome.COMPLETE : LoadOutcome.WRONG;
+    }
+
+    private Reply call(String line, String id, String extra, String body) {
+        String[] address = entries.get(next++ % entries.size()).split(":");
+        Socket socket;
+        try {
+            socket = new Socket(address[0], Integer.parseInt(address[1]));
+        } catch (IOException e) {
+            LOG.debugf("%s: no connection: %s", id, e);
+            return new Reply(NOT_CONNECTED, "", false);
+        }
+        try (socket) {
+            socket.setSoTimeout(TIMEOUT_MILLIS);
+            String request =
+                    line + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\nX-Time-Left-Ms: " + TIMEOUT_MILLIS
+                            + "\r\nAuthorization: Bearer key-1\r\nConnection: close\r\n" + extra + "Content-Length: "
+                            + body.length() + "\r\n\r\n" + body;
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            return read(new BufferedInputStream(socket.getInputStream()));
+        } catch (IOException e) {
+            LOG.debugf("%s: broken: %s", id, e);
+            return new Reply(BROKEN, "", false);
+        }
+    }
+
+    private static Reply read(InputStream in) throws IOException {
+        String status = WorkerRequest.readLine(in);
+        if (status == null) {
+            return new Reply(BROKEN, "", false);
+        }
+        boolean chunked = false;
+        int length = 0;
+        for (String field = WorkerRequest.readLine(in);
+                field != null && !field.isEmpty();
+                field = WorkerRequest.readLine(in)) {
+            String name = field.toLowerCase(java.util.Locale.ROOT);
+            chunked |= name.startsWith("transfer-encoding:");
+            length = name.startsWith("content-length:")
+                    ? Integer.parseInt(name.substring(15).trim())
+                    : length;
+        }
+        int code = Integer.parseInt(status.split(" ")[1]);
+        if (!chunked) {
+            byte[] body = in.readNBytes(length);
+            return new Reply(code, new String(body, StandardCharsets.ISO_8859_1), body.length == length);
+        }
+        return chunks(code, in);
+    }
+
+    private static Reply chunks(int code, InputStream in) {
+        StringBuilder body = new StringBuilder();
+        try {
+            for (String size = WorkerRequest.readLine(in); size != null; size = WorkerRequest.readLine(in)) {
+                int length = Integer.parseInt(size.trim(), 16);
+                if (length == 0) {
+                    return new Reply(code, body.toString(), true);
+                }
+                body.append(new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
+                WorkerRequest.readLine(in);
+            }
+        } catch (IOException e) {
+            LOG.debugf("a stream broke off: %s", e);
+        }
+        return new Reply(code, body.toString(), false);
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(PAUSE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/WorkerRequest.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/WorkerRequest.java
@@ -31,7 +31,7 @@
         return headers.getOrDefault("x-request-id", "");
     }
 
-    private static String readLine(InputStream in) throws IOException {
+    static String readLine(InputStream in) throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
         for (int next = in.read(); next != '\n'; next = in.read()) {
             if (next < 0) {
