Do not count engines that die with their domain as crashed by a request; follow the settings file

The settings file may change without a signal, and idle connections that their target had closed stayed in the pool's list. Change: no crash is counted while other targets of the domain are unreachable (the decision moves into ForwardedRequest); the file's time is checked every 2 s; closed connections leave the list. Tests: isNotSuspectedWhenItsTargetDiedWithItsDomain, followsItsSettingsFileToAnotherStore.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -262,6 +262,21 @@
         }
     }
 
+    /**
+     * Takes whether the target of a lost attempt accepts connections; if not, it crashed. When other targets of its failure
+     * domain are unreachable too, the request is not what crashed it.
+     */
+    public void crashChecked(Attempt attempt, boolean reachable, long nowMillis) {
+        if (reachable) {
+            return;
+        }
+        boolean alone = !picker.failing(attempt.target().failureDomain(), nowMillis);
+        if (alone) {
+            crashes.crashed(call.fingerprint(), nowMillis);
+        }
+        decide(alone ? "crash-counted" : "crash-with-domain", attempt, "unreachable", 0, nowMillis);
+    }
+
     /** Takes the result of a probe. */
     public void probed(int attempt, boolean reachable, long nowMillis) {
         if (!isCurrent(attempt) || reachable || activeAtMillis >= probedAtMillis) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingPort.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingPort.java
@@ -11,7 +11,7 @@
     /** Checks whether the host of a target accepts connections; the result comes back for {@code attempt}. */
     void probe(Attempt attempt);
 
-    /** Checks whether the target of a lost attempt has crashed, and counts it in the {@link CrashRecords} if so. */
+    /** Checks whether the target of a lost attempt still accepts connections. */
     void checkCrash(Attempt attempt);
 
     /** Asks the engine of an attempt for its report; the result comes back for {@code attempt}. */
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
@@ -335,6 +335,23 @@
         assertThat(port.rejections.getFirst().reason()).isEqualTo("crashes-targets");
     }
 
+    // Load pattern: most engines of a domain die at once. Guards against condemning the requests that they were
+    // reading.
+    @Test
+    void isNotSuspectedWhenItsTargetDiedWithItsDomain() {
+        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+        Attempt lost = port.lastSent();
+        request.lost(1, "closed", 10);
+        request.crashChecked(lost, false, 20);
+        assertThat(crashes.own(30)).containsExactly(call().fingerprint(), 1);
+        picker.unreachable(
+                EntryTargets.ready("t8", lost.target().failureDomain().value()), 40);
+        picker.unreachable(
+                EntryTargets.ready("t9", lost.target().failureDomain().value()), 40);
+        request.crashChecked(lost, false, 50);
+        assertThat(crashes.own(60)).containsExactly(call().fingerprint(), 1);
+    }
+
     // Guards against counting an engine that died in mid-stream as crashed by the stream.
     @Test
     void isNotSuspectedIfItsRunHadBegunWell() {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
@@ -9,7 +9,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.amaranthlock.coordination.forwarding.Attempt;
-import org.amaranthlock.coordination.forwarding.CrashRecords;
 import org.amaranthlock.coordination.forwarding.EngineReport;
 import org.amaranthlock.coordination.forwarding.ForwardedRequest;
 import org.amaranthlock.coordination.forwarding.ForwardingDecision;
@@ -37,7 +36,6 @@
     private final LongSupplier clockMillis;
     private final DecisionLog log;
     private final EntryMetrics metrics;
-    private final CrashRecords crashes;
     private final Runnable onLoad;
     private final Consumer<ActiveRequest> onEnd;
     private ForwardedRequest life;
@@ -54,7 +52,6 @@
             LongSupplier clockMillis,
             DecisionLog log,
             EntryMetrics metrics,
-            CrashRecords crashes,
             Runnable onLoad,
             Consumer<ActiveRequest> onEnd) {
         this.request = Objects.requireNonNull(request, "request");
@@ -65,7 +62,6 @@
         this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
         this.log = Objects.requireNonNull(log, "log");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
-        this.crashes = Objects.requireNonNull(crashes, "crashes");
         this.onLoad = Objects.requireNonNull(onLoad, "load");
         this.onEnd = Objects.requireNonNull(onEnd, "end");
     }
@@ -104,25 +100,7 @@
 
     @Override
     public void checkCrash(Attempt attempt) {
-        connections.probe(attempt.target(), reachable -> {
-            if (!reachable) {
-                long fingerprint = request.call().fingerprint();
-                crashes.crashed(fingerprint, now());
-                log.write(
-                        "crash-counted",
-                        "id",
-                        request.id(),
-                        "attempt",
-                        attempt.number(),
-                        "target",
-                        attempt.target().id(),
-                        "fingerprint",
-                        Long.toHexString(fingerprint),
-                        "condemned",
-                        crashes.condemned(fingerprint, now()));
-                onLoad.run();
-            }
-        });
+        connections.probe(attempt.target(), reachable -> life.crashChecked(attempt, reachable, now()));
     }
 
     @Override
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -4,8 +4,10 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.Objects;
@@ -45,6 +47,7 @@
     private static final long BREAK_OFF_MARGIN_MILLIS = 700;
 
     private static final long DRAIN_CHECK_MILLIS = 100;
+    private static final long SETTINGS_CHECK_MILLIS = 2_000;
 
     private volatile EntrySettings settings;
     private final EventLoopGroup control = new NioEventLoopGroup(1, new DefaultThreadFactory("control", true));
@@ -161,6 +164,23 @@
         });
     }
 
+    /** Reads the settings file again whenever it changes, since not every change is signalled. */
+    public void followSettings(Path file) {
+        long[] modified = {modifiedMillis(file)};
+        control.next()
+                .scheduleAtFixedRate(
+                        () -> {
+                            long now = modifiedMillis(file);
+                            if (now != modified[0]) {
+                                modified[0] = now;
+                                reload(file);
+                            }
+                        },
+                        SETTINGS_CHECK_MILLIS,
+                        SETTINGS_CHECK_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
     /** Starts to end: nothing that runs is broken off before the time for it is nearly over. */
     public void drain() {
         traffic.next().execute(() -> {
@@ -225,6 +245,15 @@
         return new StatusAnswer(serving ? 200 : 503, text);
     }
 
+    private long modifiedMillis(Path file) {
+        try {
+            return Files.getLastModifiedTime(file).toMillis();
+        } catch (IOException e) {
+            log.write("settings-unreadable", "file", file, "cause", e.getMessage());
+            return -1;
+        }
+    }
+
     private static SuspensionAwareClock ageClock() {
         return new SuspensionAwareClock(EntryProcess::steadyMillis, System::currentTimeMillis);
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestTraffic.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestTraffic.java
@@ -191,7 +191,6 @@
                 clockMillis,
                 log,
                 metrics,
-                crashes,
                 onNews,
                 active::remove);
         active.add(running);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/EntryMain.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/EntryMain.java
@@ -60,6 +60,7 @@
             Signals.onTerminate(process::drain);
             Signals.onHangUp(() -> process.reload(path));
             process.start();
+            process.followSettings(path);
             process.awaitEnd();
             return 0;
         }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnections.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnections.java
@@ -144,7 +144,11 @@
     }
 
     private void keep(TargetId id, TargetConnection connection) {
-        idle.computeIfAbsent(id, _ -> new ArrayDeque<>()).addLast(connection);
+        Deque<TargetConnection> kept = idle.computeIfAbsent(id, _ -> new ArrayDeque<>());
+        while (!kept.isEmpty() && !kept.peekFirst().reusable()) {
+            kept.pollFirst().close();
+        }
+        kept.addLast(connection);
     }
 
     private static void write(TargetConnection connection, TargetExchange exchange) {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryFixture.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryFixture.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -36,7 +37,16 @@
             engines.add(worker("engine-" + i, true, "engines", i));
         }
         store.put("config", "main", configuration(1, "\"key-1\""));
-        process = new EntryProcess(EntrySettingsReader.parse("""
+        process = new EntryProcess(EntrySettingsReader.parse(settings(store.address())));
+        process.start();
+        front = process.callersAddress().getPort();
+        ready = process.readyAddress().getPort();
+        await(this::isReady);
+    }
+
+    /** Returns the text of settings with ephemeral ports. */
+    String settings(String storeAddress) {
+        return """
                 [host]
                 name = "entry-1"
                 failure-domain = "a"
@@ -51,11 +61,11 @@
                 configuration-ms = 2500
                 revocation-ms = 5000
                 grace-s = 8
-                """.formatted(store.address())));
-        process.start();
-        front = process.callersAddress().getPort();
-        ready = process.readyAddress().getPort();
-        await(this::isReady);
+                """.formatted(storeAddress);
+    }
+
+    void followSettings(Path file) {
+        process.followSettings(file);
     }
 
     boolean isReady() {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryProcessTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryProcessTest.java
@@ -5,15 +5,20 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.amaranthlock.standin.fleet.FleetStore;
 import org.amaranthlock.standin.fleet.FleetWorker;
 import org.amaranthlock.standin.fleet.StoreMode;
 import org.amaranthlock.standin.fleet.WorkerFault;
 import org.amaranthlock.standin.fleet.WorkerRun;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 /** The whole daemon between raw clients and stand-ins that break the protocol. */
 class EntryProcessTest {
@@ -180,6 +185,22 @@
         assertThat(EntryFixture.events(answer.join())).isEqualTo(wholeStream("prompt"));
     }
 
+    // Guards against a process that stays with a store whose address has changed without a signal.
+    @Test
+    void followsItsSettingsFileToAnotherStore(@TempDir Path directory) throws IOException {
+        fixture = new EntryFixture(1, 0);
+        Path file = directory.resolve("settings.toml");
+        Files.writeString(file, fixture.settings(fixture.store.address()));
+        fixture.followSettings(file);
+        FleetStore other = new FleetStore("127.0.0.1", 0);
+        other.start();
+        other.put("config", "main", EntryFixture.configuration(5, "\"key-5\""));
+        Files.writeString(file, fixture.settings(other.address()));
+        Files.setLastModifiedTime(file, FileTime.fromMillis(1));
+        EntryFixture.await(() -> other.calls() > 0);
+        other.stop();
+    }
+
     @Test
     void registersItselfForTheOtherHosts() {
         fixture = new EntryFixture(0, 0);
