Never pass on a target's 503 as a promise, and keep waiting rules in a class of their own

Cause (found by reading): a target's own 408, 429 or 503 without its word that it did not run the request went to the client of an order unchanged, who would take it for a promise; the head of an engine that sent no event stayed the head of the answer that another engine gave. Change: such a status becomes a 502 for requests that may not be repeated; the head is that of the first engine that sent events. Tests: isNotCalledNotRunOnTheWordOfAStatusAlone, hasTheHeadOfTheFirstEngineThatSentEvents.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -16,33 +16,9 @@
  * has. Events of attempts that are no longer the current one are ignored. Not thread-safe.
  */
 public final class ForwardedRequest {
-    /** Silence of a running stream after which its target is probed; pauses between events are mostly shorter. */
-    private static final long STREAM_SILENCE_MILLIS = 250;
-
-    /** Time between two probes of a target that has not sent its first event. */
-    private static final long FIRST_EVENT_PROBE_MILLIS = 400;
-
-    /** Wait for a first event after which the engine is asked about the request; most prompts are read by then. */
-    private static final long FIRST_EVENT_REPORT_MILLIS = 1_800;
-
-    /** Silence of a running stream after which the engine is asked about it. */
-    private static final long STREAM_REPORT_MILLIS = 400;
-
     /** Events that may be on their way when an engine reports that it made them. */
     private static final long EVENTS_ON_THE_WAY = 2;
 
-    /** Silence of a running stream after which it goes on elsewhere although its target accepts connections. */
-    private static final long STREAM_STALL_MILLIS = 1_500;
-
-    /**
-     * Multiple of a stream's goal after which a missing first event is sought elsewhere. Reading a prompt again costs more
-     * than an answer that is late, so an engine that accepts connections gets this time.
-     */
-    private static final double FIRST_EVENT_GOALS = 1.6;
-
-    /** Time after which an idempotent request that is not answered goes to another target. */
-    private static final long IDEMPOTENT_PATIENCE_MILLIS = 350;
-
     /** Pause before a running stream looks for a target again. */
     private static final long RESUME_PAUSE_MILLIS = 60;
 
@@ -52,6 +28,9 @@
     /** Advice to a client whose request found no target. */
     private static final long NO_TARGET_RETRY_MILLIS = 300;
 
+    /** Statuses that promise a client that its request did not run; a target's word for it is another header. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 429, 503);
+
     /** Causes after which an engine is not tried again: it is dead, or does not make progress. */
     private static final Set<String> NO_RETURN = Set.of("unreachable", "stalled", "no-first-event");
 
@@ -66,6 +45,7 @@
     private final RepeatBudget budget;
     private final CrashRecords crashes;
     private final ForwardingPort port;
+    private final SilenceRules silence;
     private final Set<TargetId> avoided = new HashSet<>();
 
     private long arrivedAtMillis;
@@ -113,6 +93,7 @@
         this.budget = Objects.requireNonNull(budget, "budget");
         this.crashes = Objects.requireNonNull(crashes, "crashes");
         this.port = Objects.requireNonNull(port, "port");
+        this.silence = new SilenceRules(route);
     }
 
     /** Returns whether the request has its final answer. */
@@ -145,7 +126,9 @@
             notRun(ending, answer, nowMillis);
             return;
         }
-        boolean unusable = opened || (answer.success() && (!answer.stamped() || route.kind() == RouteKind.STREAMING));
+        boolean untrue = !route.repeatable() && NOT_RUN_STATUSES.contains(answer.status());
+        boolean unusable =
+                untrue || opened || (answer.success() && (!answer.stamped() || route.kind() == RouteKind.STREAMING));
         runs++;
         if (unusable || (answer.status() >= 500 && route.repeatable() && mayRepeat())) {
             failedRun(ending, "status-" + answer.status(), nowMillis);
@@ -167,7 +150,7 @@
             lost(attempt, "no-stamp", nowMillis);
             return;
         }
-        if (head == null) {
+        if (!opened) {
             head = answer;
         }
     }
@@ -253,7 +236,7 @@
      * says nothing, because an engine lists it only once its prompt has been read.
      */
     public void reported(int attempt, Optional<EngineReport> report, long nowMillis) {
-        if (!isCurrent(attempt) || report.isEmpty() || nowMillis - activeAtMillis < STREAM_REPORT_MILLIS) {
+        if (!isCurrent(attempt) || report.isEmpty() || nowMillis - activeAtMillis < silence.reportIntervalMillis()) {
             return;
         }
         Long made = report.get().eventsByRequest().get(call.id());
@@ -459,46 +442,34 @@
     }
 
     private void watch(long nowMillis) {
-        if (route.kind() == RouteKind.STREAMING) {
-            watchStream(nowMillis);
-            return;
-        }
-        boolean slow = nowMillis - sentAtMillis >= IDEMPOTENT_PATIENCE_MILLIS;
-        if (slow && route.kind() == RouteKind.IDEMPOTENT && mayRepeatOnce()) {
-            abandon("no-answer", nowMillis);
+        long silentMillis = nowMillis - activeAtMillis;
+        boolean lastAttempt = runs + 1 >= route.maxAttempts();
+        if (route.repeatable() && !lastAttempt && silentMillis >= silence.giveUpMillis(eventsOfAttempt)) {
+            abandon(silenceCause(), nowMillis);
+        } else if (route.kind() == RouteKind.STREAMING) {
+            examine(silentMillis, nowMillis);
         }
     }
 
-    private void watchStream(long nowMillis) {
-        long silence = nowMillis - activeAtMillis;
-        if (route.repeatable() && silence >= silenceLimit() && mayRepeatOnce()) {
-            abandon(eventsOfAttempt ? "stalled" : "no-first-event", nowMillis);
-            return;
+    private String silenceCause() {
+        if (route.kind() == RouteKind.IDEMPOTENT) {
+            return "no-answer";
         }
-        if (nowMillis - Math.max(activeAtMillis, probedAtMillis) >= probeInterval()) {
+        return eventsOfAttempt ? "stalled" : "no-first-event";
+    }
+
+    private void examine(long silentMillis, long nowMillis) {
+        if (nowMillis - Math.max(activeAtMillis, probedAtMillis) >= silence.probeMillis(eventsOfAttempt)) {
             probedAtMillis = nowMillis;
             port.probe(current);
         }
-        long reportAfter = eventsOfAttempt ? STREAM_REPORT_MILLIS : FIRST_EVENT_REPORT_MILLIS;
-        boolean due = nowMillis - Math.max(activeAtMillis, reportedAtMillis) >= STREAM_REPORT_MILLIS;
-        if (service.engine() && silence >= reportAfter && due) {
+        boolean due = nowMillis - Math.max(activeAtMillis, reportedAtMillis) >= silence.reportIntervalMillis();
+        if (service.engine() && due && silentMillis >= silence.reportMillis(eventsOfAttempt)) {
             reportedAtMillis = nowMillis;
             port.askReport(current);
         }
     }
 
-    private boolean mayRepeatOnce() {
-        return runs + 1 < route.maxAttempts();
-    }
-
-    private long silenceLimit() {
-        return eventsOfAttempt ? STREAM_STALL_MILLIS : (long) (route.goalMillis() * FIRST_EVENT_GOALS);
-    }
-
-    private long probeInterval() {
-        return eventsOfAttempt ? STREAM_SILENCE_MILLIS : FIRST_EVENT_PROBE_MILLIS;
-    }
-
     private void abandon(String cause, long nowMillis) {
         port.cancel(current);
         lost(current.number(), cause, nowMillis);
@@ -542,12 +513,12 @@
             return pausedUntilMillis;
         }
         return switch (route.kind()) {
-            case IDEMPOTENT ->
-                sentAtMillis + IDEMPOTENT_PATIENCE_MILLIS > nowMillis
-                        ? sentAtMillis + IDEMPOTENT_PATIENCE_MILLIS
-                        : deadlineMillis;
+            case IDEMPOTENT -> {
+                long givenUpAt = sentAtMillis + silence.giveUpMillis(eventsOfAttempt);
+                yield givenUpAt > nowMillis ? givenUpAt : deadlineMillis;
+            }
             case NON_IDEMPOTENT -> deadlineMillis;
-            case STREAMING -> Math.max(activeAtMillis, probedAtMillis) + probeInterval();
+            case STREAMING -> Math.max(activeAtMillis, probedAtMillis) + silence.probeMillis(eventsOfAttempt);
         };
     }
 
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
@@ -71,6 +71,27 @@
             assertThat(port.sent).hasSize(1);
         }
 
+        // Guards against a 503 of a target that ran the order, which the client would take for a promise.
+        @Test
+        void isNotCalledNotRunOnTheWordOfAStatusAlone() {
+            for (int status : new int[] {408, 429, 503}) {
+                RecordingPort own = new RecordingPort();
+                ForwardedRequest request = new ForwardedRequest(
+                        call(),
+                        route(RouteKind.NON_IDEMPOTENT),
+                        engines(),
+                        Optional.empty(),
+                        picker,
+                        budget,
+                        crashes,
+                        own);
+                request.start(0);
+                request.answered(1, answer(status, true, false), 10);
+                assertThat(own.answers).isEmpty();
+                assertThat(own.rejections.getFirst().status()).isEqualTo(502);
+            }
+        }
+
         @Test
         void waitsForASlowTargetUntilItsTimeIsOver() {
             ForwardedRequest request = start(RouteKind.NON_IDEMPOTENT);
@@ -158,6 +179,17 @@
             assertThat(port.heads).hasSize(1);
         }
 
+        // Guards against the head and stamp of an engine that sent none of the events.
+        @Test
+        void hasTheHeadOfTheFirstEngineThatSentEvents() {
+            ForwardedRequest request = startStream();
+            request.lost(1, "unreachable", 400);
+            TargetAnswer second = answer(200, true, false);
+            request.streamOpened(2, second, 450);
+            request.events(2, events(0), 500);
+            assertThat(port.heads).containsExactly(second);
+        }
+
         // Guards against tokens that are delivered twice after a resumption.
         @Test
         void dropsEventsThatTheClientHas() {
