--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/SuspensionAwareClock.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/SuspensionAwareClock.java
@@ -7,7 +7,8 @@
  * Steady clock that also counts the time for which the host was suspended.
  *
  * <p>The monotonic clock stands still while a host is suspended; the time of day does not. A forward jump of the time of
- * day counts as a suspension, which can only make a belief look older than it is. Not thread-safe.
+ * day counts as a suspension, which can only make a belief look older than it is. The threads of a process share one
+ * clock: with one clock each, a suspension while a value passes from one thread to the other would not be counted.
  */
 public final class SuspensionAwareClock {
     /** Differences below it, in milliseconds, are drift and slewing of the time of day. */
@@ -28,7 +29,7 @@
     }
 
     /** Returns the milliseconds since some fixed moment, suspensions included. */
-    public long millis() {
+    public synchronized long millis() {
         long monotonic = monotonicMillis.getAsLong();
         long timeOfDay = timeOfDayMillis.getAsLong();
         long unexplained = (timeOfDay - lastTimeOfDay) - (monotonic - lastMonotonic);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -73,13 +73,12 @@
         this.log = new DecisionLog(Logger.getLogger("amaranthlock"), EntryProcess::steadyMillis);
         EventLoop trafficLoop = traffic.next();
         EventLoop controlLoop = control.next();
-        SuspensionAwareClock trafficAge = ageClock();
-        SuspensionAwareClock controlAge = ageClock();
+        SuspensionAwareClock ageClock = new SuspensionAwareClock(EntryProcess::steadyMillis, System::currentTimeMillis);
         TargetConnections connections = new TargetConnections(trafficLoop, EntryProcess::steadyMillis, metrics);
         this.requests = new RequestTraffic(
                 trafficLoop,
                 EntryProcess::steadyMillis,
-                trafficAge::millis,
+                ageClock::millis,
                 new AdmissionRules(
                         settings.bounds().revocationMillis(), settings.bounds().configurationMillis()),
                 new TargetPicker(settings.failureDomain(), RandomSource.SPLIT_MIX_64.create()),
@@ -91,11 +90,8 @@
         this.configurationFollower = new ConfigurationFollower(
                 store,
                 controlLoop,
-                controlAge::millis,
-                (configuration, sentAt) -> {
-                    long age = controlAge.millis() - sentAt;
-                    trafficLoop.execute(() -> requests.confirmed(configuration, trafficAge.millis() - age));
-                },
+                ageClock::millis,
+                (configuration, sentAt) -> trafficLoop.execute(() -> requests.confirmed(configuration, sentAt)),
                 log,
                 metrics);
         this.targetFollower = new TargetFollower(
@@ -126,7 +122,7 @@
         peerDirectory.start(listening.getAddress().getHostAddress() + ":" + listening.getPort());
         front.start();
         ready.start();
-        metricsPage.start();
+        startMetrics();
         log.write(
                 "started",
                 "host",
@@ -216,6 +212,15 @@
         }
     }
 
+    /** Requests are served without metrics, too, if another program has their port. */
+    private void startMetrics() {
+        try {
+            metricsPage.start();
+        } catch (Exception e) {
+            log.write("metrics-unavailable", "address", settings.metrics(), "cause", e.getMessage());
+        }
+    }
+
     private void closeFront() {
         front.drain();
         checkDrained();
@@ -254,10 +259,6 @@
         }
     }
 
-    private static SuspensionAwareClock ageClock() {
-        return new SuspensionAwareClock(EntryProcess::steadyMillis, System::currentTimeMillis);
-    }
-
     private static long steadyMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/settings/EntrySettingsReader.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/settings/EntrySettingsReader.java
@@ -18,6 +18,11 @@
     /** Environment variable with the path of the settings file. */
     public static final String PATH_VARIABLE = "AMARANTHLOCK_SETTINGS";
 
+    // Bounds of deployments that do not state them.
+    private static final long CONFIGURATION_MILLIS = 2_500;
+    private static final long REVOCATION_MILLIS = 5_000;
+    private static final long GRACE_SECONDS = 8;
+
     private EntrySettingsReader() {}
 
     /**
@@ -54,9 +59,9 @@
                 address(root, "listen", "peers"),
                 address(root, "store", "address"),
                 new Bounds(
-                        positive(root, "bounds", "configuration-ms"),
-                        positive(root, "bounds", "revocation-ms"),
-                        positive(root, "bounds", "grace-s") * 1_000));
+                        positive(root, "bounds", "configuration-ms", CONFIGURATION_MILLIS),
+                        positive(root, "bounds", "revocation-ms", REVOCATION_MILLIS),
+                        positive(root, "bounds", "grace-s", GRACE_SECONDS) * 1_000));
     }
 
     private static String text(JsonNode root, String section, String field) {
@@ -67,8 +72,11 @@
         return value.asText();
     }
 
-    private static long positive(JsonNode root, String section, String field) {
+    private static long positive(JsonNode root, String section, String field, long standard) {
         JsonNode value = root.path(section).path(field);
+        if (value.isMissingNode()) {
+            return standard;
+        }
         if (!value.isNumber() || value.asDouble() <= 0) {
             throw invalid("[" + section + "] " + field + " must be a number above zero", null);
         }
