Keep wire names in platform/ and divide a target's connections among the hosts

Cause (found by reading): the rehearsal and the readiness path held wire names outside platform/, and a target's connection limit was read but not used, so that a host could open connections that the target resets with an order of unknown fate on them. Change: sample messages and the readiness path move to platform/; a host uses at most its share of a target's connections, by the hosts that it hears of. Test: aHostUsesNoMoreThanItsShareOfATargetsConnections.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/EntryConfiguration.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/EntryConfiguration.java
@@ -12,6 +12,9 @@
 
 /** One version of the configuration; immutable. */
 public final class EntryConfiguration {
+    /** Connections that a target of a service without a definition is taken to accept. */
+    private static final int UNDEFINED_MAX_CONNECTIONS = 16;
+
     private final long version;
     private final Map<String, List<Route>> routesByHost;
     private final Map<ServiceName, ServiceDefinition> services;
@@ -81,8 +84,6 @@
         return found != null ? found : new ServiceDefinition(name, UNDEFINED_MAX_CONNECTIONS, false, false);
     }
 
-    private static final int UNDEFINED_MAX_CONNECTIONS = 16;
-
     private static Map<String, List<Route>> longestPrefixFirst(List<Route> routes) {
         Map<String, List<Route>> byHost = new HashMap<>();
         for (Route route : routes) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetPicker.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetPicker.java
@@ -45,6 +45,9 @@
     /** Handicap of an engine in a failing domain, in requests in flight; it is used before a queue of this length. */
     private static final double DOMAIN_HANDICAP = 4;
 
+    /** Connections to a target that each host may use however many hosts there are. */
+    private static final int LEAST_CONNECTIONS = 2;
+
     /** Handicap of a target that is still warming up, in requests in flight. */
     private static final double COLD_HANDICAP = 2;
 
@@ -103,6 +106,7 @@
     public Optional<EntryTarget> pick(ServiceDefinition service, Set<TargetId> avoided, long nowMillis) {
         List<EntryTarget> usable = table.targets(service.name()).stream()
                 .filter(target -> !target.draining() && !avoided.contains(target.id()))
+                .filter(target -> hasConnectionLeft(service, target))
                 .toList();
         List<EntryTarget> sound =
                 usable.stream().filter(target -> sound(target, nowMillis)).toList();
@@ -223,6 +227,17 @@
         failures.put(target.id(), nowMillis);
     }
 
+    /**
+     * Returns whether this host has a connection left of its share of a target's limit. A target resets connections beyond
+     * its limit, and an order that was on one of them has an unknown fate.
+     */
+    private boolean hasConnectionLeft(ServiceDefinition service, EntryTarget target) {
+        int hosts = news.size() + 1;
+        int share = Math.max(LEAST_CONNECTIONS, service.maxConnections() / hosts);
+        Load load = loads.get(target.id());
+        return load == null || load.inFlight < share;
+    }
+
     private boolean sound(EntryTarget target, long nowMillis) {
         Load load = loads.get(target.id());
         return load == null || load.asideUntilMillis <= nowMillis;
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/TargetPickerTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/TargetPickerTest.java
@@ -131,6 +131,22 @@
                 .isEmpty();
     }
 
+    // Guards against connections beyond a target's limit, which it resets with the orders on them.
+    @Test
+    void aHostUsesNoMoreThanItsShareOfATargetsConnections() {
+        EntryTarget only = EntryTargets.ready("t1", "a");
+        picker.update(new TargetTable(List.of(only)));
+        picker.heard(new LoadNews("other", Map.of(), Set.of(), Map.of()), 0);
+        ServiceDefinition six = new ServiceDefinition(EntryTargets.SERVICE, 6, false, false);
+        IntStream.range(0, 3).forEach(i -> {
+            assertThat(picker.pick(six, Set.of(), 0)).hasValue(only);
+            picker.started(only);
+        });
+        assertThat(picker.pick(six, Set.of(), 0)).isEmpty();
+        picker.ended(only);
+        assertThat(picker.pick(six, Set.of(), 0)).hasValue(only);
+    }
+
     @Test
     void theNewsOfAHostThatWentSilentDoNotCount() {
         EntryTarget first = EntryTargets.ready("t1", "a");
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -32,14 +32,12 @@
 import org.amaranthlock.entry.target.TargetConnections;
 import org.amaranthlock.model.AmaranthlockException;
 import org.amaranthlock.platform.NettyObjectStore;
+import org.amaranthlock.platform.ReadinessCheck;
 import org.apache.commons.rng.simple.RandomSource;
 import org.jboss.logging.Logger;
 
 /** One running entry daemon. */
 public final class EntryProcess {
-    /** Path that the load balancer asks. */
-    private static final String READY_PATH = "/api/ready";
-
     /** Time after the signal to end for which new connections are still accepted: the balancer needs two misses. */
     private static final long ACCEPT_WHILE_DRAINING_MILLIS = 2_600;
 
@@ -242,7 +240,7 @@
     }
 
     private StatusAnswer readyPage(String path) {
-        if (!path.startsWith(READY_PATH)) {
+        if (!path.startsWith(ReadinessCheck.PATH)) {
             return new StatusAnswer(404, "not found\n".getBytes(StandardCharsets.US_ASCII));
         }
         boolean serving = requests.ready();
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/Rehearsal.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/Rehearsal.java
@@ -15,6 +15,8 @@
 import org.amaranthlock.entry.settings.EntrySettingsReader;
 import org.amaranthlock.model.AmaranthlockException;
 import org.amaranthlock.model.ErrorCode;
+import org.amaranthlock.platform.ReadinessCheck;
+import org.amaranthlock.platform.SampleMessages;
 import picocli.CommandLine.Command;
 
 /** Serves a few requests of its own over loopback, so that a class-data archive holds the classes of a real run. */
@@ -51,9 +53,9 @@
         int ready = process.readyAddress().getPort();
         awaitReady(ready);
         for (int round = 0; round < ROUNDS; round++) {
-            request(front, "POST /s/x HTTP/1.1", "abc");
-            request(front, "GET /p/x HTTP/1.1", "");
-            request(front, "GET /none HTTP/1.1", "");
+            request(front, "POST", "/s/x", "abc");
+            request(front, "GET", "/p/x", "");
+            request(front, "GET", "/none", "");
         }
         process.drain();
         process.awaitEnd();
@@ -62,7 +64,7 @@
 
     private static void awaitReady(int port) throws IOException, InterruptedException {
         for (int i = 0; i < MAX_WAITS; i++) {
-            if (request(port, "GET /api/ready HTTP/1.1", "").contains("200")) {
+            if (request(port, "GET", ReadinessCheck.PATH, "").contains("200")) {
                 return;
             }
             Thread.sleep(WAIT_MILLIS);
@@ -71,12 +73,10 @@
                 ErrorCode.INTERNAL, "the rehearsal did not become ready; run it with a free loopback interface");
     }
 
-    private static String request(int port, String line, String body) throws IOException {
-        String head = line + "\r\nHost: h\r\nX-Request-Id: rehearsal\r\nX-Time-Left-Ms: 2000\r\n"
-                + "Authorization: Bearer k\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n";
+    private static String request(int port, String method, String path, String body) throws IOException {
         try (Socket socket = new Socket("127.0.0.1", port)) {
             OutputStream out = socket.getOutputStream();
-            out.write((head + body).getBytes(StandardCharsets.US_ASCII));
+            out.write(SampleMessages.request(method, path, body));
             out.flush();
             InputStream in = socket.getInputStream();
             return new String(in.readAllBytes(), StandardCharsets.US_ASCII);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/RehearsalStore.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/RehearsalStore.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import org.amaranthlock.platform.SampleMessages;
 import org.amaranthlock.platform.WireHeaders;
 
 /** Loopback store and target of a {@link Rehearsal}. */
@@ -44,28 +45,7 @@
     }
 
     private String body(String uri) {
-        String address = "127.0.0.1:" + ((InetSocketAddress) listener.localAddress()).getPort();
-        if (uri.contains("watch=")) {
-            return "{\"events\":[],\"current_rev\":3}";
-        }
-        if (uri.contains("config/main")) {
-            return """
-                    {"metadata":{"name":"main","revision":2},"spec":{"version":1,"routes":[
-                    {"name":"r1","host":"h","path_prefix":"/s/","kind":"streaming","timeout_ms":5000,"goal_ms":4500,
-                    "priority":1,"service":"e","max_attempts":2,"public":false,"resumable":true},
-                    {"name":"r2","host":"h","path_prefix":"/p/","kind":"idempotent","timeout_ms":5000,"goal_ms":200,
-                    "priority":1,"split":[{"service":"e","weight":1}],"max_attempts":2}],
-                    "services":[{"name":"e","max_conns":9,"engine":{"backups":true}}],
-                    "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
-                    "idle_timeout_ms":15000},"tenants":[{"name":"t","api_keys":["k"],"priority":1}]}}""";
-        }
-        if (uri.contains("servers")) {
-            return """
-                    {"items":[{"metadata":{"name":"i-1","revision":1},"spec":{"service":"e","address":"%s","zone":"z",
-                    "version":"v1","slots":64,"state":"ready","cold_left_ms":0,"seq":4,"born":1}}],
-                    "has_more":false,"current_rev":3}""".formatted(address);
-        }
-        return "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
+        return SampleMessages.answer(uri, "127.0.0.1:" + ((InetSocketAddress) listener.localAddress()).getPort());
     }
 
     private final class Pages extends SimpleChannelInboundHandler<FullHttpRequest> {
