--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -101,11 +101,6 @@
         return ended;
     }
 
-    /** Returns whether events have been passed on to the client. */
-    public boolean opened() {
-        return opened;
-    }
-
     /** Sends the request for the first time. */
     public void start(long nowMillis) {
         arrivedAtMillis = nowMillis;
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetPicker.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetPicker.java
@@ -88,11 +88,6 @@
         return table.holds(target);
     }
 
-    /** Returns whether a service has a target that takes new requests. */
-    public boolean serves(ServiceName service) {
-        return table.targets(service).stream().anyMatch(target -> !target.draining());
-    }
-
     /** Returns a number from 0 (inclusive) to 1 (exclusive). */
     public double draw() {
         return random.nextDouble();
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/log/DecisionLog.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/log/DecisionLog.java
@@ -41,11 +41,6 @@
         logger.info(line(event, fields));
     }
 
-    /** Returns how many lines were left out so far and not yet reported. */
-    public long dropped() {
-        return dropped.get();
-    }
-
     private String line(String event, Object... fields) {
         StringBuilder text = new StringBuilder("event=").append(event);
         for (int i = 0; i + 1 < fields.length; i += 2) {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnections.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnections.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.amaranthlock.coordination.forwarding.EngineReport;
 import org.amaranthlock.coordination.forwarding.EntryTarget;
 import org.amaranthlock.coordination.forwarding.StreamEvent;
@@ -121,7 +122,7 @@
     }
 
     /** Closes the connections to targets that are no longer known. */
-    public void retain(java.util.function.Predicate<TargetId> known) {
+    public void retain(Predicate<TargetId> known) {
         idle.entrySet().removeIf(entry -> {
             if (known.test(entry.getKey())) {
                 return false;
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryProcessTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryProcessTest.java
@@ -110,6 +110,17 @@
         assertThat(EntryFixture.events(answer)).isEqualTo(wholeStream("prompt"));
     }
 
+    // Guards against a stream that hangs because its engine accepts connections but sends nothing more.
+    @Test
+    void aStreamGoesOnWhenItsEngineFallsSilent() {
+        fixture = new EntryFixture(0, 3);
+        CompletableFuture<String> answer = fixture.callLater("POST /draft/x", "s1", "prompt");
+        EntryFixture.await(() -> !fixture.runs("s1").isEmpty());
+        engine(fixture.runs("s1").getFirst().worker()).goSilent();
+        assertThat(EntryFixture.events(answer.join())).isEqualTo(wholeStream("prompt"));
+        assertThat(fixture.runs("s1").size()).isAtLeast(2);
+    }
+
     // Guards against engines that work for clients who have left.
     @Test
     void anEngineIsFreedWhenTheClientLeaves() throws IOException {
