Let a stopped stand-in worker read nothing from kept connections

Cause: FleetWorker.stop reset the open connections in one loop, which ended with an exception at the first connection that a client had closed in the meantime; the others stayed open and were read. EntryProcessTest.drainingWorkerReceivesNoNewRequests failed for it in 2 of 12 runs. Ruled out: a request that the daemon sends to the draining worker, which would be answered 200. Change: each connection is reset by itself, and stop waits for the threads that serve them.

--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetWorker.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetWorker.java
@@ -12,9 +12,9 @@
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -46,7 +46,7 @@
     private final Optional<EngineConfig> engineConfig;
     private final Queue<WorkerFault> faults = new ConcurrentLinkedQueue<>();
     private final List<ExecutedRequest> executedRequests = new CopyOnWriteArrayList<>();
-    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    private final Map<Socket, Thread> connections = new ConcurrentHashMap<>();
     private volatile FleetEngine engine;
     private volatile ServerSocket listener;
     private volatile Thread acceptor;
@@ -97,20 +97,28 @@
         acceptor = Thread.ofVirtual().name("worker-" + id).start(() -> accept(accepting));
     }
 
-    /** Stops the worker as a crash does: open connections are reset. */
+    /**
+     * Stops the worker as a crash does: open connections are reset. No request that arrives after the return is read,
+     * not even on a connection that was kept open.
+     */
     @Override
     public void stop() {
         try {
             listener.close();
             // The port is released only after the acceptor thread has noticed the close.
             acceptor.join();
-            for (Socket connection : connections) {
-                // With a linger time of 0, close sends a TCP reset.
-                connection.setSoLinger(true, 0);
-                connection.close();
+            Map<Socket, Thread> open = Map.copyOf(connections);
+            open.keySet().forEach(this::reset);
+            for (Thread serving : open.values()) {
+                serving.interrupt();
+            }
+            for (Thread serving : open.values()) {
+                if (serving != Thread.currentThread()) { // a request may have crashed the worker
+                    serving.join();
+                }
             }
         } catch (IOException e) {
-            LOG.debugf("Failed to close the sockets of worker %s: %s", id, e);
+            LOG.debugf("Failed to close the listener of worker %s: %s", id, e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -174,8 +182,9 @@
             try {
                 Socket connection = accepting.accept();
                 connection.setTcpNoDelay(true);
-                connections.add(connection);
-                Thread.ofVirtual().start(() -> serve(connection));
+                Thread serving = Thread.ofVirtual().unstarted(() -> serve(connection));
+                connections.put(connection, serving);
+                serving.start();
             } catch (IOException e) {
                 LOG.debugf("Worker %s stopped accepting connections: %s", id, e);
                 return;
@@ -183,6 +192,15 @@
         }
     }
 
+    /** Resets a connection; a failure must not keep the caller from resetting the others. */
+    private void reset(Socket connection) {
+        try (connection) {
+            resetOnClose(connection);
+        } catch (IOException e) {
+            LOG.debugf("Connection to worker %s was closed before it was reset: %s", id, e);
+        }
+    }
+
     private void serve(Socket connection) {
         try (connection) {
             InputStream in = new BufferedInputStream(connection.getInputStream());
