Bind the client address before anything else is loaded

Ruled out: the store, which is answered within 0.1 s of the start, and the engines, which stay up. ClientServerTest and RequestForwarderTest fail without it (no such call).

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -6,11 +6,13 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -59,6 +61,12 @@
      */
     private static final long ABORT_MARGIN_MILLIS = 700;
 
+    /**
+     * Time after the start for which client connections wait for the configuration and the targets. Without them a
+     * client would be rejected and use up its retry, but it does not wait long for its request to be read either.
+     */
+    private static final long MAX_ACCEPT_DELAY_MILLIS = 400;
+
     private static final long DRAIN_CHECK_INTERVAL_MILLIS = 100;
     private static final long SETTINGS_CHECK_INTERVAL_MILLIS = 2_000;
 
@@ -82,6 +90,15 @@
 
     /** Creates the components of a daemon; {@link #start} starts them. */
     public EntryProcess(EntrySettings settings) {
+        this(settings, Optional.empty());
+    }
+
+    /**
+     * Creates the components of a daemon; {@link #start} starts them.
+     *
+     * @param clientSocket listening socket for clients, if it was opened before the settings were read
+     */
+    public EntryProcess(EntrySettings settings, Optional<ServerSocketChannel> clientSocket) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.log = new DecisionLog(Logger.getLogger("amaranthlock"), EntryProcess::monotonicMillis);
         EventLoop trafficLoop = trafficGroup.next();
@@ -146,7 +163,7 @@
                 log);
         this.peerDirectory = new PeerDirectory(
                 store, controlLoop, settings.hostName(), settings.failureDomain(), this::updatePeers, log, metrics);
-        this.clientServer = new ClientServer(trafficGroup, settings.clientAddress(), requestForwarder);
+        this.clientServer = new ClientServer(trafficGroup, settings.clientAddress(), clientSocket, requestForwarder);
         this.readinessServer = new StatusServer(trafficGroup, settings.readinessAddress(), this::readinessResponse);
         this.metricsServer = new StatusServer(
                 controlGroup, settings.metricsAddress(), path -> new StatusResponse(200, metrics.scrape()));
@@ -154,11 +171,13 @@
 
     /** Binds all addresses and starts serving. */
     public void start() {
+        clientServer.start();
+        trafficGroup.next().execute(() -> requestForwarder.whenConfigured(clientServer::accept));
+        trafficGroup.schedule(clientServer::accept, MAX_ACCEPT_DELAY_MILLIS, TimeUnit.MILLISECONDS);
         configurationPoller.start();
         targetWatcher.start();
         InetSocketAddress peerAddress = peerConnections.start();
         peerDirectory.start(peerAddress.getAddress().getHostAddress() + ":" + peerAddress.getPort());
-        clientServer.start();
         readinessServer.start();
         startMetrics();
         log.write(
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
@@ -65,6 +65,7 @@
     private int registeredHostCount = INITIAL_HOST_COUNT;
     private boolean targetsKnown;
     private boolean draining;
+    private Optional<Runnable> onConfigured = Optional.empty();
 
     RequestForwarder(
             EventLoop loop,
@@ -92,11 +93,18 @@
         this.onLoadChanged = Objects.requireNonNull(onLoadChanged, "load listener");
     }
 
+    /** Runs an action on the traffic thread as soon as the configuration and the targets are known. */
+    void whenConfigured(Runnable action) {
+        onConfigured = Optional.of(action);
+        runIfConfigured();
+    }
+
     /** Applies a configuration that a call sent at {@code sentAtMillis} has confirmed to be the newest. */
     void onConfigurationConfirmed(EntryConfiguration configuration, long sentAtMillis) {
         if (cachedConfiguration.confirm(configuration, sentAtMillis)) {
             metrics.updateConfigurationVersion(configuration.version());
             log.write("configuration-in-force", "version", configuration.version(), "age_ms", configurationAgeMillis());
+            runIfConfigured();
         }
     }
 
@@ -105,6 +113,7 @@
         targetsKnown = true;
         loadBalancer.update(table);
         connections.closeConnectionsExcept(id -> table.target(id).isPresent());
+        runIfConfigured();
     }
 
     /** Applies the load report of another host. */
@@ -255,6 +264,14 @@
         return Math.clamp(accountPriority.orElse(route.priority()), 0, LOWEST_PRIORITY);
     }
 
+    private void runIfConfigured() {
+        if (targetsKnown && cachedConfiguration.current().isPresent()) {
+            Optional<Runnable> action = onConfigured;
+            onConfigured = Optional.empty();
+            action.ifPresent(Runnable::run);
+        }
+    }
+
     private long configurationAgeMillis() {
         return cachedConfiguration.ageMillis(ageClockMillis.getAsLong());
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/EntryMain.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/EntryMain.java
@@ -1,12 +1,17 @@
 package org.amaranthlock.entry.cli;
 
+import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import org.amaranthlock.entry.EntryProcess;
+import org.amaranthlock.entry.front.ClientServer;
 import org.amaranthlock.entry.log.LogOutput;
 import org.amaranthlock.entry.settings.EntrySettings;
 import org.amaranthlock.entry.settings.EntrySettingsReader;
 import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.model.ErrorCode;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -26,13 +31,39 @@
         })
 public final class EntryMain {
     private static final int STARTUP_FAILED = 3;
+    private static final String SERVE = "serve";
+    private static final String LISTEN_OPTION = "--listen";
 
     private EntryMain() {}
 
-    /** Runs a command and exits with its exit code. */
+    /**
+     * Runs a command and exits with its exit code.
+     *
+     * <p>{@code serve --listen IP:PORT} without further options is how hosts are started in production. It skips the
+     * command-line parser, which takes as long to load as the rest of the daemon, and opens the client address first.
+     */
     public static void main(String[] arguments) {
+        boolean shortForm = arguments.length == 3 && arguments[0].equals(SERVE) && arguments[1].equals(LISTEN_OPTION);
+        System.exit(shortForm ? serveOn(arguments[2]) : runCommand(arguments));
+    }
+
+    private static int serveOn(String clientAddress) {
+        try {
+            ServerSocketChannel clientSocket = Serve.listen(clientAddress);
+            LogOutput.selectManager();
+            return Serve.run(Serve.defaultPath(), Optional.of(clientSocket));
+        } catch (AmaranthlockException e) {
+            System.err.println(e.getMessage());
+            return STARTUP_FAILED;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return STARTUP_FAILED;
+        }
+    }
+
+    private static int runCommand(String[] arguments) {
         LogOutput.selectManager();
-        System.exit(commandLine().execute(arguments));
+        return commandLine().execute(arguments);
     }
 
     static CommandLine commandLine() {
@@ -48,19 +79,30 @@
     }
 
     /** Serves requests until the process receives SIGTERM. */
-    @Command(name = "serve", description = "Serves requests until SIGTERM.")
+    @Command(name = SERVE, description = "Serves requests until SIGTERM.")
     static final class Serve implements Callable<Integer> {
         @Option(
                 names = "--settings",
                 description = "Settings file; default: the path in " + EntrySettingsReader.SETTINGS_PATH_VARIABLE)
         private Path file;
 
+        @Option(
+                names = LISTEN_OPTION,
+                paramLabel = "IP:PORT",
+                description = "Client address, opened before the settings are read; they must name the same one")
+        private String clientAddress;
+
         @Override
         public Integer call() throws InterruptedException {
+            Optional<ServerSocketChannel> clientSocket =
+                    Optional.ofNullable(clientAddress).map(Serve::listen);
+            return run(file != null ? file : defaultPath(), clientSocket);
+        }
+
+        private static int run(Path path, Optional<ServerSocketChannel> clientSocket) throws InterruptedException {
             LogOutput.configure();
-            Path path = file != null ? file : defaultPath();
             EntrySettings settings = EntrySettingsReader.read(path);
-            EntryProcess process = new EntryProcess(settings);
+            EntryProcess process = new EntryProcess(settings, clientSocket);
             Signals.onTerminate(process::drain);
             Signals.onHangUp(() -> process.reload(path));
             process.start();
@@ -69,6 +111,18 @@
             return 0;
         }
 
+        private static ServerSocketChannel listen(String clientAddress) {
+            try {
+                return ClientServer.bind(EntrySettingsReader.parseAddress(clientAddress));
+            } catch (IOException e) {
+                throw new AmaranthlockException(
+                        ErrorCode.INVALID_SETTINGS,
+                        "cannot listen on " + clientAddress + ": " + e.getMessage()
+                                + "; pass a free address of this host with " + LISTEN_OPTION,
+                        e);
+            }
+        }
+
         private static Path defaultPath() {
             String path = System.getenv(EntrySettingsReader.SETTINGS_PATH_VARIABLE);
             return Path.of(path != null ? path : "/etc/amaranthlock/settings.toml");
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientServer.java
@@ -10,33 +10,83 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.util.concurrent.ImmediateEventExecutor;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import java.util.Objects;
+import java.util.Optional;
+import org.amaranthlock.model.AmaranthlockException;
+import org.amaranthlock.model.ErrorCode;
 
-/** HTTP server for client connections. */
+/**
+ * HTTP server for client connections.
+ *
+ * <p>When many hosts restart at once, clients try to connect for a second at most. The operating system therefore
+ * accepts connections as soon as the address is bound, and they wait in its queue until {@link #accept} is called.
+ */
 public final class ClientServer {
     private static final int BACKLOG = 1_024;
 
     private final EventLoopGroup loops;
     private final InetSocketAddress address;
+    private final Optional<ServerSocketChannel> boundSocket;
     private final ClientExchangeHandler exchangeHandler;
     private final ChannelGroup connections = new DefaultChannelGroup(ImmediateEventExecutor.INSTANCE);
+    private ServerSocketChannel socket;
     private Channel serverChannel;
 
-    /** Creates a server; {@link #start} binds its address. */
-    public ClientServer(EventLoopGroup loops, InetSocketAddress address, ClientExchangeHandler exchangeHandler) {
+    /**
+     * Creates a server.
+     *
+     * @param boundSocket listening socket that {@link #bind} has returned before; used if its address is
+     *     {@code address}, otherwise closed
+     */
+    public ClientServer(
+            EventLoopGroup loops,
+            InetSocketAddress address,
+            Optional<ServerSocketChannel> boundSocket,
+            ClientExchangeHandler exchangeHandler) {
         this.loops = Objects.requireNonNull(loops, "loops");
         this.address = Objects.requireNonNull(address, "address");
+        this.boundSocket = Objects.requireNonNull(boundSocket, "bound socket");
         this.exchangeHandler = Objects.requireNonNull(exchangeHandler, "exchange handler");
     }
 
-    /** Binds the address and accepts connections. */
+    /** Opens a listening socket, whose connections wait until a server accepts them. */
+    public static ServerSocketChannel bind(InetSocketAddress address) throws IOException {
+        ServerSocketChannel channel = ServerSocketChannel.open();
+        channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        return channel.bind(address, BACKLOG);
+    }
+
+    /** Binds the address unless it is bound already. */
     public void start() {
+        try {
+            if (boundSocket.isPresent() && address.equals(boundSocket.get().getLocalAddress())) {
+                socket = boundSocket.get();
+                return;
+            }
+            if (boundSocket.isPresent()) {
+                boundSocket.get().close();
+            }
+            socket = bind(address);
+        } catch (IOException e) {
+            throw new AmaranthlockException(
+                    ErrorCode.INTERNAL,
+                    "cannot listen on " + address + ": " + e.getMessage() + "; choose a free address of this host",
+                    e);
+        }
+    }
+
+    /** Accepts the waiting and all further connections; further calls have no effect. */
+    public void accept() {
+        if (serverChannel != null) {
+            return;
+        }
         serverChannel = new ServerBootstrap()
                 .group(loops)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
+                .channelFactory(() -> new NioServerSocketChannel(socket))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -51,18 +101,18 @@
                                 .addLast(connection);
                     }
                 })
-                .bind(address)
-                .syncUninterruptibly()
+                .register()
                 .channel();
     }
 
     /** Returns the bound address. */
     public InetSocketAddress address() {
-        return (InetSocketAddress) serverChannel.localAddress();
+        return (InetSocketAddress) socket.socket().getLocalSocketAddress();
     }
 
     /** Stops accepting connections, closes idle ones at once and the others after their current response. */
     public void drain() {
+        accept(); // connections that still wait get a response
         serverChannel.close();
         for (Channel channel : connections) {
             channel.eventLoop().execute(() -> {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/settings/EntrySettingsReader.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/settings/EntrySettingsReader.java
@@ -98,14 +98,28 @@
         return value.asDouble();
     }
 
-    private static InetSocketAddress address(JsonNode root, String section, String field) {
-        String text = requiredText(root, section, field);
+    /**
+     * Parses an address.
+     *
+     * @param text IP address and port, separated by a colon
+     * @throws AmaranthlockException if the text is something else
+     */
+    public static InetSocketAddress parseAddress(String text) {
         int colon = text.lastIndexOf(':');
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
             return new InetSocketAddress(InetAddress.getByName(text.substring(0, Math.max(0, colon))), port);
         } catch (IllegalArgumentException | UnknownHostException e) {
-            throw invalidSettings("[" + section + "] " + field + " must be IP:PORT, not \"" + text + "\"", e);
+            throw invalidSettings("an address must be IP:PORT, not \"" + text + "\"", e);
+        }
+    }
+
+    private static InetSocketAddress address(JsonNode root, String section, String field) {
+        String text = requiredText(root, section, field);
+        try {
+            return parseAddress(text);
+        } catch (AmaranthlockException e) {
+            throw invalidSettings("[" + section + "] " + field + ": " + e.getMessage(), e);
         }
     }
 
--- /dev/null
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/RequestForwarderTest.java
@@ -0,0 +1,71 @@
+package org.amaranthlock.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.Map;
+import org.amaranthlock.coordination.forwarding.AdmissionPolicy;
+import org.amaranthlock.coordination.forwarding.EntryConfiguration;
+import org.amaranthlock.coordination.forwarding.LeastDelayPlacement;
+import org.amaranthlock.coordination.forwarding.LoadSheddingPolicy;
+import org.amaranthlock.coordination.forwarding.RequestLimits;
+import org.amaranthlock.coordination.forwarding.RetryBudgetLimits;
+import org.amaranthlock.coordination.forwarding.TargetLoadBalancer;
+import org.amaranthlock.coordination.forwarding.TargetTable;
+import org.amaranthlock.entry.log.DecisionLog;
+import org.amaranthlock.entry.metrics.EntryMetrics;
+import org.amaranthlock.entry.target.TargetConnectionPool;
+import org.amaranthlock.model.FailureDomain;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.jboss.logging.Logger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class RequestForwarderTest {
+    private final EventLoop loop = new DefaultEventLoop();
+    private final RequestForwarder forwarder = forwarder();
+    private int configuredCount;
+
+    @AfterEach
+    void stopLoop() {
+        loop.shutdownGracefully();
+    }
+
+    // Guards against rejecting the first clients after a restart only because the store has not answered yet.
+    @Test
+    void reportsOnceWhenBothConfigurationAndTargetsAreKnown() {
+        forwarder.whenConfigured(() -> configuredCount++);
+        forwarder.updateTargets(TargetTable.EMPTY);
+        assertThat(configuredCount).isEqualTo(0);
+        forwarder.onConfigurationConfirmed(configuration(1), 0);
+        assertThat(configuredCount).isEqualTo(1);
+        forwarder.onConfigurationConfirmed(configuration(2), 0);
+        forwarder.updateTargets(TargetTable.EMPTY);
+        assertThat(configuredCount).isEqualTo(1);
+    }
+
+    private static EntryConfiguration configuration(long version) {
+        return new EntryConfiguration(version, List.of(), Map.of(), Map.of(), false, RequestLimits.INITIAL);
+    }
+
+    private RequestForwarder forwarder() {
+        UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(1);
+        EntryMetrics metrics = new EntryMetrics();
+        return new RequestForwarder(
+                loop,
+                () -> 0,
+                () -> 0,
+                new AdmissionPolicy(5_000, 2_500),
+                new RetryBudgetLimits(0.8, 150, 10_000),
+                new TargetLoadBalancer(
+                        new FailureDomain("a"), new LeastDelayPlacement(random), new LoadSheddingPolicy(random)),
+                random,
+                new TargetConnectionPool(loop, () -> 0, metrics),
+                new DecisionLog(Logger.getLogger("request-forwarder-test"), () -> 0),
+                metrics,
+                () -> {});
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientServerTest.java
@@ -0,0 +1,96 @@
+package org.amaranthlock.entry.front;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.amaranthlock.coordination.forwarding.Rejection;
+import org.amaranthlock.coordination.forwarding.RequestLimits;
+import org.amaranthlock.platform.ClientRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class ClientServerTest {
+    private static final int RESPONSE_TIMEOUT_MILLIS = 10_000;
+
+    private final EventLoopGroup loops = new NioEventLoopGroup(1);
+
+    /** Rejects each request with a status that no other code sends. */
+    private static final class RejectingHandler implements ClientExchangeHandler {
+        @Override
+        public void handle(ClientRequest request, ClientExchange exchange) {
+            exchange.reject(Rejection.of(418, "test"));
+        }
+
+        @Override
+        public RequestLimits limits() {
+            return RequestLimits.INITIAL;
+        }
+
+        @Override
+        public boolean draining() {
+            return false;
+        }
+
+        @Override
+        public void onRejectedEarly(String requestId, int status, String reason) {
+            // No test sends a malformed request.
+        }
+    }
+
+    @AfterEach
+    void stopLoops() {
+        loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    // Guards against clients that are refused and give up while a host restarts.
+    @Test
+    void servesConnectionsThatWereOpenedBeforeTheServerExisted() throws IOException {
+        ServerSocketChannel bound = ClientServer.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        InetSocketAddress address = (InetSocketAddress) bound.getLocalAddress();
+        try (Socket client = connect(address)) {
+            client.getOutputStream().write(request());
+            ClientServer server = new ClientServer(loops, address, Optional.of(bound), new RejectingHandler());
+            server.start();
+            server.accept();
+            assertThat(readResponse(client)).startsWith("HTTP/1.1 418");
+        }
+    }
+
+    @Test
+    void bindsConfiguredAddressIfAnotherOneWasBoundBefore() throws IOException {
+        ServerSocketChannel other = ClientServer.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        InetSocketAddress configured = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        ClientServer server = new ClientServer(loops, configured, Optional.of(other), new RejectingHandler());
+        server.start();
+        server.accept();
+        assertThat(other.isOpen()).isFalse();
+        try (Socket client = connect(server.address())) {
+            client.getOutputStream().write(request());
+            assertThat(readResponse(client)).startsWith("HTTP/1.1 418");
+        }
+    }
+
+    private static Socket connect(InetSocketAddress address) throws IOException {
+        Socket client = new Socket(address.getAddress(), address.getPort());
+        client.setSoTimeout(RESPONSE_TIMEOUT_MILLIS);
+        return client;
+    }
+
+    private static byte[] request() {
+        return "GET /p/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nConnection: close\r\n\r\n"
+                .getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private static String readResponse(Socket client) throws IOException {
+        return new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+}
