Leave out targets at whose address another one runs

Change: of several entries for one address, the one with the highest revision counts. Revisions need no clocks, and a dead target writes nothing after its successor has registered.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetRegistry.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetRegistry.java
@@ -1,5 +1,6 @@
 package org.amaranthlock.coordination.forwarding;
 
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,7 +12,10 @@
  *
  * <p>The entries of targets expire while the store is unavailable, and targets register again shortly after it
  * recovers. An entry that is missing around such a recovery is therefore kept for {@link #REREGISTRATION_GRACE_MILLIS}
- * before it is removed. Not thread-safe.
+ * before it is removed.
+ *
+ * <p>The entry of a crashed target stays until it expires, while a new target already runs at the same address. The
+ * entry that was written last describes the target that runs; the others are left out of the table. Not thread-safe.
  */
 public final class TargetRegistry {
     /** Time within which available targets register again after the store has recovered, in milliseconds. */
@@ -74,7 +78,7 @@
     public TargetTable table(long nowMillis) {
         expire(nowMillis);
         return new TargetTable(
-                entries.values().stream().map(RegistryEntry::target).toList());
+                latestByAddress().stream().map(RegistryEntry::target).toList());
     }
 
     /** Returns whether entries are missing whose targets may still register again within the grace period. */
@@ -82,6 +86,17 @@
         return !missingEntries.isEmpty();
     }
 
+    private Collection<RegistryEntry> latestByAddress() {
+        Map<String, RegistryEntry> latest = new LinkedHashMap<>();
+        for (RegistryEntry entry : entries.values()) {
+            latest.merge(
+                    entry.target().authority(),
+                    entry,
+                    (one, other) -> one.revision() >= other.revision() ? one : other);
+        }
+        return latest.values();
+    }
+
     private void removeOrMarkMissing(TargetId id, long nowMillis) {
         if (nowMillis - storeRecoveredAtMillis < REREGISTRATION_GRACE_MILLIS) {
             missingEntries.put(id, storeRecoveredAtMillis);
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/EntryTargets.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/EntryTargets.java
@@ -10,6 +10,9 @@
 final class EntryTargets {
     static final ServiceName SERVICE = new ServiceName("desk");
 
+    private static final int FIRST_PORT = 8_000;
+    private static final int PORT_COUNT = 50_000;
+
     private EntryTargets() {}
 
     /** Returns the load balancer of a host in failure domain {@code a}. */
@@ -27,8 +30,23 @@
         return target(id, domain, true);
     }
 
+    /** Returns a target that runs at the address of another one, which has ended. */
+    static EntryTarget successor(String id, EntryTarget ended) {
+        return new EntryTarget(
+                new TargetId(id),
+                ended.service(),
+                ended.address(),
+                ended.port(),
+                ended.failureDomain(),
+                ended.slots(),
+                false,
+                0,
+                ended.startedAtMillis() + 1);
+    }
+
     private static EntryTarget target(String id, String domain, boolean draining) {
+        int port = FIRST_PORT + Math.floorMod(id.hashCode(), PORT_COUNT);
         return new EntryTarget(
-                new TargetId(id), SERVICE, "10.0.0.1", 8_000, new FailureDomain(domain), 6, draining, 0, 1);
+                new TargetId(id), SERVICE, "10.0.0.1", port, new FailureDomain(domain), 6, draining, 0, 1);
     }
 }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/TargetRegistryTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/TargetRegistryTest.java
@@ -55,6 +55,24 @@
         assertThat(ids(10)).containsExactly("t2");
     }
 
+    // Load pattern: most engines of a domain crash and restart under new ids, while the entries of the crashed ones
+    // stay
+    // for seconds. Guards against requests that try one crashed engine after the other.
+    @Test
+    void leavesOutEndedTargetWhenAnotherRunsAtItsAddress() {
+        registry.applyList(Map.of(first, 1L, second, 2L), false, 0);
+        registry.applyChange(EntryTargets.successor("t3", first), 3, 10);
+        assertThat(ids(10)).containsExactly("t2", "t3");
+    }
+
+    // Guards against preferring an entry only because it was received later.
+    @Test
+    void prefersEntryWrittenLastAtAnAddress() {
+        registry.applyChange(EntryTargets.successor("t0", first), 3, 10);
+        registry.applyChange(first, 1, 20);
+        assertThat(ids(20)).containsExactly("t0");
+    }
+
     private List<String> ids(long nowMillis) {
         return registry.table(nowMillis).targets().stream()
                 .map(target -> target.id().value())
