Count a crash against a request only if its target lived, and part ForwardedRequest by concern

A crash whose check ended before the next attempt also counted twice. Change: a request that may have crashed a target is sent on only after its next target has answered a call that executes nothing; known crashes of an attempt are those confirmed of the attempts before it.

--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedStream.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedStream.java
@@ -121,6 +121,13 @@
                 () -> request.onProbeResult(attempt.number(), engine.alive(), scheduler.nowMillis()));
     }
 
+    @Override
+    public void checkResponds(EntryTarget target) {
+        SimulatedStreamingEngine engine = engines.get(target.id());
+        scheduler.scheduleAfterMillis(
+                probeMillis(engine), () -> request.onTargetChecked(target, engine.alive(), scheduler.nowMillis()));
+    }
+
     @Override
     public void checkCrash(Attempt attempt, long delayMillis) {
         SimulatedStreamingEngine engine = engines.get(attempt.target().id());
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/AttemptTracker.java
@@ -0,0 +1,93 @@
+package org.amaranthlock.coordination.forwarding;
+
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Attempts of one request: the current one, the load that it counts as, and how many targets may have executed the
+ * request. Not thread-safe.
+ */
+final class AttemptTracker {
+    private final TargetLoadBalancer loadBalancer;
+    private final long tokens;
+    private Attempt current;
+
+    /** Load that is counted for the current attempt; one that resumes from a copy has no prompt to prefill. */
+    private InFlightLoad countedLoad = InFlightLoad.NONE;
+
+    private boolean generating;
+    private int started;
+    private int deliveries;
+    private int executions;
+
+    AttemptTracker(TargetLoadBalancer loadBalancer, long tokens) {
+        this.loadBalancer = Objects.requireNonNull(loadBalancer, "load balancer");
+        this.tokens = tokens;
+    }
+
+    /** Returns the number of the last attempt, starting at 1; 0 before the first one. */
+    int started() {
+        return started;
+    }
+
+    /** Returns the number of attempts of which at least one byte may have reached the target. */
+    int deliveries() {
+        return deliveries;
+    }
+
+    /** Returns the number of attempts that the target may have executed, without the current one. */
+    int executions() {
+        return executions;
+    }
+
+    /** Returns the current attempt. */
+    Optional<Attempt> current() {
+        return Optional.ofNullable(current);
+    }
+
+    boolean isCurrent(int number) {
+        return current != null && current.number() == number;
+    }
+
+    /** Returns whether the current attempt has sent events; an engine copies its KV cache only once it generates. */
+    boolean generating() {
+        return generating;
+    }
+
+    /** Makes an attempt, whose number must be the next one, the current one. */
+    void begin(Attempt attempt) {
+        started++;
+        deliveries++;
+        current = attempt;
+        generating = false;
+        countedLoad =
+                attempt.resumeFrom().isPresent() ? InFlightLoad.generating(tokens) : InFlightLoad.prefilling(tokens);
+        loadBalancer.addLoad(attempt.target(), countedLoad);
+    }
+
+    /** Records that the current attempt has sent its first event. */
+    void markGenerating() {
+        generating = true;
+        loadBalancer.removeLoad(current.target(), countedLoad);
+        countedLoad = InFlightLoad.generating(tokens);
+        loadBalancer.addLoad(current.target(), countedLoad);
+    }
+
+    /** Ends the current attempt and returns it. */
+    Attempt end() {
+        Attempt ended = current;
+        loadBalancer.removeLoad(ended.target(), countedLoad);
+        current = null;
+        return ended;
+    }
+
+    /** Records that no byte of the last attempt was sent. */
+    void undoDelivery() {
+        deliveries--;
+    }
+
+    /** Records that the target of the last attempt may have executed the request. */
+    void countExecution() {
+        executions++;
+    }
+}
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -1,13 +1,10 @@
 package org.amaranthlock.coordination.forwarding;
 
-import java.io.ByteArrayOutputStream;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.amaranthlock.model.TargetId;
 
 /**
  * State machine of one forwarded request, from its admission to its final response.
@@ -43,46 +40,28 @@
     private final FleetRetryBudget retryBudget;
     private final PoisonDetector poisonDetector;
     private final ForwardingPort port;
-    private final AttemptTimeouts timeouts;
+    private final AttemptTracker attempts;
+    private final StreamProgress stream;
+    private final RetryTargets retryTargets;
+    private final SilenceMonitor silence;
     private final KvCacheBackup kvCacheBackup;
-    private final Set<TargetId> avoided = new HashSet<>();
 
     private long arrivedAtMillis;
     private long deadlineMillis;
-    private Attempt currentAttempt;
-    private long sentAtMillis;
-    private long lastActivityMillis;
-    private long lastProbeMillis;
-    private long resumeAtMillis;
-
-    /** Number of attempts. */
-    private int attempts;
-
-    /** Number of attempts of which at least one byte may have reached the target. */
-    private int deliveries;
-
-    /** Number of attempts that the target may have executed. */
-    private int executions;
-
-    private TargetResponse streamHead;
-    private boolean clientStreamOpened;
-    private long lastEventId = -1;
     private boolean completed;
 
-    /** Whether the current attempt has sent events; an engine copies its KV cache only once it generates. */
-    private boolean generating;
-
-    /** Load that is counted for the current attempt; one that resumes from a copy has no prompt to prefill. */
-    private InFlightLoad countedLoad = InFlightLoad.NONE;
-
-    /** KV cache copy of the last lost attempt. */
-    private Optional<KvCacheCopy> usableCopy = Optional.empty();
+    /** Next attempt, which waits for the check of its target. */
+    private Optional<PendingAttempt> pending = Optional.empty();
 
-    /** Engine of the last lost attempt if its KV cache may still hold the prompt, otherwise null. */
-    private EntryTarget sameTarget;
+    /** Time at which a stream without an attempt is tried again. */
+    private long resumeAtMillis;
 
-    private boolean retriedOnSameTarget;
-    private long lastReportRequestMillis;
+    /**
+     * Attempt that is not sent yet.
+     *
+     * @param cause reason for the attempt
+     */
+    private record PendingAttempt(RetryTargets.Destination destination, String cause) {}
 
     /** Creates a request, which is sent by {@link #start}. */
     public ForwardedRequest(
@@ -102,7 +81,10 @@
         this.retryBudget = Objects.requireNonNull(retryBudget, "retry budget");
         this.port = Objects.requireNonNull(port, "port");
         this.poisonDetector = new PoisonDetector(attributes.fingerprint(), crashHistory, loadBalancer, port);
-        this.timeouts = new AttemptTimeouts(route);
+        this.attempts = new AttemptTracker(loadBalancer, attributes.tokens());
+        this.stream = new StreamProgress(port, attributes.lastEventId().orElse(-1L));
+        this.retryTargets = new RetryTargets(loadBalancer, service, attributes.tokens());
+        this.silence = new SilenceMonitor(route);
         this.kvCacheBackup = new KvCacheBackup(attributes, service, loadBalancer, port);
     }
 
@@ -117,7 +99,6 @@
         long timeoutMillis =
                 Math.min(route.timeoutMillis(), attributes.timeLeftMillis().orElse(route.timeoutMillis()));
         deadlineMillis = nowMillis + timeoutMillis;
-        lastEventId = attributes.lastEventId().orElse(-1L);
         retryBudget.recordRequest();
         OptionalLong retryAfter = attributes.lastEventId().isPresent()
                 ? OptionalLong.empty() // a stream that the client resumes is not shed
@@ -134,7 +115,7 @@
         if (!isCurrent(attempt)) {
             return;
         }
-        Attempt ended = releaseAttempt();
+        Attempt ended = endAttempt();
         // With 421, a target with another id rejects the request.
         if (response.notRun() || response.status() == 421) {
             handleNotRun(ended, response, nowMillis);
@@ -143,9 +124,9 @@
         boolean misleadingStatus = !route.isRetryable() && NOT_RUN_STATUSES.contains(response.status());
         // A success needs the target's stamp, and a streaming route expects an event stream.
         boolean unusable = misleadingStatus
-                || clientStreamOpened
+                || stream.opened()
                 || (response.isSuccess() && (!response.stamped() || route.kind() == RouteKind.STREAMING));
-        executions++;
+        attempts.countExecution();
         if (unusable || (response.status() >= 500 && route.isRetryable() && hasAttemptsLeft())) {
             handleFailure(ended, "status-" + response.status(), nowMillis);
             return;
@@ -161,16 +142,12 @@
         if (!isCurrent(attempt)) {
             return;
         }
-        lastActivityMillis = nowMillis;
+        silence.recordActivity(nowMillis);
         if (!response.stamped()) {
-            port.cancel(currentAttempt);
-            onAttemptLost(attempt, "no-stamp", nowMillis);
+            abandonAttempt("no-stamp", nowMillis);
             return;
         }
-        if (!clientStreamOpened) {
-            // The client gets the head of the first target that sends events.
-            streamHead = response;
-        }
+        stream.offerHead(response);
     }
 
     /** Handles complete events of a stream. */
@@ -178,28 +155,18 @@
         if (!isCurrent(attempt)) {
             return;
         }
-        lastActivityMillis = nowMillis;
-        if (!generating) {
+        silence.recordActivity(nowMillis);
+        if (!attempts.generating()) {
             markGenerating(nowMillis);
         }
-        ByteArrayOutputStream newEvents = new ByteArrayOutputStream();
-        for (StreamEvent event : events) {
-            if (lastEventId >= 0 && event.id() <= lastEventId) {
-                continue;
-            }
-            if (lastEventId >= 0 && event.id() > lastEventId + 1) {
-                // Events are missing; the client would take the response for complete.
-                forwardEvents(newEvents);
-                port.cancel(currentAttempt);
-                onAttemptLost(attempt, "event-" + event.id() + "-after-" + lastEventId, nowMillis);
-                return;
-            }
-            lastEventId = event.id();
-            newEvents.writeBytes(event.bytes());
-        }
-        forwardEvents(newEvents);
+        long lastEventId = stream.lastEventId();
+        OptionalLong afterGap = stream.forward(events);
+        if (afterGap.isPresent()) {
+            abandonAttempt("event-" + afterGap.getAsLong() + "-after-" + lastEventId, nowMillis);
+            return;
+        }
         if (route.isRetryable()) {
-            kvCacheBackup.refresh(currentAttempt, avoided, nowMillis);
+            kvCacheBackup.refresh(currentAttempt(), retryTargets.avoided(), nowMillis);
         }
         scheduleTimer(nowMillis);
     }
@@ -210,7 +177,8 @@
             return;
         }
         kvCacheBackup.onCopyCompleted(attempt, backup, copyId);
-        recordDecision(copyId.isPresent() ? "copied" : "not-copied", currentAttempt, "to-" + backup.id(), 0, nowMillis);
+        recordDecision(
+                copyId.isPresent() ? "copied" : "not-copied", currentAttempt(), "to-" + backup.id(), 0, nowMillis);
     }
 
     /** Handles the regular end of an event stream. */
@@ -218,11 +186,10 @@
         if (!isCurrent(attempt)) {
             return;
         }
-        Attempt ended = releaseAttempt();
+        Attempt ended = endAttempt();
         loadBalancer.recordSuccess(ended.target(), nowMillis);
-        openStream();
-        complete("answered", ended, "complete", streamHead.status(), nowMillis);
-        port.endStream();
+        complete("answered", ended, "complete", stream.status(), nowMillis);
+        stream.end();
     }
 
     /** Handles an attempt of which no byte was sent. */
@@ -230,13 +197,12 @@
         if (!isCurrent(attempt)) {
             return;
         }
-        Attempt ended = releaseAttempt();
-        deliveries--;
-        if (deliveries > 0) { // the first delivery acquires no retry
+        Attempt ended = endAttempt();
+        attempts.undoDelivery();
+        if (attempts.deliveries() > 0) { // the first delivery acquires no retry
             retryBudget.release();
         }
-        loadBalancer.recordUnreachable(ended.target(), nowMillis);
-        avoided.add(ended.target().id());
+        handleUnreachable(ended.target(), nowMillis);
         recordDecision("not-sent", ended, cause, 0, nowMillis);
         retry("not-sent", nowMillis);
     }
@@ -246,15 +212,15 @@
         if (!isCurrent(attempt)) {
             return;
         }
-        usableCopy = generating ? kvCacheBackup.findUsableCopy(nowMillis) : Optional.empty();
-        Attempt ended = releaseAttempt();
-        executions++;
+        boolean generating = attempts.generating();
+        retryTargets.offerCopy(generating ? kvCacheBackup.findUsableCopy(nowMillis) : Optional.empty());
+        Attempt ended = endAttempt();
+        attempts.countExecution();
         if (!generating) { // a stream that already generates is not counted as the cause of a crash
             poisonDetector.onAttemptLost(ended, cause);
         }
-        boolean mayHavePrompt =
-                route.kind() == RouteKind.STREAMING && !retriedOnSameTarget && !NO_SAME_TARGET_CAUSES.contains(cause);
-        sameTarget = mayHavePrompt ? ended.target() : null;
+        retryTargets.recordLoss(
+                ended.target(), route.kind() == RouteKind.STREAMING && !NO_SAME_TARGET_CAUSES.contains(cause));
         handleFailure(ended, cause, nowMillis);
     }
 
@@ -265,33 +231,50 @@
      * report is no failure, because an engine lists a request only once its prompt has been prefilled.
      */
     public void onEngineReport(int attempt, Optional<EngineReport> report, long nowMillis) {
-        if (!isCurrent(attempt)
-                || report.isEmpty()
-                || nowMillis - lastActivityMillis < timeouts.reportIntervalMillis()) {
+        if (!isCurrent(attempt) || report.isEmpty() || !silence.isSilentForReport(nowMillis)) {
             return;
         }
         Long generated = report.get().eventsByRequest().get(attributes.id());
-        if (generated != null && generated > lastEventId + 1 + MAX_EVENTS_IN_TRANSIT) {
+        if (generated != null && generated > stream.lastEventId() + 1 + MAX_EVENTS_IN_TRANSIT) {
             abandonAttempt("events-missing", nowMillis);
         }
     }
 
     /** Handles the check whether the target of a lost attempt accepts connections; if it does not, it crashed. */
     public void onCrashCheckResult(Attempt attempt, boolean reachable, long nowMillis) {
-        if (!reachable) {
-            boolean counted = poisonDetector.recordUnreachable(attempt, nowMillis);
-            recordDecision(counted ? "crash-counted" : "crash-with-domain", attempt, "unreachable", 0, nowMillis);
+        if (reachable) {
+            poisonDetector.recordReachable(attempt);
+            return;
         }
+        boolean counted = poisonDetector.recordUnreachable(attempt, nowMillis);
+        recordDecision(counted ? "crash-counted" : "crash-with-domain", attempt, "unreachable", 0, nowMillis);
+    }
+
+    /** Handles the result of a check whether the target of the next attempt responds. */
+    public void onTargetChecked(EntryTarget target, boolean responds, long nowMillis) {
+        if (completed
+                || pending.isEmpty()
+                || !pending.get().destination().target().equals(target)) {
+            return;
+        }
+        PendingAttempt checked = pending.get();
+        pending = Optional.empty();
+        if (responds) {
+            send(checked.destination(), checked.cause(), nowMillis);
+            return;
+        }
+        handleUnreachable(target, nowMillis);
+        recordDecision("not-sent", null, "check-of-" + target.id(), 0, nowMillis);
+        retry("not-sent", nowMillis);
     }
 
     /** Handles the result of a probe; a failed one is ignored if events arrived after it was sent. */
     public void onProbeResult(int attempt, boolean reachable, long nowMillis) {
-        if (!isCurrent(attempt) || reachable || lastActivityMillis >= lastProbeMillis) {
+        if (!isCurrent(attempt) || reachable || silence.activeSinceProbe()) {
             return;
         }
-        loadBalancer.recordUnreachable(currentAttempt.target(), nowMillis);
-        port.cancel(currentAttempt);
-        onAttemptLost(attempt, "unreachable", nowMillis);
+        loadBalancer.recordUnreachable(currentAttempt().target(), nowMillis);
+        abandonAttempt("unreachable", nowMillis);
     }
 
     /** Handles the closing of the connection by the client. */
@@ -299,11 +282,7 @@
         if (completed) {
             return;
         }
-        Attempt cancelled = currentAttempt;
-        if (cancelled != null) {
-            port.cancel(cancelled);
-            releaseAttempt();
-        }
+        Attempt cancelled = cancelAttempt();
         complete("caller-left", cancelled, "connection-closed", 0, nowMillis);
     }
 
@@ -314,84 +293,59 @@
         }
         if (nowMillis >= deadlineMillis) {
             handleDeadline(nowMillis);
-        } else if (currentAttempt == null) {
-            resumeAfterDelay(nowMillis);
-        } else {
+        } else if (attempts.current().isPresent()) {
             checkTimeouts(nowMillis);
+        } else if (pending.isEmpty() && nowMillis >= resumeAtMillis) {
+            dispatch("pause", nowMillis);
         }
         scheduleTimer(nowMillis);
     }
 
+    /** Chooses the destination of the next attempt and sends it, after a check if the request may crash targets. */
     private void dispatch(String cause, long nowMillis) {
         if (poisonDetector.isPoison(nowMillis)) {
             fail(Rejection.of(502, "crashes-targets"), nowMillis);
             return;
         }
-        Optional<EntryTarget> retryTarget = takeSameTarget(nowMillis);
-        Optional<KvCacheCopy> copy = retryTarget.isPresent() ? Optional.empty() : takeUsableCopy(nowMillis);
-        Optional<EntryTarget> target = retryTarget
-                .or(() -> copy.map(KvCacheCopy::engine))
-                .or(() -> loadBalancer.chooseTarget(service, attributes.tokens(), avoided, nowMillis));
-        if (target.isEmpty()) {
+        Optional<RetryTargets.Destination> destination = retryTargets.choose(nowMillis);
+        if (destination.isEmpty()) {
             handleNoTarget("no-target", nowMillis);
-            return;
+        } else if (poisonDetector.isSuspect(nowMillis)) {
+            pending = Optional.of(new PendingAttempt(destination.get(), cause));
+            scheduleTimer(nowMillis);
+            port.checkResponds(destination.get().target());
+        } else {
+            send(destination.get(), cause, nowMillis);
         }
-        if (deliveries > 0 && !retryBudget.tryAcquire(nowMillis)) {
-            usableCopy = copy;
+    }
+
+    private void send(RetryTargets.Destination destination, String cause, long nowMillis) {
+        if (attempts.deliveries() > 0 && !retryBudget.tryAcquire(nowMillis)) {
+            retryTargets.offerCopy(destination.copy());
             handleNoTarget("repeat-budget", nowMillis);
             return;
         }
-        Optional<EntryTarget> backupTarget =
-                route.isRetryable() ? kvCacheBackup.assign(target.get(), avoided, nowMillis) : Optional.empty();
-        attempts++;
-        deliveries++;
-        currentAttempt = new Attempt(
-                attempts,
-                target.get(),
+        Optional<EntryTarget> backupTarget = route.isRetryable()
+                ? kvCacheBackup.assign(destination.target(), retryTargets.avoided(), nowMillis)
+                : Optional.empty();
+        Attempt attempt = new Attempt(
+                attempts.started() + 1,
+                destination.target(),
                 deadlineMillis - nowMillis,
-                lastEventId < 0 ? Optional.empty() : Optional.of(lastEventId),
+                stream.lastEventId() < 0 ? Optional.empty() : Optional.of(stream.lastEventId()),
                 backupTarget,
-                copy,
+                destination.copy(),
                 priority);
-        poisonDetector.recordSend(attempts, nowMillis);
-        countedLoad = copy.isPresent()
-                ? InFlightLoad.generating(attributes.tokens())
-                : InFlightLoad.prefilling(attributes.tokens());
-        loadBalancer.addLoad(target.get(), countedLoad);
-        generating = false;
-        sentAtMillis = nowMillis;
-        lastActivityMillis = nowMillis;
-        lastProbeMillis = nowMillis;
-        lastReportRequestMillis = nowMillis;
-        recordDecision(copy.isPresent() ? "sent-to-copy" : "sent", currentAttempt, cause, 0, nowMillis);
-        port.send(currentAttempt);
+        attempts.begin(attempt);
+        silence.recordSend(nowMillis);
+        poisonDetector.recordSend(attempt.number(), nowMillis);
+        recordDecision(destination.copy().isPresent() ? "sent-to-copy" : "sent", attempt, cause, 0, nowMillis);
+        port.send(attempt);
         scheduleTimer(nowMillis);
     }
 
-    /** Returns the engine of the last lost attempt; each request is retried on the same engine only once. */
-    private Optional<EntryTarget> takeSameTarget(long nowMillis) {
-        EntryTarget target = sameTarget;
-        sameTarget = null;
-        if (target == null
-                || !loadBalancer.isRegistered(target)
-                || loadBalancer.isDomainFailing(target.failureDomain(), nowMillis)) {
-            return Optional.empty();
-        }
-        retriedOnSameTarget = true;
-        return Optional.of(target);
-    }
-
-    /** Returns the KV cache copy of the last lost attempt; a copy can be used only once. */
-    private Optional<KvCacheCopy> takeUsableCopy(long nowMillis) {
-        Optional<KvCacheCopy> copy = usableCopy
-                .filter(kept -> !avoided.contains(kept.engine().id()))
-                .filter(kept -> loadBalancer.isReachable(kept.engine(), nowMillis));
-        usableCopy = Optional.empty();
-        return copy;
-    }
-
     private void handleNotRun(Attempt ended, TargetResponse response, long nowMillis) {
-        avoided.add(ended.target().id());
+        retryTargets.avoid(ended.target());
         if (response.status() == 421) {
             loadBalancer.recordFailure(ended.target(), nowMillis);
         }
@@ -399,9 +353,14 @@
         retry("not-run", nowMillis);
     }
 
+    private void handleUnreachable(EntryTarget target, long nowMillis) {
+        loadBalancer.recordUnreachable(target, nowMillis);
+        retryTargets.avoid(target);
+    }
+
     private void handleFailure(Attempt ended, String cause, long nowMillis) {
         loadBalancer.recordFailure(ended.target(), nowMillis);
-        avoided.add(ended.target().id());
+        retryTargets.avoid(ended.target());
         recordDecision("lost", ended, cause, 0, nowMillis);
         if (!route.isRetryable() || !hasAttemptsLeft()) {
             fail(Rejection.of(502, cause), nowMillis);
@@ -411,11 +370,11 @@
     }
 
     private boolean hasAttemptsLeft() {
-        return executions < route.maxAttempts();
+        return attempts.executions() < route.maxAttempts();
     }
 
     private void retry(String cause, long nowMillis) {
-        if (deliveries >= route.maxAttempts() + EXTRA_DELIVERIES) {
+        if (attempts.deliveries() >= route.maxAttempts() + EXTRA_DELIVERIES) {
             fail(finalRejection(cause), nowMillis);
             return;
         }
@@ -424,22 +383,24 @@
 
     /** Rejects the request or, if the client already receives the stream, schedules a search among all targets. */
     private void handleNoTarget(String cause, long nowMillis) {
-        if (!clientStreamOpened) {
+        if (!stream.opened()) {
             fail(finalRejection(cause), nowMillis);
             return;
         }
-        avoided.clear();
+        retryTargets.forgetAvoided();
         resumeAtMillis = nowMillis + RESUME_DELAY_MILLIS;
         scheduleTimer(nowMillis);
     }
 
     /** Returns a 503, which states that the request was not executed, only if no target may have executed it. */
     private Rejection finalRejection(String cause) {
-        return executions > 0 ? Rejection.of(502, cause) : Rejection.retryLater(NO_TARGET_RETRY_AFTER_MILLIS, cause);
+        return attempts.executions() > 0
+                ? Rejection.of(502, cause)
+                : Rejection.retryLater(NO_TARGET_RETRY_AFTER_MILLIS, cause);
     }
 
     private void fail(Rejection rejection, long nowMillis) {
-        if (clientStreamOpened) {
+        if (stream.opened()) {
             complete("broken-off", null, rejection.reason(), 0, nowMillis);
             port.abort();
             return;
@@ -449,99 +410,74 @@
     }
 
     private void handleDeadline(long nowMillis) {
-        boolean mayHaveRun = currentAttempt != null || executions > 0;
-        if (currentAttempt != null) {
-            port.cancel(currentAttempt);
-            releaseAttempt();
-        }
+        boolean mayHaveRun = cancelAttempt() != null || attempts.executions() > 0;
         fail(mayHaveRun ? Rejection.of(504, "timeout") : Rejection.retryLater(0, "timeout"), nowMillis);
     }
 
-    private void resumeAfterDelay(long nowMillis) {
-        if (nowMillis >= resumeAtMillis) {
-            dispatch("pause", nowMillis);
-        }
-    }
-
     private void checkTimeouts(long nowMillis) {
-        long silentMillis = nowMillis - lastActivityMillis;
-        boolean lastAttempt = executions + 1 >= route.maxAttempts();
-        boolean silentTooLong = silentMillis >= timeouts.inactivityTimeoutMillis(generating);
-        if (route.isRetryable() && !lastAttempt && silentTooLong && hasAlternative(nowMillis)) {
+        boolean generating = attempts.generating();
+        boolean lastAttempt = attempts.executions() + 1 >= route.maxAttempts();
+        if (route.isRetryable()
+                && !lastAttempt
+                && silence.isSilentTooLong(generating, nowMillis)
+                && retryTargets.hasAlternative(currentAttempt().target(), nowMillis)) {
             abandonAttempt(timeoutCause(), nowMillis);
         } else if (route.kind() == RouteKind.STREAMING) {
-            checkStreamTarget(silentMillis, nowMillis);
+            checkStreamTarget(generating, nowMillis);
         }
     }
 
-    /** Returns whether another target could start immediately; an engine has to prefill the prompt again. */
-    private boolean hasAlternative(long nowMillis) {
-        if (!service.engine()) {
-            return true;
-        }
-        Set<TargetId> excluded = new HashSet<>(avoided);
-        excluded.add(currentAttempt.target().id());
-        return loadBalancer.hasSpareCapacity(service, attributes.tokens(), excluded, nowMillis);
-    }
-
     private String timeoutCause() {
         if (route.kind() == RouteKind.IDEMPOTENT) {
             return "no-answer";
         }
-        return generating ? "stalled" : "no-first-event";
+        return attempts.generating() ? "stalled" : "no-first-event";
     }
 
-    private void checkStreamTarget(long silentMillis, long nowMillis) {
-        if (nowMillis - Math.max(lastActivityMillis, lastProbeMillis) >= timeouts.probeIntervalMillis(generating)) {
-            lastProbeMillis = nowMillis;
-            port.probe(currentAttempt);
+    private void checkStreamTarget(boolean generating, long nowMillis) {
+        if (silence.isProbeDue(generating, nowMillis)) {
+            silence.recordProbe(nowMillis);
+            port.probe(currentAttempt());
         }
-        boolean due =
-                nowMillis - Math.max(lastActivityMillis, lastReportRequestMillis) >= timeouts.reportIntervalMillis();
-        if (service.engine() && due && silentMillis >= timeouts.reportDelayMillis(generating)) {
-            lastReportRequestMillis = nowMillis;
-            port.requestEngineReport(currentAttempt);
+        if (service.engine() && silence.isReportDue(generating, nowMillis)) {
+            silence.recordReportRequest(nowMillis);
+            port.requestEngineReport(currentAttempt());
         }
     }
 
     private void abandonAttempt(String cause, long nowMillis) {
-        port.cancel(currentAttempt);
-        onAttemptLost(currentAttempt.number(), cause, nowMillis);
+        Attempt abandoned = currentAttempt();
+        port.cancel(abandoned);
+        onAttemptLost(abandoned.number(), cause, nowMillis);
     }
 
-    private void forwardEvents(ByteArrayOutputStream newEvents) {
-        if (newEvents.size() > 0) {
-            openStream();
-            port.writeEvents(newEvents.toByteArray());
+    /** Cancels the current attempt and returns it; null if there is none. */
+    private Attempt cancelAttempt() {
+        if (attempts.current().isEmpty()) {
+            return null;
         }
+        port.cancel(currentAttempt());
+        return endAttempt();
     }
 
-    private void openStream() {
-        if (!clientStreamOpened) {
-            clientStreamOpened = true;
-            port.openStream(streamHead);
-        }
+    private boolean isCurrent(int attempt) {
+        return !completed && attempts.isCurrent(attempt);
     }
 
-    private boolean isCurrent(int attempt) {
-        return !completed && currentAttempt != null && currentAttempt.number() == attempt;
+    private Attempt currentAttempt() {
+        return attempts.current().orElseThrow();
     }
 
     private void markGenerating(long nowMillis) {
-        generating = true;
+        attempts.markGenerating();
         poisonDetector.recordResponse(nowMillis);
-        loadBalancer.recordSuccess(currentAttempt.target(), nowMillis);
-        loadBalancer.removeLoad(currentAttempt.target(), countedLoad);
-        countedLoad = InFlightLoad.generating(attributes.tokens());
-        loadBalancer.addLoad(currentAttempt.target(), countedLoad);
-        recordDecision("first-event", currentAttempt, "running", 0, nowMillis);
-    }
-
-    private Attempt releaseAttempt() {
-        Attempt ended = currentAttempt;
-        loadBalancer.removeLoad(ended.target(), countedLoad);
-        kvCacheBackup.release(ended, usableCopy);
-        currentAttempt = null;
+        loadBalancer.recordSuccess(currentAttempt().target(), nowMillis);
+        recordDecision("first-event", currentAttempt(), "running", 0, nowMillis);
+    }
+
+    private Attempt endAttempt() {
+        Attempt ended = attempts.end();
+        kvCacheBackup.release(ended, retryTargets.usableCopy());
         return ended;
     }
 
@@ -549,21 +485,13 @@
         if (completed) {
             return;
         }
-        port.scheduleTimer(Math.min(deadlineMillis, nextTimerMillis(nowMillis)));
-    }
-
-    private long nextTimerMillis(long nowMillis) {
-        if (currentAttempt == null) {
-            return resumeAtMillis;
+        long dueMillis;
+        if (attempts.current().isPresent()) {
+            dueMillis = silence.nextDueMillis(attempts.generating(), deadlineMillis, nowMillis);
+        } else {
+            dueMillis = pending.isPresent() ? deadlineMillis : Math.min(deadlineMillis, resumeAtMillis);
         }
-        return switch (route.kind()) {
-            case IDEMPOTENT -> {
-                long abandonAtMillis = sentAtMillis + timeouts.inactivityTimeoutMillis(generating);
-                yield abandonAtMillis > nowMillis ? abandonAtMillis : deadlineMillis;
-            }
-            case NON_IDEMPOTENT -> deadlineMillis;
-            case STREAMING -> Math.max(lastActivityMillis, lastProbeMillis) + timeouts.probeIntervalMillis(generating);
-        };
+        port.scheduleTimer(dueMillis);
     }
 
     private void complete(String step, Attempt attempt, String cause, int status, long nowMillis) {
@@ -579,12 +507,12 @@
             String step, Attempt attempt, String cause, int status, long nowMillis, boolean last) {
         return new ForwardingDecision(
                 step,
-                attempt == null ? attempts : attempt.number(),
+                attempt == null ? attempts.started() : attempt.number(),
                 Optional.ofNullable(attempt).map(concerned -> concerned.target().id()),
                 cause,
                 status,
                 nowMillis - arrivedAtMillis,
-                lastEventId,
+                stream.lastEventId(),
                 last);
     }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingPort.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingPort.java
@@ -14,6 +14,12 @@
      */
     void probe(Attempt attempt);
 
+    /**
+     * Checks whether a target answers a call that executes nothing; the result is passed to
+     * {@link ForwardedRequest#onTargetChecked}.
+     */
+    void checkResponds(EntryTarget target);
+
     /**
      * Checks after a delay whether the target of a lost attempt accepts connections; the result is passed to
      * {@link ForwardedRequest#onCrashCheckResult}.
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/PoisonDetector.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/PoisonDetector.java
@@ -1,6 +1,7 @@
 package org.amaranthlock.coordination.forwarding;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -23,11 +24,24 @@
     private final TargetLoadBalancer loadBalancer;
     private final ForwardingPort port;
 
-    /** Crashes known at the time of sending by attempt number, plus the {@link #possibleCrashes} until then. */
-    private final Map<Integer, Integer> crashesAtSend = new HashMap<>();
+    /** What was known of earlier crashes when an attempt was sent, by attempt number. */
+    private final Map<Integer, KnownAtSend> knownAtSend = new HashMap<>();
 
-    /** Number of attempts of this request that may have crashed their targets; not reduced when a check ends. */
-    private int possibleCrashes;
+    /** Attempts whose targets may have crashed, until they have been checked. */
+    private final Set<Integer> unchecked = new HashSet<>();
+
+    /** Attempts whose targets this request has crashed. */
+    private final Set<Integer> crashed = new HashSet<>();
+
+    /**
+     * State at the time of sending.
+     *
+     * @param crashes consecutive crashes known on any host
+     * @param unchecked earlier attempts that may turn out to be crashes
+     */
+    private record KnownAtSend(int crashes, Set<Integer> unchecked) {
+        private static final KnownAtSend NOTHING = new KnownAtSend(0, Set.of());
+    }
 
     PoisonDetector(long fingerprint, CrashHistory crashHistory, TargetLoadBalancer loadBalancer, ForwardingPort port) {
         this.fingerprint = fingerprint;
@@ -41,19 +55,34 @@
         return crashHistory.isPoison(fingerprint, nowMillis);
     }
 
+    /**
+     * Returns whether the request may have crashed a target. Its next target is to be checked before the request is
+     * sent: a connection that a dead target leaves behind looks like a crash caused by this request.
+     */
+    boolean isSuspect(long nowMillis) {
+        return !unchecked.isEmpty() || crashHistory.consecutiveCrashes(fingerprint, nowMillis) > 0;
+    }
+
     /** Records that an attempt is sent. */
     void recordSend(int attempt, long nowMillis) {
-        crashesAtSend.put(attempt, crashHistory.consecutiveCrashes(fingerprint, nowMillis) + possibleCrashes);
+        knownAtSend.put(
+                attempt,
+                new KnownAtSend(crashHistory.consecutiveCrashes(fingerprint, nowMillis), Set.copyOf(unchecked)));
     }
 
     /** Schedules a check of the target of an attempt that ended before any response or event. */
     void onAttemptLost(Attempt attempt, String cause) {
         if (CRASH_CAUSES.contains(cause)) {
-            possibleCrashes++;
+            unchecked.add(attempt.number());
             port.checkCrash(attempt, CRASH_CHECK_DELAY_MILLIS);
         }
     }
 
+    /** Records that the target of a lost attempt accepts connections, that is, that it did not crash. */
+    void recordReachable(Attempt attempt) {
+        unchecked.remove(attempt.number());
+    }
+
     /**
      * Records that the target of a lost attempt does not accept connections, that is, that it crashed. If targets of
      * its failure domain that did not execute this request are unreachable too, the request did not cause the crash.
@@ -61,11 +90,16 @@
      * @return whether the crash is attributed to the request
      */
     boolean recordUnreachable(Attempt attempt, long nowMillis) {
+        unchecked.remove(attempt.number());
         crashHistory.recordUnreachable(fingerprint, attempt.target().id(), nowMillis);
         boolean causedByRequest = !loadBalancer.isDomainFailing(
                 attempt.target().failureDomain(), crashHistory.unreachableTargets(fingerprint, nowMillis), nowMillis);
         if (causedByRequest) {
-            crashHistory.recordCrash(fingerprint, crashesAtSend.getOrDefault(attempt.number(), 0), nowMillis);
+            KnownAtSend known = knownAtSend.getOrDefault(attempt.number(), KnownAtSend.NOTHING);
+            int crashedSince =
+                    (int) known.unchecked().stream().filter(crashed::contains).count();
+            crashed.add(attempt.number());
+            crashHistory.recordCrash(fingerprint, known.crashes() + crashedSince, nowMillis);
         }
         return causedByRequest;
     }
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RetryTargets.java
@@ -0,0 +1,114 @@
+package org.amaranthlock.coordination.forwarding;
+
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthlock.model.TargetId;
+
+/**
+ * What the ended attempts of a request leave behind for the next one: targets to avoid, an engine that may still hold
+ * the prompt, and a copy of the KV cache. Not thread-safe.
+ */
+final class RetryTargets {
+    private final TargetLoadBalancer loadBalancer;
+    private final ServiceDefinition service;
+    private final long tokens;
+    private final Set<TargetId> avoided = new HashSet<>();
+
+    /** KV cache copy of the last lost attempt. */
+    private Optional<KvCacheCopy> usableCopy = Optional.empty();
+
+    /** Engine that may still hold the prompt in its KV cache, otherwise null. */
+    private EntryTarget promptHolder;
+
+    private boolean returnedToHolder;
+
+    /**
+     * Destination of an attempt.
+     *
+     * @param target target to which the request is sent
+     * @param copy KV cache copy that the target resumes from
+     */
+    record Destination(EntryTarget target, Optional<KvCacheCopy> copy) {}
+
+    RetryTargets(TargetLoadBalancer loadBalancer, ServiceDefinition service, long tokens) {
+        this.loadBalancer = Objects.requireNonNull(loadBalancer, "load balancer");
+        this.service = Objects.requireNonNull(service, "service");
+        this.tokens = tokens;
+    }
+
+    /** Returns the targets on which the request has failed. */
+    Set<TargetId> avoided() {
+        return avoided;
+    }
+
+    void avoid(EntryTarget target) {
+        avoided.add(target.id());
+    }
+
+    /** Admits the targets again on which the request has failed. */
+    void forgetAvoided() {
+        avoided.clear();
+    }
+
+    /** Sets the copy from which a lost attempt can be resumed. */
+    void offerCopy(Optional<KvCacheCopy> copy) {
+        usableCopy = copy;
+    }
+
+    /** Returns the copy from which the lost attempt can be resumed. */
+    Optional<KvCacheCopy> usableCopy() {
+        return usableCopy;
+    }
+
+    /**
+     * Records that an attempt was lost.
+     *
+     * @param mayHoldPrompt whether the target may still hold the prompt; the next attempt then goes there, but only once
+     *     per request
+     */
+    void recordLoss(EntryTarget target, boolean mayHoldPrompt) {
+        promptHolder = mayHoldPrompt && !returnedToHolder ? target : null;
+    }
+
+    /** Chooses the destination of the next attempt: the holder of the prompt, a copy, or the best of all targets. */
+    Optional<Destination> choose(long nowMillis) {
+        Optional<EntryTarget> holder = takePromptHolder(nowMillis);
+        if (holder.isPresent()) {
+            return holder.map(target -> new Destination(target, Optional.empty()));
+        }
+        Optional<KvCacheCopy> copy = takeUsableCopy(nowMillis);
+        return copy.map(KvCacheCopy::engine)
+                .or(() -> loadBalancer.chooseTarget(service, tokens, avoided, nowMillis))
+                .map(target -> new Destination(target, copy));
+    }
+
+    /** Returns whether another target than {@code current} could start immediately. */
+    boolean hasAlternative(EntryTarget current, long nowMillis) {
+        if (!service.engine()) {
+            return true;
+        }
+        Set<TargetId> excluded = new HashSet<>(avoided);
+        excluded.add(current.id());
+        return loadBalancer.hasSpareCapacity(service, tokens, excluded, nowMillis);
+    }
+
+    private Optional<EntryTarget> takePromptHolder(long nowMillis) {
+        Optional<EntryTarget> holder = Optional.ofNullable(promptHolder)
+                .filter(loadBalancer::isRegistered)
+                .filter(engine -> !loadBalancer.isDomainFailing(engine.failureDomain(), nowMillis));
+        promptHolder = null;
+        returnedToHolder |= holder.isPresent();
+        return holder;
+    }
+
+    /** A copy can be used only once. */
+    private Optional<KvCacheCopy> takeUsableCopy(long nowMillis) {
+        Optional<KvCacheCopy> copy = usableCopy
+                .filter(kept -> !avoided.contains(kept.engine().id()))
+                .filter(kept -> loadBalancer.isReachable(kept.engine(), nowMillis));
+        usableCopy = Optional.empty();
+        return copy;
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/SilenceMonitor.java
@@ -0,0 +1,82 @@
+package org.amaranthlock.coordination.forwarding;
+
+import java.util.Objects;
+
+/** Times of the current attempt: since when its target is silent, and what is due because of it. Not thread-safe. */
+final class SilenceMonitor {
+    private final Route route;
+    private final AttemptTimeouts timeouts;
+    private long sentAtMillis;
+    private long lastActivityMillis;
+    private long lastProbeMillis;
+    private long lastReportRequestMillis;
+
+    SilenceMonitor(Route route) {
+        this.route = Objects.requireNonNull(route, "route");
+        this.timeouts = new AttemptTimeouts(route);
+    }
+
+    /** Records that an attempt is sent. */
+    void recordSend(long nowMillis) {
+        sentAtMillis = nowMillis;
+        lastActivityMillis = nowMillis;
+        lastProbeMillis = nowMillis;
+        lastReportRequestMillis = nowMillis;
+    }
+
+    /** Records that the target sent something. */
+    void recordActivity(long nowMillis) {
+        lastActivityMillis = nowMillis;
+    }
+
+    void recordProbe(long nowMillis) {
+        lastProbeMillis = nowMillis;
+    }
+
+    void recordReportRequest(long nowMillis) {
+        lastReportRequestMillis = nowMillis;
+    }
+
+    /** Returns whether the target has sent something since it was probed. */
+    boolean activeSinceProbe() {
+        return lastActivityMillis >= lastProbeMillis;
+    }
+
+    /** Returns whether the target has been silent so long that the attempt is abandoned if another one can start. */
+    boolean isSilentTooLong(boolean generating, long nowMillis) {
+        return silentMillis(nowMillis) >= timeouts.inactivityTimeoutMillis(generating);
+    }
+
+    /** Returns whether the silence is long enough for an engine's report to show that its response is lost. */
+    boolean isSilentForReport(long nowMillis) {
+        return silentMillis(nowMillis) >= timeouts.reportIntervalMillis();
+    }
+
+    /** Returns whether a stream's target is to be probed. */
+    boolean isProbeDue(boolean generating, long nowMillis) {
+        return nowMillis - Math.max(lastActivityMillis, lastProbeMillis) >= timeouts.probeIntervalMillis(generating);
+    }
+
+    /** Returns whether a stream's engine is to be asked for a report. */
+    boolean isReportDue(boolean generating, long nowMillis) {
+        return nowMillis - Math.max(lastActivityMillis, lastReportRequestMillis) >= timeouts.reportIntervalMillis()
+                && silentMillis(nowMillis) >= timeouts.reportDelayMillis(generating);
+    }
+
+    /** Returns when something is due next; at most {@code deadlineMillis}. */
+    long nextDueMillis(boolean generating, long deadlineMillis, long nowMillis) {
+        long dueMillis = switch (route.kind()) {
+            case IDEMPOTENT -> {
+                long abandonAtMillis = sentAtMillis + timeouts.inactivityTimeoutMillis(generating);
+                yield abandonAtMillis > nowMillis ? abandonAtMillis : deadlineMillis;
+            }
+            case NON_IDEMPOTENT -> deadlineMillis;
+            case STREAMING -> Math.max(lastActivityMillis, lastProbeMillis) + timeouts.probeIntervalMillis(generating);
+        };
+        return Math.min(deadlineMillis, dueMillis);
+    }
+
+    private long silentMillis(long nowMillis) {
+        return nowMillis - lastActivityMillis;
+    }
+}
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
@@ -465,6 +465,49 @@
                 .isTrue();
     }
 
+    // Load pattern: all targets of a service are killed, and equal requests walk from one dead target to the next,
+    // whose
+    // connections still open. Guards against refusing these requests for minutes after the targets are back.
+    @Test
+    void sendsRequestThatMayHaveCrashedTargetOnlyToTargetsThatRespond() {
+        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+        port.requestWithRespondingTargets = null;
+        Attempt lost = port.lastSent();
+        request.onAttemptLost(1, "closed", 10);
+        for (int i = 0; i < 6; i++) {
+            request.onTargetChecked(port.checked.getLast(), false, 20 + i);
+        }
+        assertThat(port.sent).hasSize(1);
+        assertThat(port.rejections.getFirst().status()).isEqualTo(502);
+        request.onCrashCheckResult(lost, false, 600);
+        assertThat(crashHistory.isPoison(requestAttributes().fingerprint(), 600))
+                .isFalse();
+    }
+
+    // Guards against a crash that counts twice because its check ends before the next attempt is sent.
+    @Test
+    void countsEachCrashOnce() {
+        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+        Attempt first = port.lastSent();
+        request.onAttemptLost(1, "closed", 10);
+        request.onCrashCheckResult(first, false, 600);
+        Attempt second = port.lastSent();
+        request.onAttemptLost(2, "closed", 700);
+        request.onCrashCheckResult(second, false, 1_300);
+        assertThat(crashHistory.localCrashes(1_400))
+                .containsExactly(requestAttributes().fingerprint(), 2);
+    }
+
+    @Test
+    void ignoresTargetCheckAfterClientDisconnected() {
+        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+        port.requestWithRespondingTargets = null;
+        request.onAttemptLost(1, "closed", 10);
+        request.onClientDisconnected(20);
+        request.onTargetChecked(port.checked.getLast(), true, 30);
+        assertThat(port.sent).hasSize(1);
+    }
+
     // Guards against attributing the crash of an engine to a stream that it was already generating.
     @Test
     void doesNotCheckForCrashAfterFirstEvent() {
@@ -520,6 +563,7 @@
                 retryBudget,
                 crashHistory,
                 port);
+        port.requestWithRespondingTargets = request;
         request.start(0);
         return request;
     }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/RecordingPort.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/RecordingPort.java
@@ -18,6 +18,11 @@
     final List<TargetResponse> heads = new ArrayList<>();
     final List<ForwardingDecision> decisions = new ArrayList<>();
     final StringBuilder events = new StringBuilder();
+    final List<EntryTarget> checked = new ArrayList<>();
+
+    /** Request whose target checks succeed at once, at the time of its last decision; null to answer none. */
+    ForwardedRequest requestWithRespondingTargets;
+
     boolean streamEnded;
     boolean aborted;
     long timerAtMillis;
@@ -45,6 +50,15 @@
         probed.add(attempt);
     }
 
+    @Override
+    public void checkResponds(EntryTarget target) {
+        checked.add(target);
+        if (requestWithRespondingTargets != null) {
+            requestWithRespondingTargets.onTargetChecked(
+                    target, true, decisions.getLast().elapsedMillis());
+        }
+    }
+
     @Override
     public void checkCrash(Attempt attempt, long delayMillis) {
         crashChecks.add(attempt);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
@@ -107,6 +107,11 @@
                 attempt.target(), reachable -> forwardedRequest.onProbeResult(attempt.number(), reachable, now()));
     }
 
+    @Override
+    public void checkResponds(EntryTarget target) {
+        connections.checkResponds(target, responds -> forwardedRequest.onTargetChecked(target, responds, now()));
+    }
+
     @Override
     public void checkCrash(Attempt attempt, long delayMillis) {
         loop.schedule(
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnectionPool.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnectionPool.java
@@ -118,10 +118,25 @@
 
     /** Requests an engine's report; the result is empty if the report does not arrive in time or cannot be decoded. */
     public void requestEngineReport(EntryTarget target, Consumer<Optional<EngineReport>> result) {
-        FullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, HttpMethod.GET, EngineReportDecoder.PATH, Unpooled.EMPTY_BUFFER);
-        request.headers().set(HttpHeaderNames.HOST, target.authority());
-        call(target, request, CALL_TIMEOUT_MILLIS, EngineReportDecoder::decode, result);
+        call(target, reportRequest(target), CALL_TIMEOUT_MILLIS, EngineReportDecoder::decode, result);
+    }
+
+    /**
+     * Checks on a new connection whether a target lives. An accepted connection does not show it, for example behind a
+     * proxy; a connection that stays open does, because a busy target may answer late.
+     */
+    public void checkResponds(EntryTarget target, Consumer<Boolean> result) {
+        CheckListener listener = new CheckListener(result);
+        TargetExchange exchange =
+                new TargetExchange(TargetResponseDecoder.NO_REQUEST_ID, reportRequest(target), listener);
+        send(target, exchange, false);
+        loop.schedule(
+                () -> {
+                    exchange.cancel();
+                    listener.complete(true);
+                },
+                CALL_TIMEOUT_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -140,6 +155,13 @@
         call(target, request, CALL_TIMEOUT_MILLIS, Optional::of, _ -> {});
     }
 
+    private static FullHttpRequest reportRequest(EntryTarget target) {
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, HttpMethod.GET, EngineReportDecoder.PATH, Unpooled.EMPTY_BUFFER);
+        request.headers().set(HttpHeaderNames.HOST, target.authority());
+        return request;
+    }
+
     private <T> void call(
             EntryTarget target,
             FullHttpRequest request,
@@ -256,6 +278,52 @@
         }
     }
 
+    private static final class CheckListener implements ExchangeListener {
+        private final Consumer<Boolean> result;
+        private boolean completed;
+
+        CheckListener(Consumer<Boolean> result) {
+            this.result = result;
+        }
+
+        void complete(boolean responds) {
+            if (!completed) {
+                completed = true;
+                result.accept(responds);
+            }
+        }
+
+        @Override
+        public void onNotSent(String cause) {
+            complete(false);
+        }
+
+        @Override
+        public void onLost(String cause) {
+            complete(false);
+        }
+
+        @Override
+        public void onResponse(TargetResponse response) {
+            complete(true);
+        }
+
+        @Override
+        public void onStreamOpened(TargetResponse head) {
+            complete(true);
+        }
+
+        @Override
+        public void onEvents(List<StreamEvent> events) {
+            complete(true);
+        }
+
+        @Override
+        public void onStreamEnded() {
+            complete(true);
+        }
+    }
+
     private final class Probe {
         private final Consumer<Boolean> result;
         private boolean completed;
