Keep the earlier copy of a stream when its last transfer fails

Ruled out: room at the engine that holds the copy, which answered the next request. Change: a failed transfer drops the copy only if there was none; an assigned backup stays lost once it was unreachable. Conclusion: kept, because the streams concerned are served better; the test fails without it.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/KvCacheBackup.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/KvCacheBackup.java
@@ -22,6 +22,10 @@
     private final TargetLoadBalancer loadBalancer;
     private final ForwardingPort port;
     private Optional<EntryTarget> assigned = Optional.empty();
+
+    /** Whether the assigned engine was unreachable once; it has lost the backup even if it is reachable again. */
+    private boolean assignedLost;
+
     private Optional<EntryTarget> replacement = Optional.empty();
     private Optional<KvCacheCopy> replacementCopy = Optional.empty();
     private boolean transferPending;
@@ -40,6 +44,7 @@
 
     /** Chooses the engine that keeps a backup of an attempt from its start; empty if none is to be kept. */
     Optional<EntryTarget> assign(EntryTarget target, Set<TargetId> avoided, long nowMillis) {
+        assignedLost = false;
         assigned = service.kvCacheBackup() ? chooseBackup(target, avoided, nowMillis) : Optional.empty();
         assigned.ifPresent(backup -> loadBalancer.addLoad(backup, backupLoad()));
         lastTransferMillis = nowMillis;
@@ -48,8 +53,11 @@
 
     /** Requests a copy on another engine if the assigned backup engine is lost. */
     void refresh(Attempt attempt, Set<TargetId> avoided, long nowMillis) {
-        boolean lost = assigned.isPresent() && !loadBalancer.isReachable(assigned.get(), nowMillis);
-        if (!lost || transferPending || !service.kvCacheTransfer() || nowMillis - lastTransferMillis < REFRESH_MILLIS) {
+        assignedLost |= assigned.isPresent() && !loadBalancer.isReachable(assigned.get(), nowMillis);
+        if (!assignedLost
+                || transferPending
+                || !service.kvCacheTransfer()
+                || nowMillis - lastTransferMillis < REFRESH_MILLIS) {
             return;
         }
         lastTransferMillis = nowMillis;
@@ -68,7 +76,11 @@
         }
     }
 
-    /** Handles the completion of a transfer; {@code id} is empty if no copy was made. */
+    /**
+     * Handles the completion of a transfer; {@code id} is empty if no copy was made. A copy that an earlier transfer to
+     * the same engine made is kept: the transfer often fails because the stream's engine is failing, and the copy is
+     * needed next.
+     */
     void onCopyCompleted(Attempt attempt, EntryTarget backup, Optional<String> id) {
         transferPending = false;
         if (replacement.isEmpty() || !replacement.get().equals(backup)) {
@@ -77,14 +89,14 @@
         if (id.isPresent()) {
             replacementCopy =
                     Optional.of(new KvCacheCopy(backup, attempt.target().authority(), id.get()));
-        } else {
+        } else if (replacementCopy.isEmpty()) {
             dropReplacement();
         }
     }
 
     /** Returns the copy from which a lost attempt can be resumed. */
     Optional<KvCacheCopy> findUsableCopy(long nowMillis) {
-        return assigned.filter(backup -> loadBalancer.isReachable(backup, nowMillis))
+        return assigned.filter(backup -> !assignedLost && loadBalancer.isReachable(backup, nowMillis))
                 .map(backup -> new KvCacheCopy(backup, backup.authority(), attributes.id()))
                 .or(() -> replacementCopy.filter(copy -> loadBalancer.isReachable(copy.engine(), nowMillis)));
     }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
@@ -432,6 +432,23 @@
         assertThat(port.lastSent().resumeFrom()).isEmpty();
     }
 
+    // Load pattern: the domain of a backup engine fails, then that of the stream's own engine. The last transfer fails
+    // because the engine is dying. Guards against discarding the copy that the transfer before it made.
+    @Test
+    void resumesFromEarlierCopyWhenLastTransferFails() {
+        ForwardedRequest request = startStream();
+        Attempt first = port.lastSent();
+        loadBalancer.recordUnreachable(first.backupTarget().orElseThrow(), 500);
+        request.onEvents(1, events(0, 1), 1_100);
+        EntryTarget other = port.copiesRequested.getFirst();
+        request.onCopyCompleted(first, other, Optional.of("copy-7"), 1_200);
+        request.onEvents(1, events(2), 2_200);
+        request.onCopyCompleted(first, other, Optional.empty(), 2_210);
+        request.onAttemptLost(1, "unreachable", 2_220);
+        assertThat(port.lastSent().resumeFrom())
+                .hasValue(new KvCacheCopy(other, first.target().authority(), "copy-7"));
+    }
+
     // A peak fills all engines. Guards against prompts that wait, are abandoned and are prefilled again on other
     // engines until no request completes in time.
     @Test
