List all pages of hosts, log a failed list, and replace bare carriage returns in the log

Causes, found while the code was reworded: PeerDirectory took the first page of a list for all hosts, and a failed list left no log line; DecisionLog.quote passed a bare carriage return on, which many readers take for a line break. Change: pages are followed by the name of the last object; 'peers-not-listed' once per outage; a carriage return quotes a value like a line feed does. The three new tests fail without it.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerDirectory.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerDirectory.java
@@ -30,7 +30,9 @@
     private final Consumer<Set<PeerRegistration>> listener;
     private final DecisionLog log;
     private final EntryMetrics metrics;
+    private final Set<PeerRegistration> listing = new LinkedHashSet<>();
     private Set<PeerRegistration> peers = Set.of();
+    private boolean listFailing;
     private PeerRegistration localRegistration;
 
     /** Creates a directory whose calls run on {@code loop}. */
@@ -76,22 +78,41 @@
     }
 
     private void list() {
-        store.listStale(PeerRegistrationCodec.KIND, CALL_TIMEOUT_MILLIS, this::onListReply);
+        listing.clear();
+        requestPage("");
+    }
+
+    private void requestPage(String afterName) {
+        store.listStale(PeerRegistrationCodec.KIND, afterName, CALL_TIMEOUT_MILLIS, this::onListReply);
     }
 
     private void onListReply(StoreReply reply) {
         metrics.recordStoreCall("peer-list", reply.getClass().getSimpleName());
-        if (reply instanceof StoreReply.Page page) {
-            Set<PeerRegistration> listed = new LinkedHashSet<>();
-            page.objects()
-                    .forEach(object -> PeerRegistrationCodec.decode(object).ifPresent(listed::add));
-            listed.removeIf(registration -> registration.name().equals(hostName));
-            if (!listed.equals(peers)) {
-                peers = listed;
-                log.write("peers-changed", "count", listed.size());
-                listener.accept(listed);
+        if (!(reply instanceof StoreReply.Page page)) {
+            if (!listFailing) {
+                log.write("peers-not-listed", "known", peers.size(), "reply", reply);
             }
+            listFailing = true;
+            loop.schedule(this::list, LIST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        page.objects().forEach(object -> PeerRegistrationCodec.decode(object).ifPresent(listing::add));
+        if (page.next().isPresent()) {
+            requestPage(page.next().get());
+            return;
         }
+        listFailing = false;
+        publish();
         loop.schedule(this::list, LIST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
+
+    private void publish() {
+        Set<PeerRegistration> listed = new LinkedHashSet<>(listing);
+        listed.removeIf(registration -> registration.name().equals(hostName));
+        if (!listed.equals(peers)) {
+            peers = listed;
+            log.write("peers-changed", "count", listed.size());
+            listener.accept(listed);
+        }
+    }
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/log/DecisionLog.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/log/DecisionLog.java
@@ -8,7 +8,7 @@
  * Log that writes one structured line per decision.
  *
  * <p>Lines have the form {@code event=NAME key=value …}; empty values and values with a space, a quotation mark
- * or a line feed are quoted. So that the log does not grow with the load, at most {@link #MAX_LINES_PER_SECOND} lines
+ * or a line break are quoted. So that the log does not grow with the load, at most {@link #MAX_LINES_PER_SECOND} lines
  * are written per second; further lines are dropped, and their number is added to the next line that is written.
  */
 public final class DecisionLog {
@@ -54,10 +54,10 @@
         return text.toString();
     }
 
-    /** Quotes a value and replaces its line feeds, so that a client's request id cannot forge a log line. */
+    /** Quotes a value and replaces its line breaks, so that a client's request id cannot forge a log line. */
     private static String quote(Object value) {
         String text = String.valueOf(value);
-        boolean plain = text.indexOf(' ') < 0 && text.indexOf('"') < 0 && text.indexOf('\n') < 0 && !text.isEmpty();
+        boolean plain = !text.isEmpty() && text.chars().noneMatch(c -> " \"\n\r".indexOf(c) >= 0);
         return plain ? text : '"' + text.replace('"', '\'').replace('\n', ' ').replace('\r', ' ') + '"';
     }
 }
--- /dev/null
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerDirectoryTest.java
@@ -0,0 +1,153 @@
+package org.amaranthlock.entry.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import org.amaranthlock.entry.log.DecisionLog;
+import org.amaranthlock.entry.metrics.EntryMetrics;
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.platform.PeerRegistration;
+import org.amaranthlock.platform.PeerRegistrationCodec;
+import org.amaranthlock.platform.PlatformStore;
+import org.amaranthlock.platform.StoreReply;
+import org.amaranthlock.platform.StoredObject;
+import org.jboss.logging.Logger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class PeerDirectoryTest {
+    private static final String LOGGER = "peer-directory-test";
+    private static final FailureDomain DOMAIN = new FailureDomain("a");
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final ScriptedStore store = new ScriptedStore();
+    private final List<Set<PeerRegistration>> published = new ArrayList<>();
+    private final List<String> lines = new ArrayList<>();
+    private final PeerDirectory directory = new PeerDirectory(
+            store,
+            channel.eventLoop(),
+            "entry-1",
+            DOMAIN,
+            published::add,
+            new DecisionLog(Logger.getLogger(LOGGER), () -> 0),
+            new EntryMetrics());
+    private final Handler handler = new Handler() {
+        @Override
+        public void publish(LogRecord logRecord) {
+            lines.add(logRecord.getMessage());
+        }
+
+        @Override
+        public void flush() {
+            // Lines are not buffered.
+        }
+
+        @Override
+        public void close() {
+            // No resources to release.
+        }
+    };
+
+    /** Store that answers stale lists from a script and accepts writes. */
+    private static final class ScriptedStore implements PlatformStore {
+        final Queue<StoreReply> pages = new ArrayDeque<>();
+        final List<String> pageStarts = new ArrayList<>();
+
+        @Override
+        public void listStale(String kind, String afterName, long timeoutMillis, Consumer<StoreReply> result) {
+            pageStarts.add(afterName);
+            result.accept(pages.remove());
+        }
+
+        @Override
+        public void write(String kind, String name, JsonNode spec, long timeoutMillis, Consumer<StoreReply> result) {
+            result.accept(new StoreReply.Found(new StoredObject(name, 1, spec)));
+        }
+
+        @Override
+        public void read(String kind, String name, long timeoutMillis, Consumer<StoreReply> result) {
+            throw new UnsupportedOperationException("the directory reads no single object");
+        }
+
+        @Override
+        public void list(String kind, String afterName, long timeoutMillis, Consumer<StoreReply> result) {
+            throw new UnsupportedOperationException("the directory uses stale lists only");
+        }
+
+        @Override
+        public void watch(
+                String kind, long revision, long waitMillis, long timeoutMillis, Consumer<StoreReply> result) {
+            throw new UnsupportedOperationException("the directory watches nothing");
+        }
+    }
+
+    @BeforeEach
+    void addHandler() {
+        java.util.logging.Logger.getLogger(LOGGER).addHandler(handler);
+    }
+
+    @AfterEach
+    void removeHandler() {
+        java.util.logging.Logger.getLogger(LOGGER).removeHandler(handler);
+    }
+
+    // Guards against hosts that are unknown to the others because a fleet does not fit on one page.
+    @Test
+    void publishesHostsOfAllPages() {
+        store.pages.add(page(Optional.of("entry-2"), "entry-1", "entry-2"));
+        store.pages.add(page(Optional.empty(), "entry-3"));
+        startAndList();
+        assertThat(store.pageStarts).containsExactly("", "entry-2").inOrder();
+        assertThat(published).hasSize(1);
+        assertThat(published.getFirst()).containsExactly(peer("entry-2"), peer("entry-3"));
+    }
+
+    // Guards against a list that fails unnoticed for hours.
+    @Test
+    void keepsKnownHostsAndLogsOnceWhenListFails() {
+        store.pages.add(page(Optional.empty(), "entry-2"));
+        store.pages.add(new StoreReply.Refused(503));
+        store.pages.add(new StoreReply.Refused(503));
+        startAndList();
+        advance(5_000);
+        advance(5_000);
+        assertThat(store.pages).isEmpty();
+        assertThat(published).hasSize(1);
+        assertThat(lines.stream().filter(line -> line.startsWith("event=peers-not-listed known=1")))
+                .hasSize(1);
+    }
+
+    private void startAndList() {
+        directory.start("10.0.0.1:7000");
+        advance(1_500);
+    }
+
+    private void advance(long millis) {
+        channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        channel.runPendingTasks();
+    }
+
+    private static StoreReply page(Optional<String> next, String... names) {
+        List<StoredObject> objects = new ArrayList<>();
+        for (String name : names) {
+            objects.add(new StoredObject(name, 1, PeerRegistrationCodec.encode(peer(name))));
+        }
+        return new StoreReply.Page(objects, next, 1);
+    }
+
+    private static PeerRegistration peer(String name) {
+        return new PeerRegistration(name, "10.0.0.2:7000", DOMAIN);
+    }
+}
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/log/DecisionLogTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/log/DecisionLogTest.java
@@ -57,6 +57,13 @@
         assertThat(lines.getFirst()).doesNotContain("\n");
     }
 
+    // Guards against log injection by a carriage return, which many readers of logs take for a line break.
+    @Test
+    void replacesBareCarriageReturn() {
+        log.write("sent", "id", "r1\revent=forged");
+        assertThat(lines).containsExactly("event=sent id=\"r1 event=forged\"");
+    }
+
     // Guards against log volume that grows with the load.
     @Test
     void limitsLinesPerSecondAndReportsDroppedLines() {
