Send a resumed stream to the engine that still holds its prompt

Change: for a stream that the client resumes, the host asks all engines for their cached prompt parts, once for all searches within 0.5 s, and waits 0.12 s at most; the engine that holds at least half of the prompt is preferred.

--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedStream.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedStream.java
@@ -14,6 +14,7 @@
 import org.amaranthlock.coordination.forwarding.ForwardingDecision;
 import org.amaranthlock.coordination.forwarding.ForwardingPort;
 import org.amaranthlock.coordination.forwarding.KvCacheCopy;
+import org.amaranthlock.coordination.forwarding.PromptPart;
 import org.amaranthlock.coordination.forwarding.Rejection;
 import org.amaranthlock.coordination.forwarding.RequestAttributes;
 import org.amaranthlock.coordination.forwarding.Route;
@@ -23,7 +24,6 @@
 import org.amaranthlock.model.TargetId;
 import org.amaranthlock.standin.fleet.EngineBatch.Sequence;
 import org.amaranthlock.standin.fleet.EngineRequest;
-import org.amaranthlock.standin.fleet.EngineRequest.PromptPart;
 
 /** One stream of a client; connects the production decision core to the simulated engines. */
 final class SimulatedStream implements ForwardingPort {
@@ -46,7 +46,7 @@
     private final StreamTimings timings;
     private final LongConsumer onRejected;
     private final String id;
-    private final List<PromptPart> prompt;
+    private final List<EngineRequest.PromptPart> prompt;
     private final int eventCount;
     private final ForwardedRequest request;
     private int currentAttemptNumber;
@@ -56,7 +56,7 @@
 
     SimulatedStream(
             String id,
-            List<PromptPart> prompt,
+            List<EngineRequest.PromptPart> prompt,
             int eventCount,
             Route route,
             ServiceDefinition service,
@@ -73,9 +73,10 @@
         this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
         this.timings = Objects.requireNonNull(timings, "timings");
         this.onRejected = Objects.requireNonNull(onRejected, "onRefused");
-        long tokens = prompt.stream().mapToInt(PromptPart::tokens).sum() + (long) eventCount * TOKENS_PER_EVENT;
-        RequestAttributes attributes =
-                new RequestAttributes(id, OptionalLong.empty(), Optional.empty(), tokens, id.hashCode());
+        long tokens =
+                prompt.stream().mapToInt(EngineRequest.PromptPart::tokens).sum() + (long) eventCount * TOKENS_PER_EVENT;
+        RequestAttributes attributes = new RequestAttributes(
+                id, OptionalLong.empty(), Optional.empty(), tokens, Optional.empty(), id.hashCode());
         this.request = new ForwardedRequest(
                 attributes,
                 route,
@@ -121,6 +122,12 @@
                 () -> request.onProbeResult(attempt.number(), engine.alive(), scheduler.nowMillis()));
     }
 
+    @Override
+    public void locatePrompt(PromptPart part, List<EntryTarget> targets) {
+        // Simulated clients do not resume streams at other hosts.
+        request.onPromptLocated(Optional.empty(), scheduler.nowMillis());
+    }
+
     @Override
     public void checkResponds(EntryTarget target) {
         SimulatedStreamingEngine engine = engines.get(target.id());
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -53,6 +53,9 @@
     /** Next attempt, which waits for the check of its target. */
     private Optional<PendingAttempt> pending = Optional.empty();
 
+    /** Whether the engines have been asked which of them holds the prompt. */
+    private boolean locating;
+
     /** Time at which a stream without an attempt is tried again. */
     private long resumeAtMillis;
 
@@ -107,9 +110,30 @@
             fail(Rejection.retryLater(retryAfter.getAsLong(), "overloaded"), nowMillis);
             return;
         }
+        if (mayBeHeldByEngine()) {
+            locating = true;
+            scheduleTimer(nowMillis);
+            port.locatePrompt(
+                    attributes.lastPromptPart().orElseThrow(),
+                    loadBalancer.reachableTargets(service.name(), nowMillis));
+            return;
+        }
         dispatch("arrived", nowMillis);
     }
 
+    /**
+     * Handles the answer which engine holds the prompt; empty if none does, or none answered in time. A client that
+     * resumes a stream has mostly lost its host, and no other host knows the engine of the stream.
+     */
+    public void onPromptLocated(Optional<EntryTarget> holder, long nowMillis) {
+        if (completed || !locating) {
+            return;
+        }
+        locating = false;
+        holder.ifPresent(retryTargets::preferHolder);
+        dispatch(holder.isPresent() ? "prompt-held" : "arrived", nowMillis);
+    }
+
     /** Handles the complete response of a target. */
     public void onResponse(int attempt, TargetResponse response, long nowMillis) {
         if (!isCurrent(attempt)) {
@@ -295,7 +319,7 @@
             handleDeadline(nowMillis);
         } else if (attempts.current().isPresent()) {
             checkTimeouts(nowMillis);
-        } else if (pending.isEmpty() && nowMillis >= resumeAtMillis) {
+        } else if (!isWaitingForTarget() && nowMillis >= resumeAtMillis) {
             dispatch("pause", nowMillis);
         }
         scheduleTimer(nowMillis);
@@ -460,6 +484,17 @@
         return endAttempt();
     }
 
+    private boolean mayBeHeldByEngine() {
+        return service.engine()
+                && attributes.lastEventId().isPresent()
+                && attributes.lastPromptPart().isPresent();
+    }
+
+    /** Returns whether the next attempt waits for an answer of its target or of the engines. */
+    private boolean isWaitingForTarget() {
+        return locating || pending.isPresent();
+    }
+
     private boolean isCurrent(int attempt) {
         return !completed && attempts.isCurrent(attempt);
     }
@@ -489,7 +524,7 @@
         if (attempts.current().isPresent()) {
             dueMillis = silence.nextDueMillis(attempts.generating(), deadlineMillis, nowMillis);
         } else {
-            dueMillis = pending.isPresent() ? deadlineMillis : Math.min(deadlineMillis, resumeAtMillis);
+            dueMillis = isWaitingForTarget() ? deadlineMillis : Math.min(deadlineMillis, resumeAtMillis);
         }
         port.scheduleTimer(dueMillis);
     }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingPort.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingPort.java
@@ -1,5 +1,7 @@
 package org.amaranthlock.coordination.forwarding;
 
+import java.util.List;
+
 /** Operations that a {@link ForwardedRequest} requires of the host: network calls, a timer, the client and the log. */
 public interface ForwardingPort {
     /** Sends the request to a target. */
@@ -14,6 +16,12 @@
      */
     void probe(Attempt attempt);
 
+    /**
+     * Asks engines which of them holds a part of the prompt in its KV cache; the result is passed to
+     * {@link ForwardedRequest#onPromptLocated}.
+     */
+    void locatePrompt(PromptPart part, List<EntryTarget> engines);
+
     /**
      * Checks whether a target answers a call that executes nothing; the result is passed to
      * {@link ForwardedRequest#onTargetChecked}.
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RequestAttributes.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RequestAttributes.java
@@ -11,10 +11,16 @@
  * @param timeLeftMillis time that the client waits for the response, in milliseconds from the arrival of the request
  * @param lastEventId id of the last event that the client received of an interrupted stream
  * @param tokens KV cache size that the request is expected to need on an engine, in tokens; 0 if unspecified
+ * @param lastPromptPart last part of the prompt, which belongs to the request or its session; empty if unspecified
  * @param fingerprint hash of client, path and body; equal for retries of the same request
  */
 public record RequestAttributes(
-        String id, OptionalLong timeLeftMillis, Optional<Long> lastEventId, long tokens, long fingerprint) {
+        String id,
+        OptionalLong timeLeftMillis,
+        Optional<Long> lastEventId,
+        long tokens,
+        Optional<PromptPart> lastPromptPart,
+        long fingerprint) {
     public RequestAttributes {
         Arguments.requireText(id, "request id");
     }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RetryTargets.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RetryTargets.java
@@ -72,6 +72,11 @@
         promptHolder = mayHoldPrompt && !returnedToHolder ? target : null;
     }
 
+    /** Sets the engine that holds the prompt; the next attempt goes there if nothing speaks against it. */
+    void preferHolder(EntryTarget engine) {
+        promptHolder = engine;
+    }
+
     /** Chooses the destination of the next attempt: the holder of the prompt, a copy, or the best of all targets. */
     Optional<Destination> choose(long nowMillis) {
         Optional<EntryTarget> holder = takePromptHolder(nowMillis);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
@@ -70,6 +70,13 @@
         return placementPolicy.chooseTarget(service, tokens, candidates(service, avoided, nowMillis));
     }
 
+    /** Returns the targets of a service that may hold the KV cache of earlier requests. */
+    public List<EntryTarget> reachableTargets(ServiceName service, long nowMillis) {
+        return table.targets(service).stream()
+                .filter(target -> !target.draining() && health.isAvailable(target, nowMillis))
+                .toList();
+    }
+
     /** Returns the retry delay for a client if all engines are overloaded; empty if its request is to be sent. */
     public OptionalLong retryAfterMillis(ServiceDefinition service, long tokens, long nowMillis) {
         return service.engine()
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
@@ -16,6 +16,7 @@
     private static final long TIMEOUT_MILLIS = 25_000;
     private static final long GOAL_MILLIS = 4_500;
     private static final int MAX_ATTEMPTS = 3;
+    private static final PromptPart PROMPT = new PromptPart("a1", 8_000);
 
     private final RecordingPort port = new RecordingPort();
     private final TargetLoadBalancer loadBalancer = EntryTargets.loadBalancer(1);
@@ -343,7 +344,7 @@
         @Test
         void startsAfterLastEventIdOfClient() {
             ForwardedRequest request = new ForwardedRequest(
-                    new RequestAttributes("r", OptionalLong.empty(), Optional.of(12L), 0, 0),
+                    new RequestAttributes("r", OptionalLong.empty(), Optional.of(12L), 0, Optional.empty(), 0),
                     route(RouteKind.STREAMING),
                     engineService(),
                     Optional.empty(),
@@ -354,6 +355,50 @@
             request.start(0);
             assertThat(port.lastSent().lastEventId()).hasValue(12L);
         }
+
+        // Load pattern: all hosts are killed and restart, and the clients resume their streams at once. Guards against
+        // prompts that are prefilled again although an engine still holds them.
+        @Test
+        void resumesStreamOfClientOnEngineThatHoldsItsPrompt() {
+            ForwardedRequest request = startResumed();
+            assertThat(port.located).containsExactly(PROMPT);
+            assertThat(port.sent).isEmpty();
+            EntryTarget holder = EntryTargets.ready("t4", "a");
+            request.onPromptLocated(Optional.of(holder), 40);
+            assertThat(port.lastSent().target()).isEqualTo(holder);
+            assertThat(port.lastSent().lastEventId()).hasValue(12L);
+        }
+
+        @Test
+        void resumesStreamOfClientOnAnyEngineIfNoneHoldsItsPrompt() {
+            ForwardedRequest request = startResumed();
+            request.onPromptLocated(Optional.empty(), 40);
+            assertThat(port.sent).hasSize(1);
+            request.onPromptLocated(Optional.empty(), 50);
+            assertThat(port.sent).hasSize(1);
+        }
+
+        @Test
+        void ignoresLocatedPromptAfterClientDisconnected() {
+            ForwardedRequest request = startResumed();
+            request.onClientDisconnected(20);
+            request.onPromptLocated(Optional.empty(), 40);
+            assertThat(port.sent).isEmpty();
+        }
+
+        private ForwardedRequest startResumed() {
+            ForwardedRequest request = new ForwardedRequest(
+                    new RequestAttributes("r", OptionalLong.empty(), Optional.of(12L), 0, Optional.of(PROMPT), 0),
+                    route(RouteKind.STREAMING),
+                    engineService(),
+                    Optional.empty(),
+                    loadBalancer,
+                    retryBudget,
+                    crashHistory,
+                    port);
+            request.start(0);
+            return request;
+        }
     }
 
     // Guards against a request that crashes each target it reaches.
@@ -600,7 +645,7 @@
     }
 
     private static RequestAttributes requestAttributes() {
-        return new RequestAttributes("r", OptionalLong.of(60_000), Optional.empty(), 0, 0);
+        return new RequestAttributes("r", OptionalLong.of(60_000), Optional.empty(), 0, Optional.empty(), 0);
     }
 
     private static Route route(RouteKind kind) {
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/RecordingPort.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/RecordingPort.java
@@ -18,6 +18,7 @@
     final List<TargetResponse> heads = new ArrayList<>();
     final List<ForwardingDecision> decisions = new ArrayList<>();
     final StringBuilder events = new StringBuilder();
+    final List<PromptPart> located = new ArrayList<>();
     final List<EntryTarget> checked = new ArrayList<>();
 
     /** Request whose target checks succeed at once, at the time of its last decision; null to answer none. */
@@ -50,6 +51,11 @@
         probed.add(attempt);
     }
 
+    @Override
+    public void locatePrompt(PromptPart part, List<EntryTarget> engines) {
+        located.add(part);
+    }
+
     @Override
     public void checkResponds(EntryTarget target) {
         checked.add(target);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
@@ -15,6 +15,7 @@
 import org.amaranthlock.coordination.forwarding.ForwardingDecision;
 import org.amaranthlock.coordination.forwarding.ForwardingPort;
 import org.amaranthlock.coordination.forwarding.KvCacheCopy;
+import org.amaranthlock.coordination.forwarding.PromptPart;
 import org.amaranthlock.coordination.forwarding.Rejection;
 import org.amaranthlock.coordination.forwarding.StreamEvent;
 import org.amaranthlock.coordination.forwarding.TargetResponse;
@@ -22,6 +23,7 @@
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.entry.target.ExchangeListener;
+import org.amaranthlock.entry.target.PromptLocator;
 import org.amaranthlock.entry.target.TargetConnectionPool;
 import org.amaranthlock.entry.target.TargetExchange;
 import org.amaranthlock.model.AccountId;
@@ -34,6 +36,7 @@
     private final Optional<AccountId> account;
     private final ClientExchange exchange;
     private final TargetConnectionPool connections;
+    private final PromptLocator promptLocator;
     private final EventLoop loop;
     private final LongSupplier clockMillis;
     private final DecisionLog log;
@@ -51,6 +54,7 @@
             Optional<AccountId> account,
             ClientExchange exchange,
             TargetConnectionPool connections,
+            PromptLocator promptLocator,
             EventLoop loop,
             LongSupplier clockMillis,
             DecisionLog log,
@@ -62,6 +66,7 @@
         this.account = Objects.requireNonNull(account, "account");
         this.exchange = Objects.requireNonNull(exchange, "exchange");
         this.connections = Objects.requireNonNull(connections, "connections");
+        this.promptLocator = Objects.requireNonNull(promptLocator, "prompt locator");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
         this.log = Objects.requireNonNull(log, "log");
@@ -107,6 +112,11 @@
                 attempt.target(), reachable -> forwardedRequest.onProbeResult(attempt.number(), reachable, now()));
     }
 
+    @Override
+    public void locatePrompt(PromptPart part, List<EntryTarget> engines) {
+        promptLocator.locate(part, engines, holder -> forwardedRequest.onPromptLocated(holder, now()));
+    }
+
     @Override
     public void checkResponds(EntryTarget target) {
         connections.checkResponds(target, responds -> forwardedRequest.onTargetChecked(target, responds, now()));
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
@@ -31,6 +31,7 @@
 import org.amaranthlock.entry.front.ClientExchangeHandler;
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.metrics.EntryMetrics;
+import org.amaranthlock.entry.target.PromptLocator;
 import org.amaranthlock.entry.target.TargetConnectionPool;
 import org.amaranthlock.model.ServiceName;
 import org.amaranthlock.platform.ClientRequest;
@@ -55,6 +56,7 @@
     private final TargetLoadBalancer loadBalancer;
     private final UniformRandomProvider random;
     private final TargetConnectionPool connections;
+    private final PromptLocator promptLocator;
     private final DecisionLog log;
     private final EntryMetrics metrics;
     private final Runnable onLoadChanged;
@@ -89,6 +91,7 @@
         this.random = Objects.requireNonNull(random, "random");
         this.connections = Objects.requireNonNull(connections, "connections");
         this.log = Objects.requireNonNull(log, "log");
+        this.promptLocator = new PromptLocator(loop, connections::listKvCache, clockMillis, log);
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.onLoadChanged = Objects.requireNonNull(onLoadChanged, "load listener");
     }
@@ -222,6 +225,7 @@
                 admitted.keyOwner().map(ApiKeyOwner::account),
                 exchange,
                 connections,
+                promptLocator,
                 loop,
                 clockMillis,
                 log,
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnectionPool.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnectionPool.java
@@ -34,6 +34,7 @@
 import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.model.TargetId;
 import org.amaranthlock.platform.EngineReportDecoder;
+import org.amaranthlock.platform.KvCacheContents;
 import org.amaranthlock.platform.KvCacheCopyCall;
 import org.amaranthlock.platform.TargetResponseDecoder;
 
@@ -121,6 +122,14 @@
         call(target, reportRequest(target), CALL_TIMEOUT_MILLIS, EngineReportDecoder::decode, result);
     }
 
+    /**
+     * Requests the prompt parts in an engine's KV cache, with their number of tokens; the result is empty if they do not
+     * arrive in time or cannot be decoded.
+     */
+    public void listKvCache(EntryTarget target, Consumer<Optional<Map<String, Long>>> result) {
+        call(target, KvCacheContents.encodeCall(target), CALL_TIMEOUT_MILLIS, KvCacheContents::decode, result);
+    }
+
     /**
      * Checks on a new connection whether a target lives. An accepted connection does not show it, for example behind a
      * proxy; a connection that stays open does, because a busy target may answer late.
--- /dev/null
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/PromptLocatorTest.java
@@ -0,0 +1,106 @@
+package org.amaranthlock.entry.target;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.amaranthlock.coordination.forwarding.EntryTarget;
+import org.amaranthlock.coordination.forwarding.PromptPart;
+import org.amaranthlock.entry.log.DecisionLog;
+import org.amaranthlock.model.FailureDomain;
+import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.TargetId;
+import org.jboss.logging.Logger;
+import org.junit.jupiter.api.Test;
+
+class PromptLocatorTest {
+    private static final PromptPart PART = new PromptPart("a1", 8_000);
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final Map<EntryTarget, Consumer<Optional<Map<String, Long>>>> calls = new LinkedHashMap<>();
+    private final List<Optional<EntryTarget>> results = new ArrayList<>();
+    private final EntryTarget first = engine(1);
+    private final EntryTarget second = engine(2);
+    private long nowMillis = 1_000;
+    private final PromptLocator locator = new PromptLocator(
+            channel.eventLoop(),
+            calls::put,
+            () -> nowMillis,
+            new DecisionLog(Logger.getLogger("prompt-locator-test"), () -> 0));
+
+    @Test
+    void findsEngineThatHoldsWholePartWithoutWaitingForTheOthers() {
+        locate();
+        answer(second, Map.of("a1", 8_000L));
+        assertThat(results).containsExactly(Optional.of(second));
+    }
+
+    @Test
+    void findsNoneIfNoEngineHoldsEnough() {
+        locate();
+        answer(first, Map.of("a1", 3_000L));
+        answer(second, Map.of("b2", 8_000L));
+        assertThat(results).containsExactly(Optional.empty());
+    }
+
+    // Guards against a stream that waits for an engine that died silently.
+    @Test
+    void usesListsThatArrivedInTime() {
+        locate();
+        answer(first, Map.of("a1", 7_000L));
+        channel.advanceTimeBy(150, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+        assertThat(results).containsExactly(Optional.of(first));
+        answer(second, Map.of("a1", 8_000L));
+        assertThat(results).hasSize(1);
+    }
+
+    // Guards against a list per stream when all clients of a dead host come back at once.
+    @Test
+    void sharesListsAmongSearchesThatFollowEachOther() {
+        locate();
+        answer(first, Map.of("a1", 8_000L));
+        answer(second, Map.of());
+        calls.clear();
+        nowMillis += 400;
+        locate();
+        assertThat(calls).isEmpty();
+        nowMillis += 200;
+        locate();
+        assertThat(calls).hasSize(2);
+        assertThat(results).hasSize(2);
+    }
+
+    @Test
+    void findsNoneWithoutEngines() {
+        locator.locate(PART, List.of(), results::add);
+        assertThat(results).containsExactly(Optional.empty());
+    }
+
+    private void locate() {
+        locator.locate(PART, List.of(first, second), results::add);
+    }
+
+    private void answer(EntryTarget engine, Map<String, Long> tokens) {
+        calls.get(engine).accept(Optional.of(tokens));
+    }
+
+    private static EntryTarget engine(int number) {
+        return new EntryTarget(
+                new TargetId("engine-" + number),
+                new ServiceName("engines"),
+                "10.0.0." + number,
+                8_000,
+                new FailureDomain("a"),
+                8,
+                false,
+                0,
+                1);
+    }
+}
