--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/ForwardingBenchMain.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/ForwardingBenchMain.java
@@ -11,6 +11,7 @@
 import org.amaranthlock.bench.policy.BaselinePolicy;
 import org.amaranthlock.bench.scenario.MetricResult;
 import org.amaranthlock.coordination.forwarding.LeastDelayPlacement;
+import org.amaranthlock.coordination.forwarding.Mechanisms;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -82,7 +83,7 @@
     private List<MetricResult> metrics(ForwardingScenario scenario, ForwardingSimulation.PlacementFactory placement) {
         List<ForwardingResult> results = LongStream.rangeClosed(1, seeds)
                 .parallel()
-                .mapToObj(seed -> new ForwardingSimulation(scenario, placement, seed).run())
+                .mapToObj(seed -> new ForwardingSimulation(scenario, placement, Mechanisms.ALL, seed).run())
                 .toList();
         return List.of(
                 metric(
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/ForwardingSimulation.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/ForwardingSimulation.java
@@ -10,6 +10,7 @@
 import org.amaranthlock.bench.sim.VirtualTimeScheduler;
 import org.amaranthlock.coordination.forwarding.EntryTarget;
 import org.amaranthlock.coordination.forwarding.LoadSheddingPolicy;
+import org.amaranthlock.coordination.forwarding.Mechanisms;
 import org.amaranthlock.coordination.forwarding.PlacementPolicy;
 import org.amaranthlock.coordination.forwarding.Route;
 import org.amaranthlock.coordination.forwarding.RouteKind;
@@ -74,7 +75,7 @@
         PlacementPolicy create(ToIntFunction<EntryTarget> reportedLoad, UniformRandomProvider random);
     }
 
-    ForwardingSimulation(ForwardingScenario scenario, PlacementFactory placements, long seed) {
+    ForwardingSimulation(ForwardingScenario scenario, PlacementFactory placements, Mechanisms mechanisms, long seed) {
         this.scenario = scenario;
         this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         this.service = new ServiceDefinition(
@@ -88,7 +89,7 @@
                     target -> reportedLoads.getOrDefault(target.id(), 0),
                     RandomSource.XO_RO_SHI_RO_128_PP.create(random.nextLong()));
             SimulatedEntryHost host = new SimulatedEntryHost(
-                    "host-" + i, domain(i), placement, new LoadSheddingPolicy(random), scheduler);
+                    "host-" + i, domain(i), placement, new LoadSheddingPolicy(random), mechanisms, scheduler);
             hosts.add(host);
         }
         updateTargets();
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedEntryHost.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedEntryHost.java
@@ -4,10 +4,12 @@
 import java.util.List;
 import java.util.Map;
 import org.amaranthlock.bench.sim.VirtualTimeScheduler;
+import org.amaranthlock.coordination.estimate.PrefillEstimates;
 import org.amaranthlock.coordination.forwarding.CrashHistory;
 import org.amaranthlock.coordination.forwarding.FleetRetryBudget;
 import org.amaranthlock.coordination.forwarding.HostLoadReport;
 import org.amaranthlock.coordination.forwarding.LoadSheddingPolicy;
+import org.amaranthlock.coordination.forwarding.Mechanisms;
 import org.amaranthlock.coordination.forwarding.PlacementPolicy;
 import org.amaranthlock.coordination.forwarding.RetryBudgetLimits;
 import org.amaranthlock.coordination.forwarding.RetryUsage;
@@ -27,9 +29,11 @@
 
     private final String name;
     private final FailureDomain domain;
+    private final Mechanisms mechanisms;
     private final VirtualTimeScheduler scheduler;
     private final TargetLoadBalancer loadBalancer;
     private final CrashHistory crashHistory = new CrashHistory();
+    private final PrefillEstimates prefillEstimates = new PrefillEstimates();
     private final RetryUsage retryUsage = new RetryUsage(RETRY_BUDGET_LIMITS.windowMillis());
     private final FleetRetryBudget retryBudget;
     private final List<SimulatedEntryHost> peers = new ArrayList<>();
@@ -41,12 +45,14 @@
             FailureDomain domain,
             PlacementPolicy placement,
             LoadSheddingPolicy loadShedding,
+            Mechanisms mechanisms,
             VirtualTimeScheduler scheduler) {
         this.name = name;
+        this.mechanisms = mechanisms;
         this.domain = domain;
         this.scheduler = scheduler;
         this.retryBudget = new FleetRetryBudget(RETRY_BUDGET_LIMITS, retryUsage, () -> peers.size() + 1);
-        this.loadBalancer = new TargetLoadBalancer(domain, placement, loadShedding);
+        this.loadBalancer = new TargetLoadBalancer(domain, placement, loadShedding, mechanisms);
     }
 
     /** Starts to send load reports to the other hosts. */
@@ -63,6 +69,14 @@
         return loadBalancer;
     }
 
+    Mechanisms mechanisms() {
+        return mechanisms;
+    }
+
+    PrefillEstimates prefillEstimates() {
+        return prefillEstimates;
+    }
+
     CrashHistory crashHistory() {
         return crashHistory;
     }
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedStream.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedStream.java
@@ -85,6 +85,8 @@
                 host.loadBalancer(),
                 host.retryBudget(),
                 host.crashHistory(),
+                host.prefillEstimates(),
+                host.mechanisms(),
                 this);
     }
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.amaranthlock.coordination.estimate.PrefillEstimates;
 
 /**
  * State machine of one forwarded request, from its admission to its final response.
@@ -39,6 +40,8 @@
     private final TargetLoadBalancer loadBalancer;
     private final FleetRetryBudget retryBudget;
     private final PoisonDetector poisonDetector;
+    private final PrefillEstimates prefillEstimates;
+    private final Mechanisms mechanisms;
     private final ForwardingPort port;
     private final AttemptTracker attempts;
     private final StreamProgress stream;
@@ -75,6 +78,8 @@
             TargetLoadBalancer loadBalancer,
             FleetRetryBudget retryBudget,
             CrashHistory crashHistory,
+            PrefillEstimates prefillEstimates,
+            Mechanisms mechanisms,
             ForwardingPort port) {
         this.attributes = Objects.requireNonNull(attributes, "attributes");
         this.route = Objects.requireNonNull(route, "route");
@@ -82,13 +87,15 @@
         this.priority = Objects.requireNonNull(priority, "priority");
         this.loadBalancer = Objects.requireNonNull(loadBalancer, "load balancer");
         this.retryBudget = Objects.requireNonNull(retryBudget, "retry budget");
+        this.prefillEstimates = Objects.requireNonNull(prefillEstimates, "prefill estimates");
+        this.mechanisms = Objects.requireNonNull(mechanisms, "mechanisms");
         this.port = Objects.requireNonNull(port, "port");
         this.poisonDetector = new PoisonDetector(attributes.fingerprint(), crashHistory, loadBalancer, port);
         this.attempts = new AttemptTracker(loadBalancer, attributes.tokens());
         this.stream = new StreamProgress(port, attributes.lastEventId().orElse(-1L));
         this.retryTargets = new RetryTargets(loadBalancer, service, attributes.tokens());
-        this.silence = new SilenceMonitor(route);
-        this.kvCacheBackup = new KvCacheBackup(attributes, service, loadBalancer, port);
+        this.silence = new SilenceMonitor(route, mechanisms);
+        this.kvCacheBackup = new KvCacheBackup(attributes, service, loadBalancer, mechanisms, port);
     }
 
     /** Returns whether the request has its final response, or its client has left. */
@@ -118,7 +125,7 @@
                     loadBalancer.reachableTargets(service.name(), nowMillis));
             return;
         }
-        dispatch("arrived", nowMillis);
+        dispatchUnlessHopeless(nowMillis);
     }
 
     /**
@@ -130,8 +137,12 @@
             return;
         }
         locating = false;
-        holder.ifPresent(retryTargets::preferHolder);
-        dispatch(holder.isPresent() ? "prompt-held" : "arrived", nowMillis);
+        if (holder.isPresent()) {
+            retryTargets.preferHolder(holder.get());
+            dispatch("prompt-held", nowMillis);
+        } else {
+            dispatchUnlessHopeless(nowMillis);
+        }
     }
 
     /** Handles the complete response of a target. */
@@ -244,7 +255,10 @@
             poisonDetector.onAttemptLost(ended, cause);
         }
         retryTargets.recordLoss(
-                ended.target(), route.kind() == RouteKind.STREAMING && !NO_SAME_TARGET_CAUSES.contains(cause));
+                ended.target(),
+                route.kind() == RouteKind.STREAMING
+                        && mechanisms.uses(Mechanism.SAME_ENGINE_RETRY)
+                        && !NO_SAME_TARGET_CAUSES.contains(cause));
         handleFailure(ended, cause, nowMillis);
     }
 
@@ -325,6 +339,22 @@
         scheduleTimer(nowMillis);
     }
 
+    /** Sends the request, or rejects it if no engine could prefill its prompt before the deadline. */
+    private void dispatchUnlessHopeless(long nowMillis) {
+        OptionalLong prefillMillis = service.engine() && mechanisms.uses(Mechanism.DEADLINE_REJECTION)
+                ? prefillEstimates.minPrefillMillis(service.name(), promptTokens())
+                : OptionalLong.empty();
+        if (prefillMillis.isPresent() && nowMillis + prefillMillis.getAsLong() >= deadlineMillis) {
+            fail(Rejection.of(503, "deadline-unreachable"), nowMillis);
+            return;
+        }
+        dispatch("arrived", nowMillis);
+    }
+
+    private long promptTokens() {
+        return attributes.lastPromptPart().map(PromptPart::tokens).orElse(0L);
+    }
+
     /** Chooses the destination of the next attempt and sends it, after a check if the request may crash targets. */
     private void dispatch(String cause, long nowMillis) {
         if (poisonDetector.isPoison(nowMillis)) {
@@ -371,7 +401,7 @@
     private void handleNotRun(Attempt ended, TargetResponse response, long nowMillis) {
         retryTargets.avoid(ended.target());
         if (response.status() == 421) {
-            loadBalancer.recordFailure(ended.target(), nowMillis);
+            loadBalancer.recordEnded(ended.target(), nowMillis);
         }
         recordDecision("not-run", ended, "status-" + response.status(), response.status(), nowMillis);
         retry("not-run", nowMillis);
@@ -486,6 +516,7 @@
 
     private boolean mayBeHeldByEngine() {
         return service.engine()
+                && mechanisms.uses(Mechanism.PROMPT_LOCATION)
                 && attributes.lastEventId().isPresent()
                 && attributes.lastPromptPart().isPresent();
     }
@@ -504,6 +535,10 @@
     }
 
     private void markGenerating(long nowMillis) {
+        boolean prefilled = currentAttempt().resumeFrom().isEmpty() && !retryTargets.returnedToHolder();
+        if (service.engine() && prefilled) {
+            prefillEstimates.recordFirstEvent(service.name(), promptTokens(), silence.millisSinceSend(nowMillis));
+        }
         attempts.markGenerating();
         poisonDetector.recordResponse(nowMillis);
         loadBalancer.recordSuccess(currentAttempt().target(), nowMillis);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/KvCacheBackup.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/KvCacheBackup.java
@@ -20,6 +20,7 @@
     private final RequestAttributes attributes;
     private final ServiceDefinition service;
     private final TargetLoadBalancer loadBalancer;
+    private final Mechanisms mechanisms;
     private final ForwardingPort port;
     private Optional<EntryTarget> assigned = Optional.empty();
 
@@ -35,17 +36,20 @@
             RequestAttributes attributes,
             ServiceDefinition service,
             TargetLoadBalancer loadBalancer,
+            Mechanisms mechanisms,
             ForwardingPort port) {
         this.attributes = Objects.requireNonNull(attributes, "attributes");
         this.service = Objects.requireNonNull(service, "service");
         this.loadBalancer = Objects.requireNonNull(loadBalancer, "load balancer");
+        this.mechanisms = Objects.requireNonNull(mechanisms, "mechanisms");
         this.port = Objects.requireNonNull(port, "port");
     }
 
     /** Chooses the engine that keeps a backup of an attempt from its start; empty if none is to be kept. */
     Optional<EntryTarget> assign(EntryTarget target, Set<TargetId> avoided, long nowMillis) {
         assignedLost = false;
-        assigned = service.kvCacheBackup() ? chooseBackup(target, avoided, nowMillis) : Optional.empty();
+        boolean possible = service.kvCacheBackup() && mechanisms.uses(Mechanism.KV_CACHE_BACKUP);
+        assigned = possible ? chooseBackup(target, avoided, nowMillis) : Optional.empty();
         assigned.ifPresent(backup -> loadBalancer.addLoad(backup, backupLoad()));
         lastTransferMillis = nowMillis;
         return assigned;
@@ -53,6 +57,9 @@
 
     /** Requests a copy on another engine if the assigned backup engine is lost. */
     void refresh(Attempt attempt, Set<TargetId> avoided, long nowMillis) {
+        if (!mechanisms.uses(Mechanism.BACKUP_REPLACEMENT)) {
+            return;
+        }
         assignedLost |= assigned.isPresent() && !loadBalancer.isReachable(assigned.get(), nowMillis);
         if (!assignedLost
                 || transferPending
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/Mechanism.java
@@ -0,0 +1,61 @@
+package org.amaranthlock.coordination.forwarding;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+/** Mechanism of the forwarding decisions that a setting can switch off, to measure what it is worth. */
+public enum Mechanism {
+    /** A stream's engine backs up its KV cache to an engine in another failure domain. */
+    KV_CACHE_BACKUP("kv-cache-backup"),
+
+    /** A backup whose engine is lost is replaced by a copy on another one. */
+    BACKUP_REPLACEMENT("backup-replacement"),
+
+    /** A stream that a client resumes goes to the engine that still holds its prompt. */
+    PROMPT_LOCATION("prompt-location"),
+
+    /** An attempt whose response was lost is retried once on the same engine. */
+    SAME_ENGINE_RETRY("same-engine-retry"),
+
+    /** Requests that would only wait are rejected while all engines are overloaded. */
+    LOAD_SHEDDING("load-shedding"),
+
+    /** A stream whose prompt cannot be prefilled before the client's deadline is rejected at once. */
+    DEADLINE_REJECTION("deadline-rejection"),
+
+    /** Placement considers the load that the other hosts have reported. */
+    SHARED_LOAD("shared-load"),
+
+    /** Targets of a failure domain in which others failed recently are avoided. */
+    DOMAIN_SUSPICION("domain-suspicion"),
+
+    /** A silent engine is asked for a report, which shows whether its response is lost. */
+    ENGINE_REPORTS("engine-reports"),
+
+    /** An attempt that makes no progress is abandoned if another target could start. */
+    ABANDONING("abandoning"),
+
+    /** A target at whose address another one responded is avoided until its entry expires. */
+    ENDED_TARGETS("ended-targets"),
+
+    /** The entry of a target at whose address another one runs is ignored. */
+    ADDRESS_SUCCESSION("address-succession");
+
+    private final String key;
+
+    Mechanism(String key) {
+        this.key = key;
+    }
+
+    /** Returns the name of the mechanism in the settings. */
+    public String key() {
+        return key;
+    }
+
+    /** Returns the mechanism with the given name. */
+    public static Optional<Mechanism> ofKey(String key) {
+        return Arrays.stream(values())
+                .filter(mechanism -> mechanism.key.equals(key))
+                .findFirst();
+    }
+}
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RetryTargets.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RetryTargets.java
@@ -38,6 +38,11 @@
         this.tokens = tokens;
     }
 
+    /** Returns whether an attempt went to an engine because it held the prompt. */
+    boolean returnedToHolder() {
+        return returnedToHolder;
+    }
+
     /** Returns the targets on which the request has failed. */
     Set<TargetId> avoided() {
         return avoided;
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/SilenceMonitor.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/SilenceMonitor.java
@@ -5,14 +5,16 @@
 /** Times of the current attempt: since when its target is silent, and what is due because of it. Not thread-safe. */
 final class SilenceMonitor {
     private final Route route;
+    private final Mechanisms mechanisms;
     private final AttemptTimeouts timeouts;
     private long sentAtMillis;
     private long lastActivityMillis;
     private long lastProbeMillis;
     private long lastReportRequestMillis;
 
-    SilenceMonitor(Route route) {
+    SilenceMonitor(Route route, Mechanisms mechanisms) {
         this.route = Objects.requireNonNull(route, "route");
+        this.mechanisms = Objects.requireNonNull(mechanisms, "mechanisms");
         this.timeouts = new AttemptTimeouts(route);
     }
 
@@ -37,6 +39,11 @@
         lastReportRequestMillis = nowMillis;
     }
 
+    /** Returns the time since the attempt was sent, in milliseconds. */
+    long millisSinceSend(long nowMillis) {
+        return nowMillis - sentAtMillis;
+    }
+
     /** Returns whether the target has sent something since it was probed. */
     boolean activeSinceProbe() {
         return lastActivityMillis >= lastProbeMillis;
@@ -44,7 +51,8 @@
 
     /** Returns whether the target has been silent so long that the attempt is abandoned if another one can start. */
     boolean isSilentTooLong(boolean generating, long nowMillis) {
-        return silentMillis(nowMillis) >= timeouts.inactivityTimeoutMillis(generating);
+        return mechanisms.uses(Mechanism.ABANDONING)
+                && silentMillis(nowMillis) >= timeouts.inactivityTimeoutMillis(generating);
     }
 
     /** Returns whether the silence is long enough for an engine's report to show that its response is lost. */
@@ -59,7 +67,8 @@
 
     /** Returns whether a stream's engine is to be asked for a report. */
     boolean isReportDue(boolean generating, long nowMillis) {
-        return nowMillis - Math.max(lastActivityMillis, lastReportRequestMillis) >= timeouts.reportIntervalMillis()
+        return mechanisms.uses(Mechanism.ENGINE_REPORTS)
+                && nowMillis - Math.max(lastActivityMillis, lastReportRequestMillis) >= timeouts.reportIntervalMillis()
                 && silentMillis(nowMillis) >= timeouts.reportDelayMillis(generating);
     }
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
@@ -29,6 +29,7 @@
     private final FailureDomain localDomain;
     private final PlacementPolicy placementPolicy;
     private final LoadSheddingPolicy loadSheddingPolicy;
+    private final Mechanisms mechanisms;
     private final TargetHealth health = new TargetHealth();
     private final Map<TargetId, InFlightLoad> inFlight = new HashMap<>();
     private final Map<String, RemoteLoadReport> remoteReports = new HashMap<>();
@@ -42,9 +43,13 @@
 
     /** Creates a load balancer for a host in {@code localDomain}. */
     public TargetLoadBalancer(
-            FailureDomain localDomain, PlacementPolicy placementPolicy, LoadSheddingPolicy loadSheddingPolicy) {
+            FailureDomain localDomain,
+            PlacementPolicy placementPolicy,
+            LoadSheddingPolicy loadSheddingPolicy,
+            Mechanisms mechanisms) {
         this.localDomain = Objects.requireNonNull(localDomain, "local domain");
         this.placementPolicy = Objects.requireNonNull(placementPolicy, "placement policy");
+        this.mechanisms = Objects.requireNonNull(mechanisms, "mechanisms");
         this.loadSheddingPolicy = Objects.requireNonNull(loadSheddingPolicy, "load shedding policy");
     }
 
@@ -79,7 +84,7 @@
 
     /** Returns the retry delay for a client if all engines are overloaded; empty if its request is to be sent. */
     public OptionalLong retryAfterMillis(ServiceDefinition service, long tokens, long nowMillis) {
-        return service.engine()
+        return service.engine() && mechanisms.uses(Mechanism.LOAD_SHEDDING)
                 ? loadSheddingPolicy.retryAfterMillis(service, tokens, candidates(service, Set.of(), nowMillis))
                 : OptionalLong.empty();
     }
@@ -165,6 +170,15 @@
         health.recordFailure(target, nowMillis);
     }
 
+    /** Records that another target responded at the address of this one. */
+    public void recordEnded(EntryTarget target, long nowMillis) {
+        if (mechanisms.uses(Mechanism.ENDED_TARGETS)) {
+            health.recordEnded(target, nowMillis);
+        } else {
+            health.recordFailure(target, nowMillis);
+        }
+    }
+
     /** Records that a target's host did not accept a connection. */
     public void recordUnreachable(EntryTarget target, long nowMillis) {
         health.recordUnreachable(target, nowMillis);
@@ -212,9 +226,11 @@
 
     private CandidateLoad candidateLoad(EntryTarget target, long nowMillis) {
         InFlightLoad all = inFlight.getOrDefault(target.id(), InFlightLoad.NONE);
-        all = all.plus(remoteInFlight.getOrDefault(target.id(), InFlightLoad.NONE));
-        return new CandidateLoad(
-                target, all, target.failureDomain().equals(localDomain), health.isSuspect(target, nowMillis));
+        if (mechanisms.uses(Mechanism.SHARED_LOAD)) {
+            all = all.plus(remoteInFlight.getOrDefault(target.id(), InFlightLoad.NONE));
+        }
+        boolean suspect = mechanisms.uses(Mechanism.DOMAIN_SUSPICION) && health.isSuspect(target, nowMillis);
+        return new CandidateLoad(target, all, target.failureDomain().equals(localDomain), suspect);
     }
 
     private void expireRemoteReports(long nowMillis) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetRegistry.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetRegistry.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 import org.amaranthlock.model.TargetId;
 
@@ -21,6 +22,7 @@
     /** Time within which available targets register again after the store has recovered, in milliseconds. */
     public static final long REREGISTRATION_GRACE_MILLIS = 2_000;
 
+    private final Mechanisms mechanisms;
     private final Map<TargetId, RegistryEntry> entries = new TreeMap<>();
 
     /** Start of the grace period by id of each missing entry. */
@@ -30,6 +32,11 @@
 
     private record RegistryEntry(EntryTarget target, long revision) {}
 
+    /** Creates an empty registry. */
+    public TargetRegistry(Mechanisms mechanisms) {
+        this.mechanisms = Objects.requireNonNull(mechanisms, "mechanisms");
+    }
+
     /**
      * Replaces all entries with a list.
      *
@@ -77,8 +84,9 @@
     /** Returns the table of the current targets. */
     public TargetTable table(long nowMillis) {
         expire(nowMillis);
-        return new TargetTable(
-                latestByAddress().stream().map(RegistryEntry::target).toList());
+        Collection<RegistryEntry> current =
+                mechanisms.uses(Mechanism.ADDRESS_SUCCESSION) ? latestByAddress() : entries.values();
+        return new TargetTable(current.stream().map(RegistryEntry::target).toList());
     }
 
     /** Returns whether entries are missing whose targets may still register again within the grace period. */
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/EntryTargets.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/EntryTargets.java
@@ -19,7 +19,10 @@
     static TargetLoadBalancer loadBalancer(long seed) {
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(seed);
         return new TargetLoadBalancer(
-                new FailureDomain("a"), new LeastDelayPlacement(random), new LoadSheddingPolicy(random));
+                new FailureDomain("a"),
+                new LeastDelayPlacement(random),
+                new LoadSheddingPolicy(random),
+                Mechanisms.ALL);
     }
 
     static EntryTarget ready(String id, String domain) {
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
+import org.amaranthlock.coordination.estimate.PrefillEstimates;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -21,6 +22,7 @@
     private final RecordingPort port = new RecordingPort();
     private final TargetLoadBalancer loadBalancer = EntryTargets.loadBalancer(1);
     private final CrashHistory crashHistory = new CrashHistory();
+    private final PrefillEstimates prefillEstimates = new PrefillEstimates();
     private final FleetRetryBudget retryBudget =
             new FleetRetryBudget(new RetryBudgetLimits(0.8, 40, 10_000), new RetryUsage(10_000), () -> 1);
 
@@ -84,6 +86,8 @@
                         loadBalancer,
                         retryBudget,
                         crashHistory,
+                        prefillEstimates,
+                        Mechanisms.ALL,
                         newPort);
                 request.start(0);
                 request.onResponse(1, response(status, true, false), 10);
@@ -351,6 +355,8 @@
                     loadBalancer,
                     retryBudget,
                     crashHistory,
+                    prefillEstimates,
+                    Mechanisms.ALL,
                     port);
             request.start(0);
             assertThat(port.lastSent().lastEventId()).hasValue(12L);
@@ -378,6 +384,40 @@
             assertThat(port.sent).hasSize(1);
         }
 
+        // Load pattern: clients notice only seconds later that all hosts lost power, and come back shortly before their
+        // deadlines. Guards against prompts that are prefilled although their streams cannot start in time.
+        @Test
+        void rejectsStreamAtOnceIfItsPromptCannotBePrefilledInTime() {
+            IntStream.range(0, 8)
+                    .forEach(_ -> prefillEstimates.recordFirstEvent(EntryTargets.SERVICE, PROMPT.tokens(), 1_000));
+            ForwardedRequest late = startResumed(900);
+            late.onPromptLocated(Optional.empty(), 40);
+            assertThat(port.sent).isEmpty();
+            assertThat(port.rejections.getFirst().status()).isEqualTo(503);
+        }
+
+        @Test
+        void sendsStreamShortlyBeforeItsDeadlineToEngineThatHoldsItsPrompt() {
+            IntStream.range(0, 8)
+                    .forEach(_ -> prefillEstimates.recordFirstEvent(EntryTargets.SERVICE, PROMPT.tokens(), 1_000));
+            startResumed(900).onPromptLocated(Optional.of(EntryTargets.ready("t4", "a")), 40);
+            assertThat(port.sent).hasSize(1);
+        }
+
+        @Test
+        void learnsPrefillTimeFromFirstEventOfPrefilledPromptOnly() {
+            for (int i = 0; i < 8; i++) {
+                RecordingPort newPort = new RecordingPort();
+                ForwardedRequest request = startResumed(TIMEOUT_MILLIS, newPort);
+                request.onPromptLocated(i == 0 ? Optional.of(EntryTargets.ready("t4", "a")) : Optional.empty(), 0);
+                request.onEvents(1, events(13), 1_000);
+            }
+            assertThat(prefillEstimates
+                            .minPrefillMillis(EntryTargets.SERVICE, PROMPT.tokens())
+                            .isPresent())
+                    .isFalse();
+        }
+
         @Test
         void ignoresLocatedPromptAfterClientDisconnected() {
             ForwardedRequest request = startResumed();
@@ -387,15 +427,26 @@
         }
 
         private ForwardedRequest startResumed() {
+            return startResumed(TIMEOUT_MILLIS);
+        }
+
+        private ForwardedRequest startResumed(long timeLeftMillis) {
+            return startResumed(timeLeftMillis, port);
+        }
+
+        private ForwardedRequest startResumed(long timeLeftMillis, RecordingPort recordingPort) {
             ForwardedRequest request = new ForwardedRequest(
-                    new RequestAttributes("r", OptionalLong.empty(), Optional.of(12L), 0, Optional.of(PROMPT), 0),
+                    new RequestAttributes(
+                            "r", OptionalLong.of(timeLeftMillis), Optional.of(12L), 0, Optional.of(PROMPT), 0),
                     route(RouteKind.STREAMING),
                     engineService(),
                     Optional.empty(),
                     loadBalancer,
                     retryBudget,
                     crashHistory,
-                    port);
+                    prefillEstimates,
+                    Mechanisms.ALL,
+                    recordingPort);
             request.start(0);
             return request;
         }
@@ -591,6 +642,8 @@
                     loadBalancer,
                     retryBudget,
                     crashHistory,
+                    prefillEstimates,
+                    Mechanisms.ALL,
                     newPort);
             request.start(0);
             request.onResponse(1, response(404, true, false), 10);
@@ -624,6 +677,8 @@
                 loadBalancer,
                 retryBudget,
                 crashHistory,
+                prefillEstimates,
+                Mechanisms.ALL,
                 port);
         port.requestWithRespondingTargets = request;
         request.start(0);
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/TargetRegistryTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/TargetRegistryTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 class TargetRegistryTest {
-    private final TargetRegistry registry = new TargetRegistry();
+    private final TargetRegistry registry = new TargetRegistry(Mechanisms.ALL);
     private final EntryTarget first = EntryTargets.ready("t1", "a");
     private final EntryTarget second = EntryTargets.ready("t2", "b");
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -117,7 +117,11 @@
                         settings.bounds().maxConfigurationAgeMillis()),
                 settings.bounds().retryBudget(),
                 new TargetLoadBalancer(
-                        settings.failureDomain(), new LeastDelayPlacement(random), new LoadSheddingPolicy(random)),
+                        settings.failureDomain(),
+                        new LeastDelayPlacement(random),
+                        new LoadSheddingPolicy(random),
+                        settings.mechanisms()),
+                settings.mechanisms(),
                 random,
                 connections,
                 log,
@@ -149,6 +153,7 @@
                 peerStoreClient,
                 peerStoreServer,
                 table -> trafficLoop.execute(() -> requestForwarder.updateTargets(table)),
+                settings.mechanisms(),
                 log,
                 metrics);
         this.loadReport = new HostLoadReport(settings.hostName(), Map.of(), Set.of(), Map.of(), 0);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.amaranthlock.coordination.estimate.PrefillEstimates;
 import org.amaranthlock.coordination.forwarding.AdmissionPolicy;
 import org.amaranthlock.coordination.forwarding.AdmissionResult;
 import org.amaranthlock.coordination.forwarding.ApiKeyOwner;
@@ -19,6 +20,7 @@
 import org.amaranthlock.coordination.forwarding.FleetRetryBudget;
 import org.amaranthlock.coordination.forwarding.ForwardedRequest;
 import org.amaranthlock.coordination.forwarding.HostLoadReport;
+import org.amaranthlock.coordination.forwarding.Mechanisms;
 import org.amaranthlock.coordination.forwarding.Rejection;
 import org.amaranthlock.coordination.forwarding.RequestLimits;
 import org.amaranthlock.coordination.forwarding.RetryBudgetLimits;
@@ -54,6 +56,7 @@
     private final RetryBudgetLimits retryBudgetLimits;
     private final RetryUsage retryUsage;
     private final TargetLoadBalancer loadBalancer;
+    private final Mechanisms mechanisms;
     private final UniformRandomProvider random;
     private final TargetConnectionPool connections;
     private final PromptLocator promptLocator;
@@ -61,6 +64,7 @@
     private final EntryMetrics metrics;
     private final Runnable onLoadChanged;
     private final CrashHistory crashHistory = new CrashHistory();
+    private final PrefillEstimates prefillEstimates = new PrefillEstimates();
     private final CachedConfiguration cachedConfiguration = new CachedConfiguration();
     private final Map<ServiceName, FleetRetryBudget> retryBudgets = new HashMap<>();
     private final Set<ActiveRequest> activeRequests = new LinkedHashSet<>();
@@ -76,6 +80,7 @@
             AdmissionPolicy admissionPolicy,
             RetryBudgetLimits retryBudgetLimits,
             TargetLoadBalancer loadBalancer,
+            Mechanisms mechanisms,
             UniformRandomProvider random,
             TargetConnectionPool connections,
             DecisionLog log,
@@ -88,6 +93,7 @@
         this.retryBudgetLimits = Objects.requireNonNull(retryBudgetLimits, "retry budget limits");
         this.retryUsage = new RetryUsage(retryBudgetLimits.windowMillis());
         this.loadBalancer = Objects.requireNonNull(loadBalancer, "load balancer");
+        this.mechanisms = Objects.requireNonNull(mechanisms, "mechanisms");
         this.random = Objects.requireNonNull(random, "random");
         this.connections = Objects.requireNonNull(connections, "connections");
         this.log = Objects.requireNonNull(log, "log");
@@ -252,7 +258,16 @@
                 "age_ms",
                 configurationAgeMillis());
         activeRequest.start(new ForwardedRequest(
-                request.toAttributes(), route, service, priority, loadBalancer, budget, crashHistory, activeRequest));
+                request.toAttributes(),
+                route,
+                service,
+                priority,
+                loadBalancer,
+                budget,
+                crashHistory,
+                prefillEstimates,
+                mechanisms,
+                activeRequest));
     }
 
     /**
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/TargetWatcher.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/TargetWatcher.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.amaranthlock.coordination.forwarding.EntryTarget;
+import org.amaranthlock.coordination.forwarding.Mechanisms;
 import org.amaranthlock.coordination.forwarding.TargetRegistry;
 import org.amaranthlock.coordination.forwarding.TargetTable;
 import org.amaranthlock.entry.log.DecisionLog;
@@ -45,7 +46,7 @@
     private final Consumer<TargetTable> listener;
     private final DecisionLog log;
     private final EntryMetrics metrics;
-    private final TargetRegistry registry = new TargetRegistry();
+    private final TargetRegistry registry;
     private final Map<EntryTarget, Long> listing = new LinkedHashMap<>();
     private long listRevision;
     private long failingSinceMillis = -1;
@@ -58,8 +59,10 @@
             PeerStoreReader peerReader,
             PeerStoreServer peerStoreServer,
             Consumer<TargetTable> listener,
+            Mechanisms mechanisms,
             DecisionLog log,
             EntryMetrics metrics) {
+        this.registry = new TargetRegistry(mechanisms);
         this.store = Objects.requireNonNull(store, "store");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/settings/EntrySettings.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/settings/EntrySettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import org.amaranthlock.coordination.forwarding.Mechanisms;
 import org.amaranthlock.coordination.forwarding.RetryBudgetLimits;
 import org.amaranthlock.model.FailureDomain;
 
@@ -16,6 +17,7 @@
  * @param peerAddress address for the other entry hosts
  * @param storeAddress address of the platform's store
  * @param bounds time limits and retry budget that the platform sets
+ * @param mechanisms forwarding mechanisms that the host uses
  */
 public record EntrySettings(
         String hostName,
@@ -25,8 +27,10 @@
         InetSocketAddress metricsAddress,
         InetSocketAddress peerAddress,
         InetSocketAddress storeAddress,
-        Bounds bounds) {
+        Bounds bounds,
+        Mechanisms mechanisms) {
     public EntrySettings {
+        Objects.requireNonNull(mechanisms, "mechanisms");
         Objects.requireNonNull(failureDomain, "failure domain");
         Objects.requireNonNull(bounds, "bounds");
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/settings/EntrySettingsReader.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/settings/EntrySettingsReader.java
@@ -8,6 +8,11 @@
 import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.amaranthlock.coordination.forwarding.Mechanism;
+import org.amaranthlock.coordination.forwarding.Mechanisms;
 import org.amaranthlock.coordination.forwarding.RetryBudgetLimits;
 import org.amaranthlock.entry.settings.EntrySettings.Bounds;
 import org.amaranthlock.model.AmaranthlockException;
@@ -72,7 +77,36 @@
                                 positiveDouble(root, "bounds", "repeats-per-request", DEFAULT_RETRIES_PER_REQUEST),
                                 positiveDouble(root, "bounds", "repeats-slack", DEFAULT_RETRY_SLACK),
                                 positiveLong(root, "bounds", "repeats-window-s", DEFAULT_RETRY_WINDOW_SECONDS)
-                                        * 1_000)));
+                                        * 1_000)),
+                mechanisms(root));
+    }
+
+    /** Reads which mechanisms are switched off; mechanisms that are not named are used. */
+    private static Mechanisms mechanisms(JsonNode root) {
+        List<Mechanism> disabled = new ArrayList<>();
+        JsonNode switches = root.path("forwarding").path("mechanisms");
+        switches.properties().forEach(entry -> {
+            Mechanism mechanism = mechanism(entry.getKey());
+            if (!entry.getValue().isBoolean()) {
+                throw invalidSettings(
+                        "[forwarding.mechanisms] " + entry.getKey() + " must be true or false, not " + entry.getValue(),
+                        null);
+            }
+            if (!entry.getValue().asBoolean()) {
+                disabled.add(mechanism);
+            }
+        });
+        return Mechanisms.allExcept(disabled);
+    }
+
+    private static Mechanism mechanism(String key) {
+        return Mechanism.ofKey(key)
+                .orElseThrow(() -> invalidSettings(
+                        "[forwarding.mechanisms] " + key + " is unknown; use one of "
+                                + Arrays.stream(Mechanism.values())
+                                        .map(Mechanism::key)
+                                        .toList(),
+                        null));
     }
 
     private static String requiredText(JsonNode root, String section, String field) {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/RequestForwarderTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/RequestForwarderTest.java
@@ -10,6 +10,7 @@
 import org.amaranthlock.coordination.forwarding.EntryConfiguration;
 import org.amaranthlock.coordination.forwarding.LeastDelayPlacement;
 import org.amaranthlock.coordination.forwarding.LoadSheddingPolicy;
+import org.amaranthlock.coordination.forwarding.Mechanisms;
 import org.amaranthlock.coordination.forwarding.RequestLimits;
 import org.amaranthlock.coordination.forwarding.RetryBudgetLimits;
 import org.amaranthlock.coordination.forwarding.TargetLoadBalancer;
@@ -61,7 +62,11 @@
                 new AdmissionPolicy(5_000, 2_500),
                 new RetryBudgetLimits(0.8, 150, 10_000),
                 new TargetLoadBalancer(
-                        new FailureDomain("a"), new LeastDelayPlacement(random), new LoadSheddingPolicy(random)),
+                        new FailureDomain("a"),
+                        new LeastDelayPlacement(random),
+                        new LoadSheddingPolicy(random),
+                        Mechanisms.ALL),
+                Mechanisms.ALL,
                 random,
                 new TargetConnectionPool(loop, () -> 0, metrics),
                 new DecisionLog(Logger.getLogger("request-forwarder-test"), () -> 0),
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/settings/EntrySettingsReaderTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/settings/EntrySettingsReaderTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.nio.file.Path;
+import org.amaranthlock.coordination.forwarding.Mechanism;
+import org.amaranthlock.coordination.forwarding.Mechanisms;
 import org.amaranthlock.coordination.forwarding.RetryBudgetLimits;
 import org.amaranthlock.model.AmaranthlockException;
 import org.amaranthlock.model.ErrorCode;
@@ -55,6 +57,26 @@
         assertThat(error).hasMessageThat().contains("callers");
     }
 
+    @Test
+    void usesAllMechanismsExceptThoseSwitchedOff() {
+        assertThat(EntrySettingsReader.parse(COMPLETE_SETTINGS).mechanisms()).isEqualTo(Mechanisms.ALL);
+        Mechanisms mechanisms = EntrySettingsReader.parse(
+                        COMPLETE_SETTINGS + "[forwarding.mechanisms]\nload-shedding = false\nshared-load = true\n")
+                .mechanisms();
+        assertThat(mechanisms.uses(Mechanism.LOAD_SHEDDING)).isFalse();
+        assertThat(mechanisms.uses(Mechanism.SHARED_LOAD)).isTrue();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"load-sheding = false", "load-shedding = 0"})
+    void rejectsUnknownMechanismOrValue(String line) {
+        AmaranthlockException error = assertThrows(
+                AmaranthlockException.class,
+                () -> EntrySettingsReader.parse(COMPLETE_SETTINGS + "[forwarding.mechanisms]\n" + line));
+        assertThat(error).hasMessageThat().contains(line.substring(0, line.indexOf(' ')));
+        assertThat(error).hasMessageThat().containsMatch("use one of|must be true or false");
+    }
+
     // Guards against a crash loop of deployments whose settings omit a bound.
     @Test
     void usesDefaultBoundsWhereUnset() {
