--- /dev/null
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/account/AccountMain.java
@@ -0,0 +1,110 @@
+package org.amaranthlock.bench.account;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import org.amaranthlock.platform.PlayReport;
+import org.amaranthlock.platform.PlayReportDecoder;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Prints where a played day lost its worth, as Markdown tables. */
+@Command(
+        name = "account",
+        mixinStandardHelpOptions = true,
+        description = "Prints where a played day lost its worth: a ledger that adds up, and the fates of the streams.")
+public final class AccountMain implements Callable<Integer> {
+    @Parameters(paramLabel = "REPORT", description = "Report that the bench wrote for the day.")
+    private Path report;
+
+    @Option(names = "--log", description = "Output of the bench with the logs of all hosts.")
+    private Path log;
+
+    @Option(names = "--worth", paramLabel = "KIND=WORTH", description = "Worth of one request of a kind; default 1.")
+    private Map<String, Double> worthByKind = new LinkedHashMap<>();
+
+    @Option(
+            names = "--goal-ms",
+            defaultValue = "4500",
+            description = "Time to the first event of a stream on time, in milliseconds (default: ${DEFAULT-VALUE}).")
+    private long goalMillis;
+
+    @Option(
+            names = "--pause-ms",
+            defaultValue = "700",
+            description = "Longest pause of a stream on time, in milliseconds (default: ${DEFAULT-VALUE}).")
+    private long pauseMillis;
+
+    /** Prints the account and exits. */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new AccountMain()).execute(args));
+    }
+
+    @Override
+    public Integer call() throws IOException {
+        PrintWriter out = new PrintWriter(System.out, true, StandardCharsets.UTF_8);
+        PlayReport played = PlayReportDecoder.decode(Files.readAllBytes(report));
+        printLedger(out, Ledger.of(played, worthByKind));
+        printWindows(out, played.windows());
+        if (log != null) {
+            // Logs of the played processes may contain bytes that are not UTF-8.
+            printFates(out, StreamFates.read(Files.readAllLines(log, StandardCharsets.ISO_8859_1)));
+        }
+        return 0;
+    }
+
+    private static void printLedger(PrintWriter out, Ledger ledger) {
+        out.println("| lost for | worth | fixed part |");
+        out.println("|---|---|---|");
+        ledger.entries().stream()
+                .sorted(Comparator.comparingDouble(Ledger.Entry::lost).reversed())
+                .forEach(entry ->
+                        out.printf(Locale.ROOT, "| %s | %.4f | %.4f |%n", entry.cause(), entry.lost(), entry.fixed()));
+        out.printf(
+                Locale.ROOT,
+                "| sum; worth %.4f | %.4f | ceiling %.4f |%n%n",
+                ledger.worth(),
+                ledger.lost(),
+                ledger.ceiling());
+    }
+
+    private static void printWindows(PrintWriter out, List<PlayReport.Group> windows) {
+        out.println("| worst windows, from second | owed | on time | late | benefit earned |");
+        out.println("|---|---|---|---|---|");
+        windows.stream()
+                .filter(window -> window.owed() > 0)
+                .sorted(Comparator.comparingDouble(PlayReport.Group::earnedFraction))
+                .limit(4)
+                .forEach(window -> out.printf(
+                        Locale.ROOT,
+                        "| %s | %d | %d | %d | %.3f |%n",
+                        window.name(),
+                        window.owed(),
+                        window.onTime(),
+                        window.late(),
+                        window.earnedFraction()));
+        out.println();
+    }
+
+    private void printFates(PrintWriter out, StreamFates fates) {
+        out.println("| fate of streams | attempts of clients | examples |");
+        out.println("|---|---|---|");
+        fates.byFate(goalMillis, pauseMillis)
+                .forEach((fate, streams) -> out.printf(
+                        Locale.ROOT,
+                        "| %s | %d | %s |%n",
+                        fate,
+                        streams.count(),
+                        String.join(", ", streams.examples())));
+    }
+}
