--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -401,7 +401,7 @@
     private void handleNotRun(Attempt ended, TargetResponse response, long nowMillis) {
         retryTargets.avoid(ended.target());
         if (response.status() == 421) {
-            loadBalancer.recordEnded(ended.target(), nowMillis);
+            loadBalancer.recordFailure(ended.target(), nowMillis);
         }
         recordDecision("not-run", ended, "status-" + response.status(), response.status(), nowMillis);
         retry("not-run", nowMillis);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/Mechanism.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/Mechanism.java
@@ -35,9 +35,6 @@
     /** An attempt that makes no progress is abandoned if another target could start. */
     ABANDONING("abandoning"),
 
-    /** A target at whose address another one responded is avoided until its entry expires. */
-    ENDED_TARGETS("ended-targets"),
-
     /** The entry of a target at whose address another one runs is ignored. */
     ADDRESS_SUCCESSION("address-succession");
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetHealth.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetHealth.java
@@ -21,12 +21,6 @@
 
     private static final long MAX_EXCLUSION_MILLIS = 4_000;
 
-    /**
-     * Time for which a target is excluded after another one responded at its address, in milliseconds; the entry of an
-     * ended target expires about then.
-     */
-    private static final long ENDED_EXCLUSION_MILLIS = 4_000;
-
     /** Time for which an unreachable target counts as a failure of its failure domain, in milliseconds. */
     private static final long DOMAIN_FAILURE_WINDOW_MILLIS = 1_000;
 
@@ -44,7 +38,6 @@
         private long excludedUntilMillis;
         private long unreachableUntilMillis;
         private long remoteUnreachableUntilMillis;
-        private long endedUntilMillis;
         private long lastResponseMillis = Long.MIN_VALUE / 2; // half, so that the age does not overflow
     }
 
@@ -60,7 +53,6 @@
         record.excludedUntilMillis = 0;
         record.unreachableUntilMillis = 0;
         record.remoteUnreachableUntilMillis = 0;
-        record.endedUntilMillis = 0;
         record.lastResponseMillis = nowMillis;
     }
 
@@ -82,11 +74,6 @@
         recordDomainFailure(target, nowMillis);
     }
 
-    /** Records that another target responded at the address of this one, which has therefore ended. */
-    void recordEnded(EntryTarget target, long nowMillis) {
-        healthRecord(target.id()).endedUntilMillis = nowMillis + ENDED_EXCLUSION_MILLIS;
-    }
-
     /**
      * Records that another host could not reach a target, and excludes it unless it recently responded to this host.
      */
@@ -113,16 +100,14 @@
     /** Returns whether a target is not excluded. */
     boolean isAvailable(EntryTarget target, long nowMillis) {
         HealthRecord record = records.get(target.id());
-        return record == null || (record.excludedUntilMillis <= nowMillis && record.endedUntilMillis <= nowMillis);
+        return record == null || record.excludedUntilMillis <= nowMillis;
     }
 
     /** Returns whether no host recently failed to reach a target; a target that only failed a request is reachable. */
     boolean isReachable(EntryTarget target, long nowMillis) {
         HealthRecord record = records.get(target.id());
         return record == null
-                || (record.unreachableUntilMillis <= nowMillis
-                        && record.remoteUnreachableUntilMillis <= nowMillis
-                        && record.endedUntilMillis <= nowMillis);
+                || (record.unreachableUntilMillis <= nowMillis && record.remoteUnreachableUntilMillis <= nowMillis);
     }
 
     /** Returns whether a target's failure domain is failing and the target has not responded recently. */
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
@@ -170,15 +170,6 @@
         health.recordFailure(target, nowMillis);
     }
 
-    /** Records that another target responded at the address of this one. */
-    public void recordEnded(EntryTarget target, long nowMillis) {
-        if (mechanisms.uses(Mechanism.ENDED_TARGETS)) {
-            health.recordEnded(target, nowMillis);
-        } else {
-            health.recordFailure(target, nowMillis);
-        }
-    }
-
     /** Records that a target's host did not accept a connection. */
     public void recordUnreachable(EntryTarget target, long nowMillis) {
         health.recordUnreachable(target, nowMillis);
