--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestCrashTest.java
@@ -0,0 +1,105 @@
+package org.amaranthlock.coordination.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Tests of requests that may crash their targets. */
+class ForwardedRequestCrashTest extends AbstractForwardedRequestTest {
+    // Guards against a request that crashes each target it reaches.
+    @Test
+    void rejectsRequestThatCrashedThreeTargets() {
+        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+        IntStream.range(0, 3)
+                .forEach(i -> crashHistory.recordCrash(requestAttributes().fingerprint(), i, 5));
+        request.onAttemptLost(1, "closed", 10);
+        assertThat(port.crashChecks).hasSize(1);
+        assertThat(port.sent).hasSize(1);
+        assertThat(port.rejections.getFirst().reason()).isEqualTo("crashes-targets");
+    }
+
+    // Most engines of a domain fail at once. Guards against treating the requests that they were prefilling as poison.
+    @Test
+    void doesNotCountCrashDuringDomainFailure() {
+        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+        Attempt lost = port.lastSent();
+        request.onAttemptLost(1, "closed", 10);
+        request.onCrashCheckResult(lost, false, 20);
+        assertThat(crashHistory.localCrashes(30))
+                .containsExactly(requestAttributes().fingerprint(), 1);
+        loadBalancer.recordUnreachable(
+                EntryTargets.ready("t8", lost.target().failureDomain().value()), 40);
+        loadBalancer.recordUnreachable(
+                EntryTargets.ready("t9", lost.target().failureDomain().value()), 40);
+        request.onCrashCheckResult(lost, false, 50);
+        assertThat(crashHistory.localCrashes(60))
+                .containsExactly(requestAttributes().fingerprint(), 1);
+    }
+
+    // Guards against mistaking a request that crashes the engines of a domain one after the other for a domain failure.
+    @Test
+    void countsCrashesOfTargetsInTheSameDomain() {
+        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+        for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+            Attempt lost = port.lastSent();
+            loadBalancer.recordUnreachable(lost.target(), attempt);
+            request.onAttemptLost(attempt, "closed", attempt);
+            request.onCrashCheckResult(lost, false, 10 * attempt);
+        }
+        assertThat(crashHistory.isPoison(requestAttributes().fingerprint(), 100))
+                .isTrue();
+    }
+
+    // Load pattern: all targets of a service are killed, and equal requests walk from one dead target to the next,
+    // whose
+    // connections still open. Guards against refusing these requests for minutes after the targets are back.
+    @Test
+    void sendsRequestThatMayHaveCrashedTargetOnlyToTargetsThatRespond() {
+        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+        port.requestWithRespondingTargets = null;
+        Attempt lost = port.lastSent();
+        request.onAttemptLost(1, "closed", 10);
+        for (int i = 0; i < 6; i++) {
+            request.onTargetChecked(port.checked.getLast(), false, 20 + i);
+        }
+        assertThat(port.sent).hasSize(1);
+        assertThat(port.rejections.getFirst().status()).isEqualTo(502);
+        request.onCrashCheckResult(lost, false, 600);
+        assertThat(crashHistory.isPoison(requestAttributes().fingerprint(), 600))
+                .isFalse();
+    }
+
+    // Guards against a crash that counts twice because its check ends before the next attempt is sent.
+    @Test
+    void countsEachCrashOnce() {
+        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+        Attempt first = port.lastSent();
+        request.onAttemptLost(1, "closed", 10);
+        request.onCrashCheckResult(first, false, 600);
+        Attempt second = port.lastSent();
+        request.onAttemptLost(2, "closed", 700);
+        request.onCrashCheckResult(second, false, 1_300);
+        assertThat(crashHistory.localCrashes(1_400))
+                .containsExactly(requestAttributes().fingerprint(), 2);
+    }
+
+    @Test
+    void ignoresTargetCheckAfterClientDisconnected() {
+        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
+        port.requestWithRespondingTargets = null;
+        request.onAttemptLost(1, "closed", 10);
+        request.onClientDisconnected(20);
+        request.onTargetChecked(port.checked.getLast(), true, 30);
+        assertThat(port.sent).hasSize(1);
+    }
+
+    // Guards against attributing the crash of an engine to a stream that it was already generating.
+    @Test
+    void doesNotCheckForCrashAfterFirstEvent() {
+        ForwardedRequest request = startStream();
+        request.onEvents(1, events(0), 100);
+        request.onAttemptLost(1, "closed", 200);
+        assertThat(port.crashChecks).isEmpty();
+    }
+}
--- /dev/null
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestResumeTest.java
@@ -0,0 +1,117 @@
+package org.amaranthlock.coordination.forwarding;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Tests of streams that a client resumes. */
+class ForwardedRequestResumeTest extends AbstractForwardedRequestTest {
+    @Test
+    void startsAfterLastEventIdOfClient() {
+        ForwardedRequest request = new ForwardedRequest(
+                new RequestAttributes("r", OptionalLong.empty(), Optional.of(12L), 0, Optional.empty(), 0),
+                route(RouteKind.STREAMING),
+                engineService(),
+                Optional.empty(),
+                loadBalancer,
+                retryBudget,
+                crashHistory,
+                prefillEstimates,
+                Mechanisms.ALL,
+                port);
+        request.start(0);
+        assertThat(port.lastSent().lastEventId()).hasValue(12L);
+    }
+
+    // Load pattern: all hosts are killed and restart, and the clients resume their streams at once. Guards against
+    // prompts that are prefilled again although an engine still holds them.
+    @Test
+    void resumesStreamOfClientOnEngineThatHoldsItsPrompt() {
+        ForwardedRequest request = startResumed();
+        assertThat(port.located).containsExactly(PROMPT);
+        assertThat(port.sent).isEmpty();
+        EntryTarget holder = EntryTargets.ready("t4", "a");
+        request.onPromptLocated(Optional.of(holder), 40);
+        assertThat(port.lastSent().target()).isEqualTo(holder);
+        assertThat(port.lastSent().lastEventId()).hasValue(12L);
+    }
+
+    @Test
+    void resumesStreamOfClientOnAnyEngineIfNoneHoldsItsPrompt() {
+        ForwardedRequest request = startResumed();
+        request.onPromptLocated(Optional.empty(), 40);
+        assertThat(port.sent).hasSize(1);
+        request.onPromptLocated(Optional.empty(), 50);
+        assertThat(port.sent).hasSize(1);
+    }
+
+    // Load pattern: clients notice only seconds later that all hosts lost power, and come back shortly before their
+    // deadlines. Guards against prompts that are prefilled although their streams cannot start in time.
+    @Test
+    void rejectsStreamAtOnceIfItsPromptCannotBePrefilledInTime() {
+        IntStream.range(0, 8)
+                .forEach(_ -> prefillEstimates.recordFirstEvent(EntryTargets.SERVICE, PROMPT.tokens(), 1_000));
+        ForwardedRequest late = startResumed(900);
+        late.onPromptLocated(Optional.empty(), 40);
+        assertThat(port.sent).isEmpty();
+        assertThat(port.rejections.getFirst().status()).isEqualTo(503);
+    }
+
+    @Test
+    void sendsStreamShortlyBeforeItsDeadlineToEngineThatHoldsItsPrompt() {
+        IntStream.range(0, 8)
+                .forEach(_ -> prefillEstimates.recordFirstEvent(EntryTargets.SERVICE, PROMPT.tokens(), 1_000));
+        startResumed(900).onPromptLocated(Optional.of(EntryTargets.ready("t4", "a")), 40);
+        assertThat(port.sent).hasSize(1);
+    }
+
+    @Test
+    void learnsPrefillTimeFromFirstEventOfPrefilledPromptOnly() {
+        for (int i = 0; i < 8; i++) {
+            RecordingPort newPort = new RecordingPort();
+            ForwardedRequest request = startResumed(TIMEOUT_MILLIS, newPort);
+            request.onPromptLocated(i == 0 ? Optional.of(EntryTargets.ready("t4", "a")) : Optional.empty(), 0);
+            request.onEvents(1, events(13), 1_000);
+        }
+        assertThat(prefillEstimates
+                        .minPrefillMillis(EntryTargets.SERVICE, PROMPT.tokens())
+                        .isPresent())
+                .isFalse();
+    }
+
+    @Test
+    void ignoresLocatedPromptAfterClientDisconnected() {
+        ForwardedRequest request = startResumed();
+        request.onClientDisconnected(20);
+        request.onPromptLocated(Optional.empty(), 40);
+        assertThat(port.sent).isEmpty();
+    }
+
+    private ForwardedRequest startResumed() {
+        return startResumed(TIMEOUT_MILLIS);
+    }
+
+    private ForwardedRequest startResumed(long timeLeftMillis) {
+        return startResumed(timeLeftMillis, port);
+    }
+
+    private ForwardedRequest startResumed(long timeLeftMillis, RecordingPort recordingPort) {
+        ForwardedRequest request = new ForwardedRequest(
+                new RequestAttributes(
+                        "r", OptionalLong.of(timeLeftMillis), Optional.of(12L), 0, Optional.of(PROMPT), 0),
+                route(RouteKind.STREAMING),
+                engineService(),
+                Optional.empty(),
+                loadBalancer,
+                retryBudget,
+                crashHistory,
+                prefillEstimates,
+                Mechanisms.ALL,
+                recordingPort);
+        request.start(0);
+        return request;
+    }
+}
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
@@ -2,34 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
-import org.amaranthlock.coordination.estimate.PrefillEstimates;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class ForwardedRequestTest {
-    private static final long TIMEOUT_MILLIS = 25_000;
-    private static final long GOAL_MILLIS = 4_500;
-    private static final int MAX_ATTEMPTS = 3;
-    private static final PromptPart PROMPT = new PromptPart("a1", 8_000);
-
-    private final RecordingPort port = new RecordingPort();
-    private final TargetLoadBalancer loadBalancer = EntryTargets.loadBalancer(1);
-    private final CrashHistory crashHistory = new CrashHistory();
-    private final PrefillEstimates prefillEstimates = new PrefillEstimates();
-    private final FleetRetryBudget retryBudget =
-            new FleetRetryBudget(new RetryBudgetLimits(0.8, 40, 10_000), new RetryUsage(10_000), () -> 1);
-
-    ForwardedRequestTest() {
-        registerTargets(6);
-    }
-
+class ForwardedRequestTest extends AbstractForwardedRequestTest {
     @Nested
     class NonIdempotentRoute {
         // Guards against executing a request twice after its target closed the connection.
@@ -344,142 +324,6 @@
             assertThat(port.sent).hasSize(5);
             assertThat(port.rejections).isEmpty();
         }
-
-        @Test
-        void startsAfterLastEventIdOfClient() {
-            ForwardedRequest request = new ForwardedRequest(
-                    new RequestAttributes("r", OptionalLong.empty(), Optional.of(12L), 0, Optional.empty(), 0),
-                    route(RouteKind.STREAMING),
-                    engineService(),
-                    Optional.empty(),
-                    loadBalancer,
-                    retryBudget,
-                    crashHistory,
-                    prefillEstimates,
-                    Mechanisms.ALL,
-                    port);
-            request.start(0);
-            assertThat(port.lastSent().lastEventId()).hasValue(12L);
-        }
-
-        // Load pattern: all hosts are killed and restart, and the clients resume their streams at once. Guards against
-        // prompts that are prefilled again although an engine still holds them.
-        @Test
-        void resumesStreamOfClientOnEngineThatHoldsItsPrompt() {
-            ForwardedRequest request = startResumed();
-            assertThat(port.located).containsExactly(PROMPT);
-            assertThat(port.sent).isEmpty();
-            EntryTarget holder = EntryTargets.ready("t4", "a");
-            request.onPromptLocated(Optional.of(holder), 40);
-            assertThat(port.lastSent().target()).isEqualTo(holder);
-            assertThat(port.lastSent().lastEventId()).hasValue(12L);
-        }
-
-        @Test
-        void resumesStreamOfClientOnAnyEngineIfNoneHoldsItsPrompt() {
-            ForwardedRequest request = startResumed();
-            request.onPromptLocated(Optional.empty(), 40);
-            assertThat(port.sent).hasSize(1);
-            request.onPromptLocated(Optional.empty(), 50);
-            assertThat(port.sent).hasSize(1);
-        }
-
-        // Load pattern: clients notice only seconds later that all hosts lost power, and come back shortly before their
-        // deadlines. Guards against prompts that are prefilled although their streams cannot start in time.
-        @Test
-        void rejectsStreamAtOnceIfItsPromptCannotBePrefilledInTime() {
-            IntStream.range(0, 8)
-                    .forEach(_ -> prefillEstimates.recordFirstEvent(EntryTargets.SERVICE, PROMPT.tokens(), 1_000));
-            ForwardedRequest late = startResumed(900);
-            late.onPromptLocated(Optional.empty(), 40);
-            assertThat(port.sent).isEmpty();
-            assertThat(port.rejections.getFirst().status()).isEqualTo(503);
-        }
-
-        @Test
-        void sendsStreamShortlyBeforeItsDeadlineToEngineThatHoldsItsPrompt() {
-            IntStream.range(0, 8)
-                    .forEach(_ -> prefillEstimates.recordFirstEvent(EntryTargets.SERVICE, PROMPT.tokens(), 1_000));
-            startResumed(900).onPromptLocated(Optional.of(EntryTargets.ready("t4", "a")), 40);
-            assertThat(port.sent).hasSize(1);
-        }
-
-        @Test
-        void learnsPrefillTimeFromFirstEventOfPrefilledPromptOnly() {
-            for (int i = 0; i < 8; i++) {
-                RecordingPort newPort = new RecordingPort();
-                ForwardedRequest request = startResumed(TIMEOUT_MILLIS, newPort);
-                request.onPromptLocated(i == 0 ? Optional.of(EntryTargets.ready("t4", "a")) : Optional.empty(), 0);
-                request.onEvents(1, events(13), 1_000);
-            }
-            assertThat(prefillEstimates
-                            .minPrefillMillis(EntryTargets.SERVICE, PROMPT.tokens())
-                            .isPresent())
-                    .isFalse();
-        }
-
-        @Test
-        void ignoresLocatedPromptAfterClientDisconnected() {
-            ForwardedRequest request = startResumed();
-            request.onClientDisconnected(20);
-            request.onPromptLocated(Optional.empty(), 40);
-            assertThat(port.sent).isEmpty();
-        }
-
-        private ForwardedRequest startResumed() {
-            return startResumed(TIMEOUT_MILLIS);
-        }
-
-        private ForwardedRequest startResumed(long timeLeftMillis) {
-            return startResumed(timeLeftMillis, port);
-        }
-
-        private ForwardedRequest startResumed(long timeLeftMillis, RecordingPort recordingPort) {
-            ForwardedRequest request = new ForwardedRequest(
-                    new RequestAttributes(
-                            "r", OptionalLong.of(timeLeftMillis), Optional.of(12L), 0, Optional.of(PROMPT), 0),
-                    route(RouteKind.STREAMING),
-                    engineService(),
-                    Optional.empty(),
-                    loadBalancer,
-                    retryBudget,
-                    crashHistory,
-                    prefillEstimates,
-                    Mechanisms.ALL,
-                    recordingPort);
-            request.start(0);
-            return request;
-        }
-    }
-
-    // Guards against a request that crashes each target it reaches.
-    @Test
-    void rejectsRequestThatCrashedThreeTargets() {
-        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
-        IntStream.range(0, 3)
-                .forEach(i -> crashHistory.recordCrash(requestAttributes().fingerprint(), i, 5));
-        request.onAttemptLost(1, "closed", 10);
-        assertThat(port.crashChecks).hasSize(1);
-        assertThat(port.sent).hasSize(1);
-        assertThat(port.rejections.getFirst().reason()).isEqualTo("crashes-targets");
-    }
-
-    // Most engines of a domain fail at once. Guards against treating the requests that they were prefilling as poison.
-    @Test
-    void doesNotCountCrashDuringDomainFailure() {
-        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
-        Attempt lost = port.lastSent();
-        request.onAttemptLost(1, "closed", 10);
-        request.onCrashCheckResult(lost, false, 20);
-        assertThat(crashHistory.localCrashes(30))
-                .containsExactly(requestAttributes().fingerprint(), 1);
-        loadBalancer.recordUnreachable(
-                EntryTargets.ready("t8", lost.target().failureDomain().value()), 40);
-        loadBalancer.recordUnreachable(
-                EntryTargets.ready("t9", lost.target().failureDomain().value()), 40);
-        request.onCrashCheckResult(lost, false, 50);
-        assertThat(crashHistory.localCrashes(60))
-                .containsExactly(requestAttributes().fingerprint(), 1);
     }
 
     // Failure domains fail one after the other. Guards against a long stream that lost its KV cache backup before its
@@ -564,72 +408,6 @@
         assertThat(port.sent).hasSize(1);
     }
 
-    // Guards against mistaking a request that crashes the engines of a domain one after the other for a domain failure.
-    @Test
-    void countsCrashesOfTargetsInTheSameDomain() {
-        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
-        for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
-            Attempt lost = port.lastSent();
-            loadBalancer.recordUnreachable(lost.target(), attempt);
-            request.onAttemptLost(attempt, "closed", attempt);
-            request.onCrashCheckResult(lost, false, 10 * attempt);
-        }
-        assertThat(crashHistory.isPoison(requestAttributes().fingerprint(), 100))
-                .isTrue();
-    }
-
-    // Load pattern: all targets of a service are killed, and equal requests walk from one dead target to the next,
-    // whose
-    // connections still open. Guards against refusing these requests for minutes after the targets are back.
-    @Test
-    void sendsRequestThatMayHaveCrashedTargetOnlyToTargetsThatRespond() {
-        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
-        port.requestWithRespondingTargets = null;
-        Attempt lost = port.lastSent();
-        request.onAttemptLost(1, "closed", 10);
-        for (int i = 0; i < 6; i++) {
-            request.onTargetChecked(port.checked.getLast(), false, 20 + i);
-        }
-        assertThat(port.sent).hasSize(1);
-        assertThat(port.rejections.getFirst().status()).isEqualTo(502);
-        request.onCrashCheckResult(lost, false, 600);
-        assertThat(crashHistory.isPoison(requestAttributes().fingerprint(), 600))
-                .isFalse();
-    }
-
-    // Guards against a crash that counts twice because its check ends before the next attempt is sent.
-    @Test
-    void countsEachCrashOnce() {
-        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
-        Attempt first = port.lastSent();
-        request.onAttemptLost(1, "closed", 10);
-        request.onCrashCheckResult(first, false, 600);
-        Attempt second = port.lastSent();
-        request.onAttemptLost(2, "closed", 700);
-        request.onCrashCheckResult(second, false, 1_300);
-        assertThat(crashHistory.localCrashes(1_400))
-                .containsExactly(requestAttributes().fingerprint(), 2);
-    }
-
-    @Test
-    void ignoresTargetCheckAfterClientDisconnected() {
-        ForwardedRequest request = start(RouteKind.IDEMPOTENT);
-        port.requestWithRespondingTargets = null;
-        request.onAttemptLost(1, "closed", 10);
-        request.onClientDisconnected(20);
-        request.onTargetChecked(port.checked.getLast(), true, 30);
-        assertThat(port.sent).hasSize(1);
-    }
-
-    // Guards against attributing the crash of an engine to a stream that it was already generating.
-    @Test
-    void doesNotCheckForCrashAfterFirstEvent() {
-        ForwardedRequest request = startStream();
-        request.onEvents(1, events(0), 100);
-        request.onAttemptLost(1, "closed", 200);
-        assertThat(port.crashChecks).isEmpty();
-    }
-
     @Test
     void recordsExactlyOneFinalDecision() {
         for (RouteKind kind : RouteKind.values()) {
@@ -661,74 +439,4 @@
         assertThat(port.sent.get(0).timeLeftMillis()).isEqualTo(TIMEOUT_MILLIS);
         assertThat(port.sent.get(1).timeLeftMillis()).isEqualTo(TIMEOUT_MILLIS - 300);
     }
-
-    private ForwardedRequest startStream() {
-        ForwardedRequest request = start(RouteKind.STREAMING);
-        request.onStreamOpened(1, response(200, true, false), 50);
-        return request;
-    }
-
-    private ForwardedRequest start(RouteKind kind) {
-        ForwardedRequest request = new ForwardedRequest(
-                requestAttributes(),
-                route(kind),
-                engineService(),
-                Optional.empty(),
-                loadBalancer,
-                retryBudget,
-                crashHistory,
-                prefillEstimates,
-                Mechanisms.ALL,
-                port);
-        port.requestWithRespondingTargets = request;
-        request.start(0);
-        return request;
-    }
-
-    private void fillEngines() {
-        for (int i = 0; i < 6; i++) {
-            EntryTarget engine = EntryTargets.ready("t" + i, i % 2 == 0 ? "a" : "b");
-            IntStream.range(0, 3).forEach(_ -> loadBalancer.addLoad(engine, InFlightLoad.prefilling(0)));
-        }
-    }
-
-    private void registerTargets(int count) {
-        List<EntryTarget> targets = IntStream.range(0, count)
-                .mapToObj(i -> EntryTargets.ready("t" + i, i % 2 == 0 ? "a" : "b"))
-                .toList();
-        loadBalancer.update(new TargetTable(targets));
-    }
-
-    private static RequestAttributes requestAttributes() {
-        return new RequestAttributes("r", OptionalLong.of(60_000), Optional.empty(), 0, Optional.empty(), 0);
-    }
-
-    private static Route route(RouteKind kind) {
-        return new Route(
-                "route",
-                "h",
-                "/p/",
-                kind,
-                TIMEOUT_MILLIS,
-                GOAL_MILLIS,
-                MAX_ATTEMPTS,
-                1,
-                true,
-                true,
-                List.of(new WeightedService(EntryTargets.SERVICE, 1)));
-    }
-
-    private static ServiceDefinition engineService() {
-        return new ServiceDefinition(EntryTargets.SERVICE, 100, true, 0, true, true);
-    }
-
-    private static TargetResponse response(int status, boolean stamped, boolean notRun) {
-        return new TargetResponse(status, List.of(), stamped, notRun, new byte[0]);
-    }
-
-    private static List<StreamEvent> events(long... ids) {
-        return LongStream.of(ids)
-                .mapToObj(id -> new StreamEvent(id, (id + ";").getBytes(StandardCharsets.US_ASCII)))
-                .toList();
-    }
 }
