Move the forecast of first events and the decision lines out of ForwardedRequest

No change of behaviour: FirstEventForecast decides whether a stream can start in time and learns from first events, DecisionRecorder writes the decision lines with the state at that moment; 'null' for a missing attempt is gone. Tests create requests in one place.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -40,7 +40,8 @@
     private final TargetLoadBalancer loadBalancer;
     private final FleetRetryBudget retryBudget;
     private final PoisonDetector poisonDetector;
-    private final PrefillEstimates prefillEstimates;
+    private final FirstEventForecast forecast;
+    private final DecisionRecorder decisions;
     private final Mechanisms mechanisms;
     private final ForwardingPort port;
     private final AttemptTracker attempts;
@@ -49,7 +50,6 @@
     private final SilenceMonitor silence;
     private final KvCacheBackup kvCacheBackup;
 
-    private long arrivedAtMillis;
     private long deadlineMillis;
     private boolean completed;
 
@@ -87,12 +87,13 @@
         this.priority = Objects.requireNonNull(priority, "priority");
         this.loadBalancer = Objects.requireNonNull(loadBalancer, "load balancer");
         this.retryBudget = Objects.requireNonNull(retryBudget, "retry budget");
-        this.prefillEstimates = Objects.requireNonNull(prefillEstimates, "prefill estimates");
+        this.forecast = new FirstEventForecast(service, attributes, prefillEstimates, mechanisms);
         this.mechanisms = Objects.requireNonNull(mechanisms, "mechanisms");
         this.port = Objects.requireNonNull(port, "port");
         this.poisonDetector = new PoisonDetector(attributes.fingerprint(), crashHistory, loadBalancer, port);
         this.attempts = new AttemptTracker(loadBalancer, attributes.tokens());
         this.stream = new StreamProgress(port, attributes.lastEventId().orElse(-1L));
+        this.decisions = new DecisionRecorder(port, attempts, stream);
         this.retryTargets = new RetryTargets(loadBalancer, service, attributes.tokens());
         this.silence = new SilenceMonitor(route, mechanisms);
         this.kvCacheBackup = new KvCacheBackup(attributes, service, loadBalancer, mechanisms, port);
@@ -105,7 +106,7 @@
 
     /** Sends the request for the first time, or rejects it if all engines are overloaded. */
     public void start(long nowMillis) {
-        arrivedAtMillis = nowMillis;
+        decisions.start(nowMillis);
         long timeoutMillis =
                 Math.min(route.timeoutMillis(), attributes.timeLeftMillis().orElse(route.timeoutMillis()));
         deadlineMillis = nowMillis + timeoutMillis;
@@ -125,7 +126,7 @@
                     loadBalancer.reachableTargets(service.name(), nowMillis));
             return;
         }
-        dispatchUnlessHopeless(nowMillis);
+        dispatchUnlessTooLate(nowMillis);
     }
 
     /**
@@ -141,7 +142,7 @@
             retryTargets.preferHolder(holder.get());
             dispatch("prompt-held", nowMillis);
         } else {
-            dispatchUnlessHopeless(nowMillis);
+            dispatchUnlessTooLate(nowMillis);
         }
     }
 
@@ -168,7 +169,7 @@
         }
         loadBalancer.recordSuccess(ended.target(), nowMillis);
         poisonDetector.recordResponse(nowMillis);
-        complete("answered", ended, "whole", response.status(), nowMillis);
+        complete("answered", Optional.of(ended), "whole", response.status(), nowMillis);
         port.respond(response);
     }
 
@@ -223,7 +224,7 @@
         }
         Attempt ended = endAttempt();
         loadBalancer.recordSuccess(ended.target(), nowMillis);
-        complete("answered", ended, "complete", stream.status(), nowMillis);
+        complete("answered", Optional.of(ended), "complete", stream.status(), nowMillis);
         stream.end();
     }
 
@@ -302,7 +303,7 @@
             return;
         }
         handleUnreachable(target, nowMillis);
-        recordDecision("not-sent", null, "check-of-" + target.id(), 0, nowMillis);
+        decisions.record("not-sent", Optional.empty(), "check-of-" + target.id(), 0, nowMillis);
         retry("not-sent", nowMillis);
     }
 
@@ -320,7 +321,7 @@
         if (completed) {
             return;
         }
-        Attempt cancelled = cancelAttempt();
+        Optional<Attempt> cancelled = cancelAttempt();
         complete("caller-left", cancelled, "connection-closed", 0, nowMillis);
     }
 
@@ -340,21 +341,14 @@
     }
 
     /** Sends the request, or rejects it if no engine could prefill its prompt before the deadline. */
-    private void dispatchUnlessHopeless(long nowMillis) {
-        OptionalLong prefillMillis = service.engine() && mechanisms.uses(Mechanism.DEADLINE_REJECTION)
-                ? prefillEstimates.minPrefillMillis(service.name(), promptTokens())
-                : OptionalLong.empty();
-        if (prefillMillis.isPresent() && nowMillis + prefillMillis.getAsLong() >= deadlineMillis) {
+    private void dispatchUnlessTooLate(long nowMillis) {
+        if (forecast.isTooLate(deadlineMillis, nowMillis)) {
             fail(Rejection.of(503, "deadline-unreachable"), nowMillis);
             return;
         }
         dispatch("arrived", nowMillis);
     }
 
-    private long promptTokens() {
-        return attributes.lastPromptPart().map(PromptPart::tokens).orElse(0L);
-    }
-
     /** Chooses the destination of the next attempt and sends it, after a check if the request may crash targets. */
     private void dispatch(String cause, long nowMillis) {
         if (poisonDetector.isPoison(nowMillis)) {
@@ -455,16 +449,16 @@
 
     private void fail(Rejection rejection, long nowMillis) {
         if (stream.opened()) {
-            complete("broken-off", null, rejection.reason(), 0, nowMillis);
+            complete("broken-off", Optional.empty(), rejection.reason(), 0, nowMillis);
             port.abort();
             return;
         }
-        complete("rejected", null, rejection.reason(), rejection.status(), nowMillis);
+        complete("rejected", Optional.empty(), rejection.reason(), rejection.status(), nowMillis);
         port.reject(rejection);
     }
 
     private void handleDeadline(long nowMillis) {
-        boolean mayHaveRun = cancelAttempt() != null || attempts.executions() > 0;
+        boolean mayHaveRun = cancelAttempt().isPresent() || attempts.executions() > 0;
         fail(mayHaveRun ? Rejection.of(504, "timeout") : Rejection.retryLater(0, "timeout"), nowMillis);
     }
 
@@ -505,13 +499,10 @@
         onAttemptLost(abandoned.number(), cause, nowMillis);
     }
 
-    /** Cancels the current attempt and returns it; null if there is none. */
-    private Attempt cancelAttempt() {
-        if (attempts.current().isEmpty()) {
-            return null;
-        }
-        port.cancel(currentAttempt());
-        return endAttempt();
+    /** Cancels the current attempt, if there is one, and returns it. */
+    private Optional<Attempt> cancelAttempt() {
+        attempts.current().ifPresent(port::cancel);
+        return attempts.current().map(_ -> endAttempt());
     }
 
     private boolean mayBeHeldByEngine() {
@@ -535,9 +526,8 @@
     }
 
     private void markGenerating(long nowMillis) {
-        boolean prefilled = currentAttempt().resumeFrom().isEmpty() && !retryTargets.returnedToHolder();
-        if (service.engine() && prefilled) {
-            prefillEstimates.recordFirstEvent(service.name(), promptTokens(), silence.millisSinceSend(nowMillis));
+        if (currentAttempt().resumeFrom().isEmpty() && !retryTargets.returnedToHolder()) {
+            forecast.recordFirstEvent(silence.millisSinceSend(nowMillis));
         }
         attempts.markGenerating();
         poisonDetector.recordResponse(nowMillis);
@@ -564,25 +554,12 @@
         port.scheduleTimer(dueMillis);
     }
 
-    private void complete(String step, Attempt attempt, String cause, int status, long nowMillis) {
+    private void complete(String step, Optional<Attempt> attempt, String cause, int status, long nowMillis) {
         completed = true;
-        port.recordDecision(decision(step, attempt, cause, status, nowMillis, true));
+        decisions.recordLast(step, attempt, cause, status, nowMillis);
     }
 
     private void recordDecision(String step, Attempt attempt, String cause, int status, long nowMillis) {
-        port.recordDecision(decision(step, attempt, cause, status, nowMillis, false));
-    }
-
-    private ForwardingDecision decision(
-            String step, Attempt attempt, String cause, int status, long nowMillis, boolean last) {
-        return new ForwardingDecision(
-                step,
-                attempt == null ? attempts.started() : attempt.number(),
-                Optional.ofNullable(attempt).map(concerned -> concerned.target().id()),
-                cause,
-                status,
-                nowMillis - arrivedAtMillis,
-                stream.lastEventId(),
-                last);
+        decisions.record(step, Optional.of(attempt), cause, status, nowMillis);
     }
 }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/AbstractForwardedRequestTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/AbstractForwardedRequestTest.java
@@ -33,8 +33,16 @@
     }
 
     ForwardedRequest start(RouteKind kind) {
-        ForwardedRequest request = new ForwardedRequest(
-                requestAttributes(),
+        ForwardedRequest request = create(requestAttributes(), kind, port);
+        port.requestWithRespondingTargets = request;
+        request.start(0);
+        return request;
+    }
+
+    /** Creates a request to an engine. */
+    ForwardedRequest create(RequestAttributes attributes, RouteKind kind, ForwardingPort recordingPort) {
+        return new ForwardedRequest(
+                attributes,
                 route(kind),
                 engineService(),
                 Optional.empty(),
@@ -43,10 +51,7 @@
                 crashHistory,
                 prefillEstimates,
                 Mechanisms.ALL,
-                port);
-        port.requestWithRespondingTargets = request;
-        request.start(0);
-        return request;
+                recordingPort);
     }
 
     void fillEngines() {
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestResumeTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestResumeTest.java
@@ -11,16 +11,9 @@
 class ForwardedRequestResumeTest extends AbstractForwardedRequestTest {
     @Test
     void startsAfterLastEventIdOfClient() {
-        ForwardedRequest request = new ForwardedRequest(
+        ForwardedRequest request = create(
                 new RequestAttributes("r", OptionalLong.empty(), Optional.of(12L), 0, Optional.empty(), 0),
-                route(RouteKind.STREAMING),
-                engineService(),
-                Optional.empty(),
-                loadBalancer,
-                retryBudget,
-                crashHistory,
-                prefillEstimates,
-                Mechanisms.ALL,
+                RouteKind.STREAMING,
                 port);
         request.start(0);
         assertThat(port.lastSent().lastEventId()).hasValue(12L);
@@ -99,17 +92,10 @@
     }
 
     private ForwardedRequest startResumed(long timeLeftMillis, RecordingPort recordingPort) {
-        ForwardedRequest request = new ForwardedRequest(
+        ForwardedRequest request = create(
                 new RequestAttributes(
                         "r", OptionalLong.of(timeLeftMillis), Optional.of(12L), 0, Optional.of(PROMPT), 0),
-                route(RouteKind.STREAMING),
-                engineService(),
-                Optional.empty(),
-                loadBalancer,
-                retryBudget,
-                crashHistory,
-                prefillEstimates,
-                Mechanisms.ALL,
+                RouteKind.STREAMING,
                 recordingPort);
         request.start(0);
         return request;
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestTest.java
@@ -58,17 +58,7 @@
         void doesNotClaimNotRunBasedOnStatusAlone() {
             for (int status : new int[] {408, 429, 503}) {
                 RecordingPort newPort = new RecordingPort();
-                ForwardedRequest request = new ForwardedRequest(
-                        requestAttributes(),
-                        route(RouteKind.NON_IDEMPOTENT),
-                        engineService(),
-                        Optional.empty(),
-                        loadBalancer,
-                        retryBudget,
-                        crashHistory,
-                        prefillEstimates,
-                        Mechanisms.ALL,
-                        newPort);
+                ForwardedRequest request = create(requestAttributes(), RouteKind.NON_IDEMPOTENT, newPort);
                 request.start(0);
                 request.onResponse(1, response(status, true, false), 10);
                 assertThat(newPort.responses).isEmpty();
@@ -412,17 +402,7 @@
     void recordsExactlyOneFinalDecision() {
         for (RouteKind kind : RouteKind.values()) {
             RecordingPort newPort = new RecordingPort();
-            ForwardedRequest request = new ForwardedRequest(
-                    requestAttributes(),
-                    route(kind),
-                    engineService(),
-                    Optional.empty(),
-                    loadBalancer,
-                    retryBudget,
-                    crashHistory,
-                    prefillEstimates,
-                    Mechanisms.ALL,
-                    newPort);
+            ForwardedRequest request = create(requestAttributes(), kind, newPort);
             request.start(0);
             request.onResponse(1, response(404, true, false), 10);
             request.onAttemptLost(1, "closed", 20);
