--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -105,28 +105,7 @@
         EventLoop controlLoop = controlGroup.next();
         SuspensionAwareClock ageClock =
                 new SuspensionAwareClock(EntryProcess::monotonicMillis, System::currentTimeMillis);
-        TargetConnectionPool connections =
-                new TargetConnectionPool(trafficLoop, EntryProcess::monotonicMillis, metrics);
-        UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create();
-        this.requestForwarder = new RequestForwarder(
-                trafficLoop,
-                EntryProcess::monotonicMillis,
-                ageClock::millis,
-                new AdmissionPolicy(
-                        settings.bounds().maxRevocationMillis(),
-                        settings.bounds().maxConfigurationAgeMillis()),
-                settings.bounds().retryBudget(),
-                new TargetLoadBalancer(
-                        settings.failureDomain(),
-                        new LeastDelayPlacement(random),
-                        new LoadSheddingPolicy(random),
-                        settings.mechanisms()),
-                settings.mechanisms(),
-                random,
-                connections,
-                log,
-                metrics,
-                this::updateLoadReport);
+        this.requestForwarder = createForwarder(trafficLoop, ageClock);
         this.store = new NettyPlatformStore(controlLoop, settings.storeAddress());
         PeerStoreServer peerStoreServer = new PeerStoreServer(ageClock::millis);
         PeerStoreClient peerStoreClient = new PeerStoreClient(
@@ -272,6 +251,31 @@
         log.write("stopped", "host", settings.hostName());
     }
 
+    private RequestForwarder createForwarder(EventLoop trafficLoop, SuspensionAwareClock ageClock) {
+        TargetConnectionPool connections =
+                new TargetConnectionPool(trafficLoop, EntryProcess::monotonicMillis, metrics);
+        UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create();
+        return new RequestForwarder(
+                trafficLoop,
+                EntryProcess::monotonicMillis,
+                ageClock::millis,
+                new AdmissionPolicy(
+                        settings.bounds().maxRevocationMillis(),
+                        settings.bounds().maxConfigurationAgeMillis()),
+                settings.bounds().retryBudget(),
+                new TargetLoadBalancer(
+                        settings.failureDomain(),
+                        new LeastDelayPlacement(random),
+                        new LoadSheddingPolicy(random),
+                        settings.mechanisms()),
+                settings.mechanisms(),
+                random,
+                connections,
+                log,
+                metrics,
+                this::updateLoadReport);
+    }
+
     /** Applies a change of the registered peers; called on the control thread. */
     private void updatePeers(Set<PeerRegistration> registeredPeers) {
         peerConnections.updatePeers(registeredPeers);
