--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/EntryMain.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/EntryMain.java
@@ -6,7 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import org.amaranthlock.entry.EntryProcess;
-import org.amaranthlock.entry.front.ClientServer;
+import org.amaranthlock.entry.front.ListeningSocket;
 import org.amaranthlock.entry.log.LogOutput;
 import org.amaranthlock.entry.settings.EntrySettings;
 import org.amaranthlock.entry.settings.EntrySettingsReader;
@@ -49,9 +49,12 @@
 
     private static int serveOn(String clientAddress) {
         try {
-            ServerSocketChannel clientSocket = Serve.listen(clientAddress);
+            ServerSocketChannel clientSocket = ListeningSocket.bind(ListeningSocket.parseAddress(clientAddress));
             LogOutput.selectManager();
             return Serve.run(Serve.defaultPath(), Optional.of(clientSocket));
+        } catch (IOException | IllegalArgumentException e) {
+            System.err.println(Serve.cannotListen(clientAddress, e));
+            return STARTUP_FAILED;
         } catch (AmaranthlockException e) {
             System.err.println(e.getMessage());
             return STARTUP_FAILED;
@@ -113,16 +116,17 @@
 
         private static ServerSocketChannel listen(String clientAddress) {
             try {
-                return ClientServer.bind(EntrySettingsReader.parseAddress(clientAddress));
-            } catch (IOException e) {
-                throw new AmaranthlockException(
-                        ErrorCode.INVALID_SETTINGS,
-                        "cannot listen on " + clientAddress + ": " + e.getMessage()
-                                + "; pass a free address of this host with " + LISTEN_OPTION,
-                        e);
+                return ListeningSocket.bind(ListeningSocket.parseAddress(clientAddress));
+            } catch (IOException | IllegalArgumentException e) {
+                throw new AmaranthlockException(ErrorCode.INVALID_SETTINGS, cannotListen(clientAddress, e), e);
             }
         }
 
+        private static String cannotListen(String clientAddress, Exception cause) {
+            return "cannot listen on " + clientAddress + ": " + cause.getMessage()
+                    + "; pass a free address of this host with " + LISTEN_OPTION;
+        }
+
         private static Path defaultPath() {
             String path = System.getenv(EntrySettingsReader.SETTINGS_PATH_VARIABLE);
             return Path.of(path != null ? path : "/etc/amaranthlock/settings.toml");
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientServer.java
@@ -12,7 +12,6 @@
 import io.netty.util.concurrent.ImmediateEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Objects;
 import java.util.Optional;
@@ -26,8 +25,6 @@
  * accepts connections as soon as the address is bound, and they wait in its queue until {@link #accept} is called.
  */
 public final class ClientServer {
-    private static final int BACKLOG = 1_024;
-
     private final EventLoopGroup loops;
     private final InetSocketAddress address;
     private final Optional<ServerSocketChannel> boundSocket;
@@ -39,7 +36,7 @@
     /**
      * Creates a server.
      *
-     * @param boundSocket listening socket that {@link #bind} has returned before; used if its address is
+     * @param boundSocket listening socket that was opened before; used if its address is
      *     {@code address}, otherwise closed
      */
     public ClientServer(
@@ -53,13 +50,6 @@
         this.exchangeHandler = Objects.requireNonNull(exchangeHandler, "exchange handler");
     }
 
-    /** Opens a listening socket, whose connections wait until a server accepts them. */
-    public static ServerSocketChannel bind(InetSocketAddress address) throws IOException {
-        ServerSocketChannel channel = ServerSocketChannel.open();
-        channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-        return channel.bind(address, BACKLOG);
-    }
-
     /** Binds the address unless it is bound already. */
     public void start() {
         try {
@@ -70,7 +60,7 @@
             if (boundSocket.isPresent()) {
                 boundSocket.get().close();
             }
-            socket = bind(address);
+            socket = ListeningSocket.bind(address);
         } catch (IOException e) {
             throw new AmaranthlockException(
                     ErrorCode.INTERNAL,
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/settings/EntrySettingsReader.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/settings/EntrySettingsReader.java
@@ -3,9 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -14,6 +12,7 @@
 import org.amaranthlock.coordination.forwarding.Mechanism;
 import org.amaranthlock.coordination.forwarding.Mechanisms;
 import org.amaranthlock.coordination.forwarding.RetryBudgetLimits;
+import org.amaranthlock.entry.front.ListeningSocket;
 import org.amaranthlock.entry.settings.EntrySettings.Bounds;
 import org.amaranthlock.model.AmaranthlockException;
 import org.amaranthlock.model.ErrorCode;
@@ -132,27 +131,11 @@
         return value.asDouble();
     }
 
-    /**
-     * Parses an address.
-     *
-     * @param text IP address and port, separated by a colon
-     * @throws AmaranthlockException if the text is something else
-     */
-    public static InetSocketAddress parseAddress(String text) {
-        int colon = text.lastIndexOf(':');
-        try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            return new InetSocketAddress(InetAddress.getByName(text.substring(0, Math.max(0, colon))), port);
-        } catch (IllegalArgumentException | UnknownHostException e) {
-            throw invalidSettings("an address must be IP:PORT, not \"" + text + "\"", e);
-        }
-    }
-
     private static InetSocketAddress address(JsonNode root, String section, String field) {
         String text = requiredText(root, section, field);
         try {
-            return parseAddress(text);
-        } catch (AmaranthlockException e) {
+            return ListeningSocket.parseAddress(text);
+        } catch (IllegalArgumentException e) {
             throw invalidSettings("[" + section + "] " + field + ": " + e.getMessage(), e);
         }
     }
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientServerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientServerTest.java
@@ -54,7 +54,7 @@
     // Guards against clients that are refused and give up while a host restarts.
     @Test
     void servesConnectionsThatWereOpenedBeforeTheServerExisted() throws IOException {
-        ServerSocketChannel bound = ClientServer.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        ServerSocketChannel bound = ListeningSocket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         InetSocketAddress address = (InetSocketAddress) bound.getLocalAddress();
         try (Socket client = connect(address)) {
             client.getOutputStream().write(request());
@@ -67,7 +67,7 @@
 
     @Test
     void bindsConfiguredAddressIfAnotherOneWasBoundBefore() throws IOException {
-        ServerSocketChannel other = ClientServer.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        ServerSocketChannel other = ListeningSocket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         InetSocketAddress configured = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         ClientServer server = new ClientServer(loops, configured, Optional.of(other), new RejectingHandler());
         server.start();
