Check that an engine is freed when its client disconnects

The test could not fail: with 64 slots a second stream is served whether the first is cancelled or not.

--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryFixture.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryFixture.java
@@ -22,6 +22,9 @@
 final class EntryFixture implements AutoCloseable {
     private static final long TIMEOUT_MILLIS = 10_000;
 
+    /** Interval between the events of a stream. */
+    private static final long EVENT_MILLIS = 10;
+
     final FleetStore store = new FleetStore("127.0.0.1", 0);
     final List<FleetWorker> desks = new ArrayList<>();
     final List<FleetWorker> engines = new ArrayList<>();
@@ -31,12 +34,17 @@
 
     /** Starts and registers workers, then starts the daemon and waits until it is ready. */
     EntryFixture(int deskCount, int engineCount) {
+        this(deskCount, engineCount, EVENT_MILLIS);
+    }
+
+    /** Like the other constructor, with engines that send an event every {@code eventMillis}. */
+    EntryFixture(int deskCount, int engineCount, long eventMillis) {
         store.start();
         for (int i = 0; i < deskCount; i++) {
-            desks.add(startWorker("desk-" + i, false, "desks", i));
+            desks.add(startWorker("desk-" + i, false, eventMillis, "desks", i));
         }
         for (int i = 0; i < engineCount; i++) {
-            engines.add(startWorker("engine-" + i, true, "engines", i));
+            engines.add(startWorker("engine-" + i, true, eventMillis, "engines", i));
         }
         store.put("config", "main", OperatorConfiguration.standard(1, "key-1"));
         process = new EntryProcess(EntrySettingsReader.parse(settings(store.address())));
@@ -141,8 +149,8 @@
         store.stop();
     }
 
-    private FleetWorker startWorker(String id, boolean engine, String service, int index) {
-        FleetWorker worker = new FleetWorker(id, engine, 10, 0);
+    private FleetWorker startWorker(String id, boolean engine, long eventMillis, String service, int index) {
+        FleetWorker worker = new FleetWorker(id, engine, eventMillis, 0);
         worker.start();
         store.put("servers", id, worker.registration(service, index % 2 == 0 ? "a" : "b", "ready"));
         return worker;
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryProcessTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryProcessTest.java
@@ -25,6 +25,9 @@
  * Tests the complete daemon with raw socket clients and with simulated workers and a store that violate the protocol.
  */
 class EntryProcessTest {
+    /** Interval between the events of a stream that lasts much longer than a disconnect takes to be noticed. */
+    private static final long SLOW_EVENT_MILLIS = 300;
+
     private EntryFixture fixture;
 
     @AfterEach
@@ -180,14 +183,14 @@
     // Guards against engines that keep generating for disconnected clients.
     @Test
     void freesEngineWhenClientDisconnects() throws IOException {
-        fixture = new EntryFixture(0, 1);
+        fixture = new EntryFixture(0, 1, SLOW_EVENT_MILLIS);
         try (Socket client = fixture.open("POST /draft/x", "s1", "prompt")) {
             EntryFixture.await(() -> !fixture.executions("s1").isEmpty());
             assertThat(client.getInputStream().read()).isAtLeast(0);
         }
-        // With 64 slots per engine, this shows only that the engine still serves streams, not that it freed the slot.
-        assertThat(EntryFixture.events(fixture.call("POST /draft/x", "s2", "next")))
-                .isEqualTo(completeStream("next"));
+        FleetWorker engine = fixture.engines.getFirst();
+        EntryFixture.await(() -> engine.openStreamCount() == 0);
+        assertThat(engine.sentEventCount()).isLessThan(FleetWorker.EVENTS_PER_STREAM);
     }
 
     // Guards against new requests being sent to a draining worker.
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetWorker.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetWorker.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.amaranthlock.standin.Standin;
 import org.amaranthlock.standin.fleet.EngineBatch.KvCopy;
 import org.amaranthlock.standin.fleet.FleetEngine.Generation;
@@ -47,6 +48,8 @@
     private final Queue<WorkerFault> faults = new ConcurrentLinkedQueue<>();
     private final List<ExecutedRequest> executedRequests = new CopyOnWriteArrayList<>();
     private final Map<Socket, Thread> connections = new ConcurrentHashMap<>();
+    private final AtomicInteger openStreams = new AtomicInteger();
+    private final AtomicInteger sentEvents = new AtomicInteger();
     private volatile FleetEngine engine;
     private volatile ServerSocket listener;
     private volatile Thread acceptor;
@@ -152,6 +155,16 @@
         return executedRequests;
     }
 
+    /** Returns the number of streams that the engine is sending. */
+    public int openStreamCount() {
+        return openStreams.get();
+    }
+
+    /** Returns the number of events that the engine has sent in all streams. */
+    public int sentEventCount() {
+        return sentEvents.get();
+    }
+
     /** Returns whether the worker is an engine that holds copies of other engines' requests. */
     public boolean holdsCopies() {
         return engine != null && engine.holdsCopies();
@@ -296,9 +309,11 @@
         }
         Optional<CopySender> copySender = Optional.ofNullable(request.headers().get("x-kv-backup"))
                 .map(backupTarget -> new CopySender(backupTarget, request.id()));
+        openStreams.incrementAndGet();
         try {
             forwardEvents(currentEngine, generation.get(), copySender, request, out);
         } finally {
+            openStreams.decrementAndGet();
             currentEngine.cancel(generation.get());
         }
         // Skipped if the connection was lost, so that the request can be resumed from the copy.
@@ -320,6 +335,7 @@
                 Thread.sleep(Long.MAX_VALUE);
             }
             writeEvent(next.get(), request, out);
+            sentEvents.incrementAndGet();
             long nowMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
             if (copySender.isPresent() && nowMillis - copiedAtMillis >= COPY_INTERVAL_MILLIS) {
                 copiedAtMillis = nowMillis;
