Count the load of an attempt while its target is checked

Cause: since a request that may have crashed a target waits for the check of the next one, its load was counted 20 to 60 ms later. Change: the load is reserved on the target from the choice on, and the decision 'checking' makes other hosts learn of it. countsLoadOnTargetWhileItIsChecked fails without it.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/AttemptTracker.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/AttemptTracker.java
@@ -15,6 +15,9 @@
     /** Load that is counted for the current attempt; one that resumes from a copy has no prompt to prefill. */
     private InFlightLoad countedLoad = InFlightLoad.NONE;
 
+    /** Target for which load is counted before an attempt is sent; otherwise null. */
+    private EntryTarget reserved;
+
     private boolean generating;
     private int started;
     private int deliveries;
@@ -54,6 +57,23 @@
         return generating;
     }
 
+    /**
+     * Counts the load of an attempt that is not sent yet. Requests that lose their targets at the same moment would
+     * otherwise choose the same next one.
+     */
+    void reserve(EntryTarget target) {
+        reserved = target;
+        loadBalancer.addLoad(target, InFlightLoad.prefilling(tokens));
+    }
+
+    /** Ends the reservation, if there is one. */
+    void releaseReservation() {
+        if (reserved != null) {
+            loadBalancer.removeLoad(reserved, InFlightLoad.prefilling(tokens));
+            reserved = null;
+        }
+    }
+
     /** Makes an attempt, whose number must be the next one, the current one. */
     void begin(Attempt attempt) {
         started++;
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -298,6 +298,7 @@
         }
         PendingAttempt checked = pending.get();
         pending = Optional.empty();
+        attempts.releaseReservation();
         if (responds) {
             send(checked.destination(), checked.cause(), nowMillis);
             return;
@@ -359,9 +360,12 @@
         if (destination.isEmpty()) {
             handleNoTarget("no-target", nowMillis);
         } else if (poisonDetector.isSuspect(nowMillis)) {
+            EntryTarget target = destination.get().target();
             pending = Optional.of(new PendingAttempt(destination.get(), cause));
+            attempts.reserve(target);
+            decisions.record("checking", Optional.empty(), target.id().value(), 0, nowMillis);
             scheduleTimer(nowMillis);
-            port.checkResponds(destination.get().target());
+            port.checkResponds(target);
         } else {
             send(destination.get(), cause, nowMillis);
         }
@@ -556,6 +560,7 @@
 
     private void complete(String step, Optional<Attempt> attempt, String cause, int status, long nowMillis) {
         completed = true;
+        attempts.releaseReservation();
         decisions.recordLast(step, attempt, cause, status, nowMillis);
     }
 
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestCrashTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestCrashTest.java
@@ -2,7 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.stream.IntStream;
+import org.amaranthlock.model.TargetId;
 import org.junit.jupiter.api.Test;
 
 /** Tests of requests that may crash their targets. */
@@ -84,6 +87,40 @@
                 .containsExactly(requestAttributes().fingerprint(), 2);
     }
 
+    // Load pattern: most engines of a domain die, and the streams of all hosts look for another one at the same moment.
+    // Guards against streams that all choose the same engine because they are counted only after its check.
+    @Test
+    void countsLoadOnTargetWhileItIsChecked() {
+        ForwardedRequest request = start(RouteKind.STREAMING);
+        port.requestWithRespondingTargets = null;
+        request.onAttemptLost(1, "unreachable", 10);
+        EntryTarget next = port.checked.getLast();
+        assertThat(inFlight().keySet()).containsExactly(next.id());
+        request.onTargetChecked(next, true, 20);
+        assertThat(inFlight().get(next.id()).requests()).isEqualTo(1);
+        request.onClientDisconnected(30);
+        assertThat(inFlight()).isEmpty();
+    }
+
+    @Test
+    void countsNoLoadAfterCheckedRequestWasCompleted() {
+        ForwardedRequest request = start(RouteKind.STREAMING);
+        port.requestWithRespondingTargets = null;
+        request.onAttemptLost(1, "unreachable", 10);
+        request.onClientDisconnected(20);
+        assertThat(inFlight()).isEmpty();
+    }
+
+    private Map<TargetId, InFlightLoad> inFlight() {
+        Map<TargetId, InFlightLoad> requests = new HashMap<>();
+        loadBalancer.loadReport("host-1", _ -> true, Map.of(), 0, 40).inFlight().forEach((id, load) -> {
+            if (load.requests() > 0) { // backups are no requests
+                requests.put(id, load);
+            }
+        });
+        return requests;
+    }
+
     @Test
     void ignoresTargetCheckAfterClientDisconnected() {
         ForwardedRequest request = start(RouteKind.IDEMPOTENT);
