--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RetryTargets.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RetryTargets.java
@@ -94,7 +94,10 @@
                 .map(target -> new Destination(target, copy));
     }
 
-    /** Returns whether another target than {@code current} could start immediately. */
+    /**
+     * Returns whether another target than {@code current} could start immediately. An engine needs room for it, because
+     * it has to prefill the prompt again.
+     */
     boolean hasAlternative(EntryTarget current, long nowMillis) {
         if (!service.engine()) {
             return true;
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/StreamProgress.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/StreamProgress.java
@@ -5,7 +5,9 @@
 import java.util.Objects;
 import java.util.OptionalLong;
 
-/** Event stream to one client, which gets each event once and in order, whatever attempt it comes from. */
+/**
+ * Event stream to one client, which gets each event once and in order, whatever attempt it comes from. Not thread-safe.
+ */
 final class StreamProgress {
     private final ForwardingPort port;
     private TargetResponse head;
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ListeningSocket.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ListeningSocket.java
@@ -9,8 +9,8 @@
 /**
  * Opens listening sockets.
  *
- * <p>A starting process opens its client address before anything else is loaded, so this class uses the platform's
- * class library only.
+ * <p>A starting process opens its client address before anything else is loaded, so this class uses Java's class
+ * library only.
  */
 public final class ListeningSocket {
     private static final int BACKLOG = 1_024;
