CONFIG: tests that fail because a change of the configuration comes late

The chain from an acknowledged change to a host, added up in virtual time with the real poller, peer server and peer client. Seen on the unchanged code: 2,269 ms until a change is in force when the reader of the failure domain freezes, although 2,500, 2,000 or 1,500 ms are allowed; hosts of two domains apply a change more than 250 ms apart; a newer version with a lower revision is never applied.

--- /dev/null
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationDelayTest.java
@@ -0,0 +1,106 @@
+package org.amaranthlock.entry.control;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.function.Consumer;
+import org.amaranthlock.entry.control.ConfigurationFleet.Host;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Adds up the time from an acknowledged change of the configuration until hosts apply it, in virtual time. */
+class ConfigurationDelayTest {
+    /** Share of the bound that the chain may use up; the rest is for a busy host. */
+    private static final double USABLE_SHARE = 0.9;
+
+    /** Time in which a host that has handled a request by a version must not handle one by an older version. */
+    private static final long ROLLBACK_SLACK_MILLIS = 250;
+
+    private static final int STEP_MILLIS = 70;
+
+    // Guards against a follower that waits for a silent reader so long that a change comes late, and against intervals
+    // that do not follow from the bound of the deployment.
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 1_500, 2_000, 2_500, 4_000})
+    void changeIsInForceInTimeWhenReaderOfDomainFreezes(long applyMillis) {
+        assertInForceInTime(applyMillis, Host::freeze);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 1_500, 2_000, 2_500, 4_000})
+    void changeIsInForceInTimeWhenReaderOfDomainIsKilled(long applyMillis) {
+        assertInForceInTime(applyMillis, Host::kill);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1_000, 1_500, 2_000, 2_500, 4_000})
+    void changeIsInForceInTimeWhenReaderOfDomainIsCutFromStore(long applyMillis) {
+        assertInForceInTime(applyMillis, Host::cutFromStore);
+    }
+
+    // Guards against requests that are handled by an older version after one of the same client host was passed to a
+    // host of another domain, which knew the newer version.
+    @Test
+    void hostsOfDifferentDomainsLearnOfVersionWithinRollbackSlack() {
+        for (long offset = 0; offset < 1_000; offset += STEP_MILLIS) {
+            ConfigurationFleet fleet = new ConfigurationFleet();
+            fleet.write(1, 10);
+            Host first = fleet.addHost("entry-1", "a", 2_500);
+            fleet.advance(offset);
+            Host second = fleet.addHost("entry-2", "b", 2_500);
+            fleet.advance(4_000);
+            fleet.write(2, 11);
+            fleet.advance(2_500);
+            long apart = Math.abs(first.inForceAtMillis(2) - second.inForceAtMillis(2));
+            assertWithMessage("started %s ms apart", offset).that(apart).isAtMost(ROLLBACK_SLACK_MILLIS);
+        }
+    }
+
+    // Guards against a configuration that is never applied because the store came back from an older copy, whose
+    // revisions are lower than those that hosts have seen.
+    @Test
+    void newerVersionWithLowerRevisionIsApplied() {
+        ConfigurationFleet fleet = new ConfigurationFleet();
+        fleet.write(1, 500);
+        Host host = fleet.addHost("entry-1", "a", 2_500);
+        fleet.advance(2_000);
+        fleet.write(2, 400);
+        fleet.advance(2_500);
+        assertWithMessage("applied").that(host.inForceAtMillis(2)).isLessThan(Long.MAX_VALUE);
+    }
+
+    @Test
+    void undecodableConfigurationIsNotAppliedAndNextOneIs() {
+        ConfigurationFleet fleet = new ConfigurationFleet();
+        fleet.write(1, 10);
+        Host reader = fleet.addHost("entry-1", "a", 2_500);
+        Host follower = fleet.addHost("entry-2", "a", 2_500);
+        fleet.advance(2_000);
+        fleet.writeUndecodable(11);
+        fleet.advance(3_000);
+        fleet.write(3, 12);
+        long acknowledgedAt = fleet.nowMillis();
+        fleet.advance(2_500);
+        for (Host host : new Host[] {reader, follower}) {
+            assertWithMessage("applied").that(host.inForceAtMillis(3)).isAtMost(acknowledgedAt + 2_250);
+        }
+    }
+
+    private static void assertInForceInTime(long applyMillis, Consumer<Host> fault) {
+        for (long changeAt = 0; changeAt < 6_000; changeAt += STEP_MILLIS) {
+            ConfigurationFleet fleet = new ConfigurationFleet();
+            fleet.write(1, 10);
+            Host reader = fleet.addHost("entry-1", "a", applyMillis);
+            Host follower = fleet.addHost("entry-2", "a", applyMillis);
+            fleet.advance(3_000);
+            fault.accept(reader);
+            fleet.advance(changeAt);
+            fleet.write(2, 11);
+            long acknowledgedAt = fleet.nowMillis();
+            fleet.advance(applyMillis + 2_000);
+            assertWithMessage("milliseconds until a change %s ms after the fault is in force", changeAt)
+                    .that(follower.inForceAtMillis(2) - acknowledgedAt)
+                    .isAtMost((long) (applyMillis * USABLE_SHARE));
+        }
+    }
+}
--- /dev/null
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
@@ -0,0 +1,233 @@
+package org.amaranthlock.entry.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.amaranthlock.coordination.forwarding.StoreReaderSelector;
+import org.amaranthlock.entry.log.DecisionLog;
+import org.amaranthlock.entry.metrics.EntryMetrics;
+import org.amaranthlock.entry.peer.EntryPeerMessage;
+import org.amaranthlock.platform.PlatformStore;
+import org.amaranthlock.platform.StoreReply;
+import org.amaranthlock.platform.StoredObject;
+import org.jboss.logging.Logger;
+
+/** Hosts that keep their configuration up to date, in virtual time, with a store and peer connections of the test. */
+final class ConfigurationFleet {
+    /** Time of a message between two hosts or between a host and the store, in milliseconds. */
+    static final int ONE_WAY_MILLIS = 12;
+
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final Map<String, Host> hosts = new TreeMap<>();
+    private StoredObject stored = new StoredObject("main", 1, JsonNodeFactory.instance.objectNode());
+    private long nowMillis;
+
+    ConfigurationFleet() {
+        channel.freezeTime();
+    }
+
+    /** Adds a host, which starts at once. */
+    Host addHost(String name, String domain, long applyMillis) {
+        Host host = new Host(name, domain, applyMillis);
+        hosts.put(name, host);
+        host.poller.start();
+        return host;
+    }
+
+    /** Writes a configuration, acknowledged at once. */
+    void write(long version, long revision) {
+        ObjectNode spec = JsonNodeFactory.instance.objectNode().put("version", version);
+        stored = new StoredObject("main", revision, spec);
+    }
+
+    /** Writes an object that is no configuration. */
+    void writeUndecodable(long revision) {
+        stored = new StoredObject(
+                "main", revision, JsonNodeFactory.instance.objectNode().put("version", "seven"));
+    }
+
+    void advance(long millis) {
+        for (long step = 0; step < millis; step++) {
+            nowMillis++;
+            channel.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+            channel.runPendingTasks();
+        }
+    }
+
+    long nowMillis() {
+        return nowMillis;
+    }
+
+    private void schedule(long delayMillis, Runnable action) {
+        channel.eventLoop().schedule(action, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Host with its own poller; other hosts of its failure domain are its peers. */
+    final class Host {
+        private final String name;
+        private final String domain;
+        private final PeerStoreServer server = new PeerStoreServer(() -> nowMillis);
+        private final PeerStoreClient client;
+        private final ConfigurationPoller poller;
+        private final Map<Long, Long> inForceAtMillis = new LinkedHashMap<>();
+        private long confirmedAtMillis;
+        private boolean silent;
+        private boolean killed;
+        private boolean cutFromStore;
+        private int reads;
+
+        private Host(String name, String domain, long applyMillis) {
+            this.name = name;
+            this.domain = domain;
+            DecisionLog log = new DecisionLog(Logger.getLogger("configuration-fleet"), () -> nowMillis);
+            EntryMetrics metrics = new EntryMetrics();
+            this.client = new PeerStoreClient(
+                    channel.eventLoop(),
+                    new StoreReaderSelector(name),
+                    new Connections(),
+                    () -> nowMillis,
+                    log,
+                    metrics);
+            this.poller = new ConfigurationPoller(
+                    new Store(),
+                    channel.eventLoop(),
+                    () -> nowMillis,
+                    client,
+                    server,
+                    (configuration, sentAtMillis) -> {
+                        inForceAtMillis.putIfAbsent(configuration.version(), nowMillis);
+                        confirmedAtMillis = Math.max(confirmedAtMillis, sentAtMillis);
+                    },
+                    log,
+                    metrics);
+        }
+
+        /** Returns when a version came into force; {@link Long#MAX_VALUE} if it never did. */
+        long inForceAtMillis(long version) {
+            return inForceAtMillis.getOrDefault(version, Long.MAX_VALUE);
+        }
+
+        /** Returns the time to which the host's belief that its configuration is the newest refers. */
+        long confirmedAtMillis() {
+            return confirmedAtMillis;
+        }
+
+        /** Returns the number of reads that the host has sent to the store. */
+        int reads() {
+            return reads;
+        }
+
+        /** The host neither sends nor handles anything any more, and its connections stay open. */
+        void freeze() {
+            silent = true;
+        }
+
+        /** The host ends, and its connections are closed. */
+        void kill() {
+            killed = true;
+            silent = true;
+            hosts.values().forEach(other -> other.client.onPeerLost(name, "link-closed"));
+        }
+
+        /** Calls to the store get no response any more. */
+        void cutFromStore() {
+            cutFromStore = true;
+        }
+
+        private void receive(EntryPeerMessage message, Host sender) {
+            if (silent) {
+                return;
+            }
+            if (message instanceof EntryPeerMessage.ConfigurationQuery query) {
+                server.handleQuery(
+                        query,
+                        reply -> send(sender, () -> sender.client.onResponse((EntryPeerMessage.Response) reply)));
+            }
+        }
+
+        private void send(Host receiver, Runnable action) {
+            if (!silent) {
+                schedule(ONE_WAY_MILLIS, () -> {
+                    if (!receiver.silent) {
+                        action.run();
+                    }
+                });
+            }
+        }
+
+        private final class Connections implements PeerQueries {
+            @Override
+            public Set<String> connectedPeers() {
+                return hosts.values().stream()
+                        .filter(other -> !other.killed && other.domain.equals(domain) && !other.name.equals(name))
+                        .map(other -> other.name)
+                        .collect(Collectors.toSet());
+            }
+
+            @Override
+            public boolean sendQuery(String peer, EntryPeerMessage query) {
+                Host receiver = hosts.get(peer);
+                send(receiver, () -> receiver.receive(query, Host.this));
+                return true;
+            }
+
+            @Override
+            public void reset(String peer) {
+                client.onPeerLost(peer, "link-closed");
+            }
+        }
+
+        /** Store as this host reaches it; a read returns what is stored when it arrives. */
+        private final class Store implements PlatformStore {
+            @Override
+            public void read(String kind, String objectName, long timeoutMillis, Consumer<StoreReply> result) {
+                if (silent) {
+                    return;
+                }
+                reads++;
+                if (cutFromStore) {
+                    schedule(timeoutMillis, () -> result.accept(new StoreReply.Unanswered("no response")));
+                    return;
+                }
+                schedule(ONE_WAY_MILLIS, () -> {
+                    StoredObject found = stored;
+                    schedule(ONE_WAY_MILLIS, () -> {
+                        if (!silent) {
+                            result.accept(new StoreReply.Found(found));
+                        }
+                    });
+                });
+            }
+
+            @Override
+            public void list(String kind, String afterName, long timeoutMillis, Consumer<StoreReply> result) {
+                throw new UnsupportedOperationException("the poller lists nothing");
+            }
+
+            @Override
+            public void listStale(String kind, String afterName, long timeoutMillis, Consumer<StoreReply> result) {
+                throw new UnsupportedOperationException("the poller lists nothing");
+            }
+
+            @Override
+            public void write(
+                    String kind, String objectName, JsonNode spec, long timeoutMillis, Consumer<StoreReply> result) {
+                throw new UnsupportedOperationException("the poller writes nothing");
+            }
+
+            @Override
+            public void watch(
+                    String kind, long revision, long waitMillis, long timeoutMillis, Consumer<StoreReply> result) {
+                throw new UnsupportedOperationException("the poller watches nothing");
+            }
+        }
+    }
+}
