CONFIG: bound the age at which a host reads the configuration itself

Cause: a follower that asked a silent reader of its failure domain waited an interval, then the query's timeout, then read: 2,269 ms in virtual time, fixed whatever bound the settings name, with 231 ms left of 2,500 and none where a deployment allows 2,000. The wait was counted from the query, not from the last confirmation.

It asks the reader directly after its own read instead of an interval later.

Ruled out: the age that is added up from host to host is counted from the sending of the confirming call on both sides, so it never makes a configuration look newer (PeerStoreServerTest).

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -28,6 +28,7 @@
 import org.amaranthlock.coordination.targetlimit.LimitReport;
 import org.amaranthlock.coordination.targetlimit.PermitTransport;
 import org.amaranthlock.coordination.targetlimit.TargetPermits;
+import org.amaranthlock.entry.control.ConfigurationPollTimes;
 import org.amaranthlock.entry.control.ConfigurationPoller;
 import org.amaranthlock.entry.control.PeerDirectory;
 import org.amaranthlock.entry.control.PeerMessageDispatcher;
@@ -136,6 +137,7 @@
                 store,
                 controlLoop,
                 ageClock::millis,
+                ConfigurationPollTimes.within(settings.bounds().maxConfigurationAgeMillis()),
                 peerStoreClient,
                 peerStoreServer,
                 (configuration, sentAt) ->
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.EventLoop;
 import java.util.Objects;
+import java.util.OptionalLong;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.amaranthlock.coordination.forwarding.EntryConfiguration;
@@ -17,21 +19,17 @@
  *
  * <p>The time of a confirmation by a peer is the time of the query minus the age that the peer reports, so that neither
  * a suspension of the peer nor a slow connection makes the cached configuration look newer than it is. A configuration
- * that this host does not know yet is read from the store.
+ * that this host does not know yet is read from the store. However its peers fail, the host sends a read of its own when
+ * the last confirmation has reached the age of {@link ConfigurationPollTimes#maxUnconfirmedMillis()}.
  *
  * <p>A read is at least as recent as its call, so it also confirms that the known configuration is the newest. A watch
  * without events does not confirm this, because the store may have dropped the watch.
  */
 public final class ConfigurationPoller {
-    /** Interval between two reads; short enough that a change takes effect in time even if one response is lost. */
-    private static final long READ_INTERVAL_MILLIS = 900;
-
-    private static final long RETRY_DELAY_MILLIS = 200;
-    private static final long CALL_TIMEOUT_MILLIS = 700;
-
     private final PlatformStore store;
     private final EventLoop loop;
     private final LongSupplier ageClockMillis;
+    private final ConfigurationPollTimes times;
     private final PeerStoreReader peerReader;
     private final PeerStoreServer peerStoreServer;
     private final ConfigurationListener listener;
@@ -39,19 +37,27 @@
     private final EntryMetrics metrics;
     private long knownRevision = -1;
     private EntryConfiguration knownConfiguration;
+    private long confirmedAtMillis;
     private boolean lastReadUsable = true;
 
+    /** Number of the current step; a result or timer of an earlier step is ignored. */
+    private int step;
+
+    private Future<?> scheduledRead;
     /** Listener for confirmed configurations. */
     public interface ConfigurationListener {
         /** Called when a call sent at {@code sentAtMillis} has confirmed that this configuration is the newest. */
         void onConfigurationConfirmed(EntryConfiguration configuration, long sentAtMillis);
     }
 
-    /** Creates a poller whose calls run on {@code loop}. */
+    /**
+     * Creates a poller whose calls run on {@code loop}.
+     */
     public ConfigurationPoller(
             PlatformStore store,
             EventLoop loop,
             LongSupplier ageClockMillis,
+            ConfigurationPollTimes times,
             PeerStoreReader peerReader,
             PeerStoreServer peerStoreServer,
             ConfigurationListener listener,
@@ -60,6 +66,7 @@
         this.store = Objects.requireNonNull(store, "store");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.ageClockMillis = Objects.requireNonNull(ageClockMillis, "age clock");
+        this.times = Objects.requireNonNull(times, "times");
         this.peerReader = Objects.requireNonNull(peerReader, "peer reader");
         this.peerStoreServer = Objects.requireNonNull(peerStoreServer, "peer store server");
         this.listener = Objects.requireNonNull(listener, "listener");
@@ -72,29 +79,56 @@
         loop.execute(this::read);
     }
 
-    private void poll() {
+    /** Has the known configuration confirmed, by a peer if there is one that reads the store. */
+    private void confirmAgain() {
+        int current = ++step;
         long sentAt = ageClockMillis.getAsLong();
         boolean querySent = peerReader.confirmConfiguration(knownRevision, age -> {
-            if (age.isPresent()) {
-                listener.onConfigurationConfirmed(knownConfiguration, sentAt - age.getAsLong());
-                poll();
-            } else {
-                read();
+            if (current == step) {
+                onPeerReply(age, sentAt);
             }
         });
         if (querySent) {
             peerStoreServer.onConfigurationUnavailable();
+            scheduleReadAtAge(times.maxUnconfirmedMillis());
         } else {
-            read();
+            scheduleReadAtAge(times.intervalMillis());
+        }
+    }
+
+    private void onPeerReply(OptionalLong age, long sentAt) {
+        if (age.isEmpty()) {
+            scheduleReadAtAge(times.intervalMillis());
+            return;
+        }
+        confirmedAtMillis = sentAt - age.getAsLong();
+        listener.onConfigurationConfirmed(knownConfiguration, confirmedAtMillis);
+        confirmAgain();
+    }
+
+    private void scheduleReadAtAge(long ageMillis) {
+        scheduleRead(confirmedAtMillis + ageMillis - ageClockMillis.getAsLong());
+    }
+
+    private void scheduleRead(long delayMillis) {
+        cancelScheduledRead();
+        scheduledRead = loop.schedule(this::read, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
+    }
+
+    private void cancelScheduledRead() {
+        if (scheduledRead != null) {
+            scheduledRead.cancel(false);
         }
     }
 
     private void read() {
+        step++;
+        cancelScheduledRead();
         long sentAt = ageClockMillis.getAsLong();
         store.read(
                 ConfigurationDecoder.KIND,
                 ConfigurationDecoder.NAME,
-                CALL_TIMEOUT_MILLIS,
+                times.callTimeoutMillis(),
                 reply -> onReadReply(reply, sentAt));
     }
 
@@ -105,13 +139,13 @@
             lastReadUsable = usable;
             log.write(usable ? "configuration-regained" : "configuration-lost", "reply", describe(reply));
         }
-        if (usable) {
-            peerStoreServer.onConfigurationRead(knownRevision, sentAt);
-            loop.schedule(this::poll, READ_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        } else {
+        if (!usable) {
             peerStoreServer.onConfigurationUnavailable();
-            loop.schedule(this::read, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            scheduleRead(times.retryDelayMillis());
+            return;
         }
+        peerStoreServer.onConfigurationRead(knownRevision, sentAt);
+        confirmAgain();
     }
 
     /** Reports the configuration as confirmed; returns false if the object cannot be decoded. */
@@ -125,6 +159,7 @@
                 return false;
             }
         }
+        confirmedAtMillis = sentAt;
         listener.onConfigurationConfirmed(knownConfiguration, sentAt);
         return true;
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreClient.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreClient.java
@@ -21,8 +21,8 @@
 /** {@link PeerStoreReader} that sends queries over the peer connections. All calls are on the control loop. */
 public final class PeerStoreClient implements PeerStoreReader {
     /**
-     * Timeout of a configuration query: the peer's read interval plus a slow response of the store. A longer timeout
-     * would leave too little of the time within which a new configuration must take effect.
+     * Timeout of a configuration query: the peer's read interval plus a slow response of the store. The querying host
+     * reads the store itself after {@link ConfigurationPollTimes#maxUnconfirmedMillis()}, whatever this timeout is.
      */
     private static final long CONFIGURATION_TIMEOUT_MILLIS = 1_400;
 
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
@@ -100,6 +100,7 @@
                     new Store(),
                     channel.eventLoop(),
                     () -> nowMillis,
+                    ConfigurationPollTimes.within(applyMillis),
                     client,
                     server,
                     (configuration, sentAtMillis) -> {
