CONFIG: hosts announce a new version, and the others read it at once

Callers could see: a request handled by a newer version and the next one at the same host by an older one. A host without a path to the targets passes requests to another host; that one may know a version up to an interval earlier, and the first host goes on with the older one for its own requests and for those that it passes to a third host.

Cause: hosts of different failure domains read the store at different moments and do not tell one another what they found. 280 ms apart and more in virtual time, where 250 are allowed after the effect of a version has been seen.

Now a host that finds a version in the store announces it to all connected hosts, and each request that is passed on names the version of its sender. A host that hears of a newer version reads the store at once, once for each version; a version that was announced is not announced again, so a change costs one message from each reader to each host. The polling is unchanged and bounds the delay when announcements are lost.

The format of peer messages is version 7.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -142,6 +142,7 @@
                 peerStoreServer,
                 (configuration, sentAt) ->
                         trafficLoop.execute(() -> requestForwarder.onConfigurationConfirmed(configuration, sentAt)),
+                this::announceConfiguration,
                 log,
                 metrics);
         this.targetWatcher = new TargetWatcher(
@@ -169,7 +170,8 @@
                         new RelayServer(requestForwarder),
                         trafficLoop,
                         report -> trafficLoop.execute(() -> requestForwarder.applyLoadReport(report)),
-                        this::updateConnectedPeers),
+                        this::updateConnectedPeers,
+                        configurationPoller::onVersionAnnounced),
                 log);
         this.peerDirectory = new PeerDirectory(
                 store, controlLoop, settings.hostName(), settings.failureDomain(), this::updatePeers, log, metrics);
@@ -325,6 +327,11 @@
                 this::updateLoadReport);
     }
 
+    /** Announces a version of the configuration to the other hosts; called on the control thread. */
+    private void announceConfiguration(long version) {
+        peerConnections.broadcast(new EntryPeerMessage.ConfigurationAnnounced(version));
+    }
+
     /** Applies a change of the registered peers; called on the control thread. */
     private void updatePeers(Set<PeerRegistration> registeredPeers) {
         peerConnections.updatePeers(registeredPeers);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.amaranthlock.coordination.forwarding.EntryConfiguration;
 import org.amaranthlock.entry.log.DecisionLog;
@@ -24,6 +25,10 @@
  *
  * <p>A read is at least as recent as its call, so it also confirms that the known configuration is the newest. A watch
  * without events does not confirm this, because the store may have dropped the watch.
+ *
+ * <p>A host that finds a new version announces it to the other hosts, which read the store at once: hosts that serve
+ * requests for one another must not apply a change far apart. A version that another host announced is not announced
+ * again.
  */
 public final class ConfigurationPoller {
     private final PlatformStore store;
@@ -33,6 +38,7 @@
     private final PeerStoreReader peerReader;
     private final PeerStoreServer peerStoreServer;
     private final ConfigurationListener listener;
+    private final LongConsumer announcer;
     private final DecisionLog log;
     private final EntryMetrics metrics;
     private long knownRevision = -1;
@@ -44,6 +50,14 @@
     private int step;
 
     private Future<?> scheduledRead;
+    private boolean reading;
+
+    /** Newest version that another host has announced. */
+    private long announcedVersion = Long.MIN_VALUE;
+
+    /** Whether a version was announced while a read was under way, which may have come too early to see it. */
+    private boolean announcedWhileReading;
+
     /** Listener for confirmed configurations. */
     public interface ConfigurationListener {
         /** Called when a call sent at {@code sentAtMillis} has confirmed that this configuration is the newest. */
@@ -52,6 +66,8 @@
 
     /**
      * Creates a poller whose calls run on {@code loop}.
+     *
+     * @param announcer receives each version that this host has found by itself, to announce it to the other hosts
      */
     public ConfigurationPoller(
             PlatformStore store,
@@ -61,6 +77,7 @@
             PeerStoreReader peerReader,
             PeerStoreServer peerStoreServer,
             ConfigurationListener listener,
+            LongConsumer announcer,
             DecisionLog log,
             EntryMetrics metrics) {
         this.store = Objects.requireNonNull(store, "store");
@@ -70,6 +87,7 @@
         this.peerReader = Objects.requireNonNull(peerReader, "peer reader");
         this.peerStoreServer = Objects.requireNonNull(peerStoreServer, "peer store server");
         this.listener = Objects.requireNonNull(listener, "listener");
+        this.announcer = Objects.requireNonNull(announcer, "announcer");
         this.log = Objects.requireNonNull(log, "log");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
     }
@@ -79,6 +97,20 @@
         loop.execute(this::read);
     }
 
+    /** Reads the store at once if another host knows a newer version; called on the control loop. */
+    public void onVersionAnnounced(long version) {
+        if (knownConfiguration == null || version <= knownConfiguration.version() || version <= announcedVersion) {
+            return;
+        }
+        announcedVersion = version;
+        log.write("configuration-announced", "version", version, "known", knownConfiguration.version());
+        if (reading) {
+            announcedWhileReading = true;
+        } else {
+            read();
+        }
+    }
+
     /** Has the known configuration confirmed, by a peer if there is one that reads the store. */
     private void confirmAgain() {
         int current = ++step;
@@ -124,6 +156,8 @@
     private void read() {
         step++;
         cancelScheduledRead();
+        reading = true;
+        announcedWhileReading = false;
         long sentAt = ageClockMillis.getAsLong();
         store.read(
                 ConfigurationDecoder.KIND,
@@ -133,6 +167,7 @@
     }
 
     private void onReadReply(StoreReply reply, long sentAt) {
+        reading = false;
         metrics.recordStoreCall("configuration", reply.getClass().getSimpleName());
         boolean usable = reply instanceof StoreReply.Found found && confirm(found.object(), sentAt);
         if (usable != lastReadUsable) {
@@ -145,25 +180,42 @@
             return;
         }
         peerStoreServer.onConfigurationRead(knownRevision, sentAt);
-        confirmAgain();
+        if (announcedWhileReading && knownConfiguration.version() < announcedVersion) {
+            read();
+        } else {
+            confirmAgain();
+        }
     }
 
     /** Reports the configuration as confirmed; returns false if the object cannot be decoded. */
     private boolean confirm(StoredObject object, long sentAt) {
-        if (knownConfiguration == null || object.revision() > knownRevision) {
-            try {
-                knownConfiguration = ConfigurationDecoder.decode(object);
-                knownRevision = object.revision();
-            } catch (IllegalArgumentException e) {
-                log.write("configuration-unreadable", "revision", object.revision(), "cause", e.getMessage());
-                return false;
-            }
+        if ((knownConfiguration == null || object.revision() > knownRevision) && !apply(object)) {
+            return false;
         }
         confirmedAtMillis = sentAt;
         listener.onConfigurationConfirmed(knownConfiguration, sentAt);
         return true;
     }
 
+    private boolean apply(StoredObject object) {
+        EntryConfiguration decoded;
+        try {
+            decoded = ConfigurationDecoder.decode(object);
+        } catch (IllegalArgumentException e) {
+            log.write("configuration-unreadable", "revision", object.revision(), "cause", e.getMessage());
+            return false;
+        }
+        boolean announce = knownConfiguration != null
+                && decoded.version() > knownConfiguration.version()
+                && decoded.version() > announcedVersion;
+        knownConfiguration = decoded;
+        knownRevision = object.revision();
+        if (announce) {
+            announcer.accept(decoded.version());
+        }
+        return true;
+    }
+
     private static String describe(StoreReply reply) {
         return reply instanceof StoreReply.Found ? "found" : reply.toString();
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerMessageDispatcher.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerMessageDispatcher.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.amaranthlock.coordination.forwarding.HostLoadReport;
 import org.amaranthlock.coordination.targetlimit.PermitDecision;
 import org.amaranthlock.coordination.targetlimit.PermitRequest;
@@ -22,6 +23,7 @@
     private final Executor trafficLoop;
     private final Consumer<HostLoadReport> loadReportListener;
     private final Runnable connectionListener;
+    private final LongConsumer versionListener;
 
     /** Handles the permit requests of other hosts. */
     @FunctionalInterface
@@ -36,6 +38,7 @@
      * @param trafficLoop runs the calls of {@code relayServer}
      * @param loadReportListener receives the load reports of other hosts
      * @param connectionListener called when a connection to another host has been opened or closed
+     * @param versionListener receives the versions of the configuration that other hosts know
      */
     public PeerMessageDispatcher(
             PeerStoreServer peerStoreServer,
@@ -46,7 +49,8 @@
             RelayServer relayServer,
             Executor trafficLoop,
             Consumer<HostLoadReport> loadReportListener,
-            Runnable connectionListener) {
+            Runnable connectionListener,
+            LongConsumer versionListener) {
         this.peerStoreServer = Objects.requireNonNull(peerStoreServer, "peer store server");
         this.peerStoreClient = Objects.requireNonNull(peerStoreClient, "peer store client");
         this.permitQueryClient = Objects.requireNonNull(permitQueryClient, "permit query client");
@@ -55,6 +59,7 @@
         this.relayServer = Objects.requireNonNull(relayServer, "relay server");
         this.trafficLoop = Objects.requireNonNull(trafficLoop, "traffic loop");
         this.connectionListener = Objects.requireNonNull(connectionListener, "connection listener");
+        this.versionListener = Objects.requireNonNull(versionListener, "version listener");
         this.loadReportListener = Objects.requireNonNull(loadReportListener, "load report listener");
     }
 
@@ -63,13 +68,16 @@
         switch (message) {
             case EntryPeerMessage.LoadReport loadReport -> loadReportListener.accept(loadReport.report());
             case EntryPeerMessage.ConfigurationQuery query -> peerStoreServer.handleQuery(query, reply);
+            case EntryPeerMessage.ConfigurationAnnounced announced -> versionListener.accept(announced.version());
             case EntryPeerMessage.TargetsQuery query -> peerStoreServer.handleQuery(query, reply);
             case EntryPeerMessage.PermitQuery query ->
                 permitQueryHandler.handle(
                         query.request(),
                         decision -> reply.accept(new EntryPeerMessage.PermitDecided(query.id(), decision)));
-            case EntryPeerMessage.RelayRequest request ->
+            case EntryPeerMessage.RelayRequest request -> {
+                versionListener.accept(request.configurationVersion());
                 trafficLoop.execute(() -> relayServer.onRequest(request, reply));
+            }
             case EntryPeerMessage.RelayCancel cancel ->
                 trafficLoop.execute(() -> relayServer.onCancel(cancel.id(), reply));
             case EntryPeerMessage.Response _ ->
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
@@ -28,6 +28,9 @@
      */
     record ConfigurationQuery(long id, long revision) implements EntryPeerMessage {}
 
+    /** Announces a version of the configuration that the sender has found in the store; has no response. */
+    record ConfigurationAnnounced(long version) implements EntryPeerMessage {}
+
     /**
      * Asks for changes of targets; the receiver responds when there are changes, or after some seconds without any.
      *
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
@@ -23,7 +23,7 @@
 
 /** Codec for {@link EntryPeerMessage} in MessagePack: format version, message type, then the fields in order. */
 final class EntryPeerMessageCodec {
-    private static final int FORMAT_VERSION = 6;
+    private static final int FORMAT_VERSION = 7;
     private static final int LOAD_REPORT = 1;
     private static final int CONFIGURATION_QUERY = 2;
     private static final int TARGETS_QUERY = 3;
@@ -40,6 +40,7 @@
     private static final int RELAY_EVENTS = 14;
     private static final int RELAY_STREAM_ENDED = 15;
     private static final int RELAY_ABORTED = 16;
+    private static final int CONFIGURATION_ANNOUNCED = 17;
     private static final int MAX_ENTRIES = 10_000;
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -52,6 +53,8 @@
                 case EntryPeerMessage.LoadReport loadReport -> packLoadReport(packer, loadReport.report());
                 case EntryPeerMessage.ConfigurationQuery query ->
                     pack(packer, CONFIGURATION_QUERY, query.id(), query.revision());
+                case EntryPeerMessage.ConfigurationAnnounced announced ->
+                    pack(packer, CONFIGURATION_ANNOUNCED, announced.version());
                 case EntryPeerMessage.TargetsQuery query -> pack(packer, TARGETS_QUERY, query.id(), query.revision());
                 case EntryPeerMessage.ConfigurationConfirmed confirmed ->
                     pack(packer, CONFIGURATION_CONFIRMED, confirmed.id(), confirmed.ageMillis());
@@ -94,6 +97,7 @@
                 case LOAD_REPORT -> new EntryPeerMessage.LoadReport(unpackLoadReport(unpacker));
                 case CONFIGURATION_QUERY ->
                     new EntryPeerMessage.ConfigurationQuery(unpacker.unpackLong(), unpacker.unpackLong());
+                case CONFIGURATION_ANNOUNCED -> new EntryPeerMessage.ConfigurationAnnounced(unpacker.unpackLong());
                 case TARGETS_QUERY -> new EntryPeerMessage.TargetsQuery(unpacker.unpackLong(), unpacker.unpackLong());
                 case CONFIGURATION_CONFIRMED ->
                     new EntryPeerMessage.ConfigurationConfirmed(unpacker.unpackLong(), unpacker.unpackLong());
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
@@ -33,7 +33,7 @@
 import org.amaranthlock.platform.PeerRegistration;
 
 /**
- * Connections to the other entry hosts, which carry load reports and queries for data from the store.
+ * Connections to the other entry hosts, which carry load reports, announcements and queries for data from the store.
  *
  * <p>Each host opens a connection to each other host; a response is sent on the connection of its query. A load report
  * contains the complete state of its sender, so the next report makes up for a lost one. A connection whose send buffer
@@ -145,6 +145,14 @@
         return true;
     }
 
+    /** Sends a message to all connected hosts. */
+    public void broadcast(EntryPeerMessage message) {
+        byte[] frame = EntryPeerMessageCodec.encode(message);
+        connections.values().stream()
+                .filter(Channel::isActive)
+                .forEach(connection -> connection.writeAndFlush(Unpooled.wrappedBuffer(frame)));
+    }
+
     /** Closes the connection to an unresponsive host; the next load report opens a new one. */
     public void reset(String peer) {
         Channel connection = connections.get(peer);
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
@@ -107,6 +107,7 @@
                         inForceAtMillis.putIfAbsent(configuration.version(), nowMillis);
                         confirmedAtMillis = Math.max(confirmedAtMillis, sentAtMillis);
                     },
+                    this::announce,
                     log,
                     metrics);
         }
@@ -143,6 +144,12 @@
             cutFromStore = true;
         }
 
+        private void announce(long version) {
+            hosts.values().stream()
+                    .filter(other -> other != this)
+                    .forEach(other -> send(other, () -> other.poller.onVersionAnnounced(version)));
+        }
+
         private void receive(EntryPeerMessage message, Host sender) {
             if (silent) {
                 return;
