CONFIG: apply a newer version whose revision is lower than the known one

Callers would see the configuration of before for as long as the store's revisions are lower than the one that hosts know, after the store came back from an older copy: the poller decoded an object only if its revision was higher.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
@@ -187,9 +187,13 @@
         }
     }
 
-    /** Reports the configuration as confirmed; returns false if the object cannot be decoded. */
+    /**
+     * Reports the configuration as confirmed; returns false if the object cannot be decoded, or if its version is older
+     * than the known one.
+     */
     private boolean confirm(StoredObject object, long sentAt) {
-        if ((knownConfiguration == null || object.revision() > knownRevision) && !apply(object)) {
+        // The revisions of a store that came back from an older copy start again, so a lower one may be new.
+        if ((knownConfiguration == null || object.revision() != knownRevision) && !apply(object)) {
             return false;
         }
         confirmedAtMillis = sentAt;
@@ -205,6 +209,10 @@
             log.write("configuration-unreadable", "revision", object.revision(), "cause", e.getMessage());
             return false;
         }
+        if (knownConfiguration != null && decoded.version() < knownConfiguration.version()) {
+            log.write("configuration-older", "version", decoded.version(), "known", knownConfiguration.version());
+            return false;
+        }
         boolean announce = knownConfiguration != null
                 && decoded.version() > knownConfiguration.version()
                 && decoded.version() > announcedVersion;
