CONFIG: count a peer's confirmation from its read, not from the query before it

Callers saw 503 instead of 404 or 401, and keys rejected earlier than needed, at hosts that follow a reader: such a host took its configuration for an interval older than it is. The time of a confirmation was the time of the query minus the age that the reader reported, but the query waits at the reader for most of an interval. In virtual time: an age of 1,400 ms shortly before the next confirmation, where the reader's is 900.

Now the reader reports how long after the receipt of the query it sent the read that confirms it. The follower adds this to the time at which it sent the query, so the result is still no later than the read, whatever the connection delays.

A peer that does not know the configuration, because it is about to read the change itself, is asked again after a short delay.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
@@ -18,8 +18,8 @@
 /**
  * Polls the configuration from the store, or from a peer that polls the store.
  *
- * <p>The time of a confirmation by a peer is the time of the query minus the age that the peer reports, so that neither
- * a suspension of the peer nor a slow connection makes the cached configuration look newer than it is. A configuration
+ * <p>The time of a confirmation by a peer is counted from the sending of the query by intervals that the peer measures,
+ * so that neither a suspension of the peer nor a slow connection makes the cached configuration look newer than it is. A configuration
  * that this host does not know yet is read from the store. However its peers fail, the host sends a read of its own when
  * the last confirmation has reached the age of {@link ConfigurationPollTimes#maxUnconfirmedMillis()}.
  *
@@ -49,7 +49,7 @@
     /** Number of the current step; a result or timer of an earlier step is ignored. */
     private int step;
 
-    private Future<?> scheduledRead;
+    private Future<?> scheduled;
     private boolean reading;
 
     /** Newest version that another host has announced. */
@@ -115,9 +115,9 @@
     private void confirmAgain() {
         int current = ++step;
         long sentAt = ageClockMillis.getAsLong();
-        boolean querySent = peerReader.confirmConfiguration(knownRevision, age -> {
+        boolean querySent = peerReader.confirmConfiguration(knownRevision, readAfter -> {
             if (current == step) {
-                onPeerReply(age, sentAt);
+                onPeerReply(readAfter, sentAt);
             }
         });
         if (querySent) {
@@ -128,34 +128,43 @@
         }
     }
 
-    private void onPeerReply(OptionalLong age, long sentAt) {
-        if (age.isEmpty()) {
-            scheduleReadAtAge(times.intervalMillis());
+    private void onPeerReply(OptionalLong readAfterMillis, long sentAt) {
+        if (readAfterMillis.isEmpty()) {
+            askAgainOrRead();
             return;
         }
-        confirmedAtMillis = sentAt - age.getAsLong();
+        confirmedAtMillis = sentAt + readAfterMillis.getAsLong();
         listener.onConfigurationConfirmed(knownConfiguration, confirmedAtMillis);
         confirmAgain();
     }
 
+    /** Handles a peer that does not know this configuration; it may be about to read a change that this host knows. */
+    private void askAgainOrRead() {
+        if (ageClockMillis.getAsLong() - confirmedAtMillis < times.intervalMillis()) {
+            schedule(this::confirmAgain, times.retryDelayMillis());
+        } else {
+            read();
+        }
+    }
+
     private void scheduleReadAtAge(long ageMillis) {
-        scheduleRead(confirmedAtMillis + ageMillis - ageClockMillis.getAsLong());
+        schedule(this::read, confirmedAtMillis + ageMillis - ageClockMillis.getAsLong());
     }
 
-    private void scheduleRead(long delayMillis) {
-        cancelScheduledRead();
-        scheduledRead = loop.schedule(this::read, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
+    private void schedule(Runnable action, long delayMillis) {
+        cancelScheduled();
+        scheduled = loop.schedule(action, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
     }
 
-    private void cancelScheduledRead() {
-        if (scheduledRead != null) {
-            scheduledRead.cancel(false);
+    private void cancelScheduled() {
+        if (scheduled != null) {
+            scheduled.cancel(false);
         }
     }
 
     private void read() {
         step++;
-        cancelScheduledRead();
+        cancelScheduled();
         reading = true;
         announcedWhileReading = false;
         long sentAt = ageClockMillis.getAsLong();
@@ -176,7 +185,7 @@
         }
         if (!usable) {
             peerStoreServer.onConfigurationUnavailable();
-            scheduleRead(times.retryDelayMillis());
+            schedule(this::read, times.retryDelayMillis());
             return;
         }
         peerStoreServer.onConfigurationRead(knownRevision, sentAt);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreClient.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreClient.java
@@ -65,8 +65,7 @@
                 CONFIGURATION_TIMEOUT_MILLIS,
                 response -> result.accept(
                         response instanceof EntryPeerMessage.ConfigurationConfirmed confirmed
-                                        && confirmed.ageMillis() >= 0
-                                ? OptionalLong.of(confirmed.ageMillis())
+                                ? OptionalLong.of(confirmed.readAfterMillis())
                                 : OptionalLong.empty()));
     }
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreReader.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreReader.java
@@ -11,8 +11,8 @@
      * Asks a peer whether a configuration is still the newest.
      *
      * @param revision store revision of the configuration
-     * @param result receives the time in milliseconds from sending the confirming call to the response, or empty if the
-     *     peer cannot confirm the configuration
+     * @param result receives the shortest possible time from sending the query to sending the call that confirms it, in
+     *     milliseconds, which is negative if the call was sent first; empty if the peer cannot confirm the configuration
      * @return whether a query was sent to a peer; if not, {@code result} is not called
      */
     boolean confirmConfiguration(long revision, Consumer<OptionalLong> result);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreServer.java
@@ -26,8 +26,8 @@
     private static final int MAX_PENDING_QUERIES = 1_000;
 
     private final LongSupplier ageClockMillis;
-    private final List<PendingQuery<ConfigurationQuery>> pendingConfigurationQueries = new ArrayList<>();
-    private final List<PendingQuery<TargetsQuery>> pendingTargetsQueries = new ArrayList<>();
+    private final List<PendingConfigurationQuery> pendingConfigurationQueries = new ArrayList<>();
+    private final List<PendingTargetsQuery> pendingTargetsQueries = new ArrayList<>();
     private final Deque<RetainedChange> retainedChanges = new ArrayDeque<>();
     private long configurationRevision = -1;
     private boolean watchingTargets;
@@ -39,7 +39,10 @@
      */
     private record RetainedChange(StoreChange change, long revision) {}
 
-    private record PendingQuery<Q>(Q query, Consumer<EntryPeerMessage> reply) {}
+    private record PendingConfigurationQuery(
+            ConfigurationQuery query, long receivedAtMillis, Consumer<EntryPeerMessage> reply) {}
+
+    private record PendingTargetsQuery(TargetsQuery query, Consumer<EntryPeerMessage> reply) {}
 
     /** Creates a server; the clock must include times of suspension. */
     public PeerStoreServer(LongSupplier ageClockMillis) {
@@ -51,7 +54,7 @@
         if (query.revision() != configurationRevision || pendingConfigurationQueries.size() >= MAX_PENDING_QUERIES) {
             reply.accept(new EntryPeerMessage.NotKnown(query.id()));
         } else {
-            pendingConfigurationQueries.add(new PendingQuery<>(query, reply));
+            pendingConfigurationQueries.add(new PendingConfigurationQuery(query, ageClockMillis.getAsLong(), reply));
         }
     }
 
@@ -64,7 +67,7 @@
         } else if (query.revision() < targetsRevision) {
             replyWithChanges(query, reply);
         } else {
-            pendingTargetsQueries.add(new PendingQuery<>(query, reply));
+            pendingTargetsQueries.add(new PendingTargetsQuery(query, reply));
         }
     }
 
@@ -74,17 +77,17 @@
      */
     public void onConfigurationRead(long revision, long sentAtMillis) {
         configurationRevision = revision;
-        List<PendingQuery<ConfigurationQuery>> pending = List.copyOf(pendingConfigurationQueries);
+        List<PendingConfigurationQuery> pending = List.copyOf(pendingConfigurationQueries);
         pendingConfigurationQueries.clear();
-        long age = ageClockMillis.getAsLong() - sentAtMillis;
-        for (PendingQuery<ConfigurationQuery> pendingQuery : pending) {
+        for (PendingConfigurationQuery pendingQuery : pending) {
             long id = pendingQuery.query().id();
             boolean newest = pendingQuery.query().revision() == revision;
+            long readAfterMillis = sentAtMillis - pendingQuery.receivedAtMillis();
             pendingQuery
                     .reply()
                     .accept(
                             newest
-                                    ? new EntryPeerMessage.ConfigurationConfirmed(id, age)
+                                    ? new EntryPeerMessage.ConfigurationConfirmed(id, readAfterMillis)
                                     : new EntryPeerMessage.NotKnown(id));
         }
     }
@@ -121,7 +124,7 @@
             oldestRetainedRevision = retainedChanges.removeFirst().revision();
         }
         targetsRevision = Math.max(targetsRevision, revision);
-        List<PendingQuery<TargetsQuery>> pending = List.copyOf(pendingTargetsQueries);
+        List<PendingTargetsQuery> pending = List.copyOf(pendingTargetsQueries);
         pendingTargetsQueries.clear();
         pending.forEach(pendingQuery -> replyWithChanges(pendingQuery.query(), pendingQuery.reply()));
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
@@ -78,9 +78,10 @@
     /**
      * Confirms that the configuration of a query is the newest.
      *
-     * @param ageMillis time from sending the confirming call to this response, in milliseconds, including suspensions
+     * @param readAfterMillis time from the receipt of the query to the sending of the call that confirms it, in
+     *     milliseconds, including suspensions; negative if the call was sent first
      */
-    record ConfigurationConfirmed(long id, long ageMillis) implements Response {}
+    record ConfigurationConfirmed(long id, long readAfterMillis) implements Response {}
 
     /**
      * Reports changes of targets, in the order of the store.
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
@@ -57,7 +57,7 @@
                     pack(packer, CONFIGURATION_ANNOUNCED, announced.version());
                 case EntryPeerMessage.TargetsQuery query -> pack(packer, TARGETS_QUERY, query.id(), query.revision());
                 case EntryPeerMessage.ConfigurationConfirmed confirmed ->
-                    pack(packer, CONFIGURATION_CONFIRMED, confirmed.id(), confirmed.ageMillis());
+                    pack(packer, CONFIGURATION_CONFIRMED, confirmed.id(), confirmed.readAfterMillis());
                 case EntryPeerMessage.TargetsChanged changed -> packChanges(packer, changed);
                 case EntryPeerMessage.PermitQuery query -> {
                     pack(packer, PERMIT_QUERY, query.id());
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationDelayTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationDelayTest.java
@@ -69,6 +69,40 @@
         assertWithMessage("applied").that(host.inForceAtMillis(2)).isLessThan(Long.MAX_VALUE);
     }
 
+    // Guards against followers whose configuration seems an interval older than it is: they reject requests earlier.
+    @Test
+    void followerKnowsWhenItsConfigurationWasConfirmed() {
+        ConfigurationFleet fleet = new ConfigurationFleet();
+        fleet.write(1, 10);
+        fleet.addHost("entry-1", "a", 2_500);
+        Host follower = fleet.addHost("entry-2", "a", 2_500);
+        fleet.advance(5_000);
+        for (int step = 0; step < 2_000; step += STEP_MILLIS) {
+            fleet.advance(STEP_MILLIS);
+            assertWithMessage("age")
+                    .that(fleet.nowMillis() - follower.confirmedAtMillis())
+                    .isAtMost(1_000);
+        }
+    }
+
+    // Guards against followers that read the store again after each change, although their reader confirms it.
+    @Test
+    void followerReadsStoreOnceForEachChange() {
+        ConfigurationFleet fleet = new ConfigurationFleet();
+        fleet.write(1, 10);
+        fleet.addHost("entry-1", "a", 2_500);
+        Host follower = fleet.addHost("entry-2", "a", 2_500);
+        fleet.advance(5_000);
+        int readsBefore = follower.reads();
+        for (int version = 2; version <= 5; version++) {
+            fleet.write(version, 10 + version);
+            fleet.advance(3_100);
+        }
+        assertWithMessage("reads for four changes")
+                .that(follower.reads() - readsBefore)
+                .isEqualTo(4);
+    }
+
     @Test
     void undecodableConfigurationIsNotAppliedAndNextOneIs() {
         ConfigurationFleet fleet = new ConfigurationFleet();
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerStoreServerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerStoreServerTest.java
@@ -16,13 +16,25 @@
     private final List<EntryPeerMessage> replies = new ArrayList<>();
 
     @Test
-    void confirmsConfigurationWithNextReadAndReportsAge() {
+    void confirmsConfigurationWithNextReadAndReportsWhenItWasSent() {
         server.onConfigurationRead(7, 0);
+        nowMillis[0] = 20;
         server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, 7), replies::add);
         assertThat(replies).isEmpty();
         nowMillis[0] = 940;
         server.onConfigurationRead(7, 900);
-        assertThat(replies).containsExactly(new EntryPeerMessage.ConfigurationConfirmed(1, 40));
+        assertThat(replies).containsExactly(new EntryPeerMessage.ConfigurationConfirmed(1, 880));
+    }
+
+    // Guards against a confirmation that counts as newer than its read, which was under way when the query arrived.
+    @Test
+    void reportsReadThatWasSentBeforeQueryArrived() {
+        server.onConfigurationRead(7, 0);
+        nowMillis[0] = 905;
+        server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, 7), replies::add);
+        nowMillis[0] = 940;
+        server.onConfigurationRead(7, 900);
+        assertThat(replies).containsExactly(new EntryPeerMessage.ConfigurationConfirmed(1, -5));
     }
 
     // Guards against an outdated configuration that stays in force because a peer with a newer one confirms it.
