--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryFixture.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryFixture.java
@@ -92,6 +92,13 @@
         return exchange(clientPort, request(methodAndPath, id, body, key));
     }
 
+    /** Sends a request for a stream whose prompt has the given parts, as ID:TOKENS separated by commas. */
+    String callWithPrompt(String methodAndPath, String id, String promptParts) {
+        String request = request(methodAndPath, id, "body of " + id, "key-1");
+        String header = "\r\nX-Prompt-Prefix: " + promptParts + "\r\nX-Token-Counts: 50,20\r\nX-Time-Left-Ms";
+        return exchange(clientPort, request.replace("\r\nX-Time-Left-Ms", header));
+    }
+
     CompletableFuture<String> callAsync(String methodAndPath, String id, String body) {
         CompletableFuture<String> response = new CompletableFuture<>();
         Thread.ofVirtual().start(() -> response.complete(call(methodAndPath, id, body)));
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetWorker.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetWorker.java
@@ -63,6 +63,7 @@
     private volatile boolean unresponsive;
     private volatile int startCount;
     private volatile Optional<String> requestLimit = Optional.empty();
+    private volatile Optional<String> crashingPromptPart = Optional.empty();
 
     /**
      * Creates a worker.
@@ -177,6 +178,16 @@
         requestLimit = requestsPerSecond;
     }
 
+    /** Makes the engine crash, also after a restart, when it begins to answer a request whose prompt has this part. */
+    public void crashOnPromptPart(String partId) {
+        crashingPromptPart = Optional.of(partId);
+    }
+
+    /** Returns whether the worker accepts connections. */
+    public boolean isListening() {
+        return !listener.isClosed();
+    }
+
     /** Returns the number of events that the engine has sent in all streams. */
     public int sentEventCount() {
         return sentEvents.get();
@@ -335,6 +346,11 @@
                 .map(backupTarget -> new CopySender(backupTarget, request.id()));
         openStreams.incrementAndGet();
         try {
+            if (hasCrashingPart(request)) {
+                generation.get().next();
+                stop();
+                return false;
+            }
             forwardEvents(currentEngine, generation.get(), copySender, request, out);
         } finally {
             openStreams.decrementAndGet();
@@ -345,6 +361,15 @@
         return true;
     }
 
+    /** The last part belongs to the request itself and never crashes the engine. */
+    private boolean hasCrashingPart(WorkerRequest request) {
+        String parts = request.headers().getOrDefault("x-prompt-prefix", "");
+        return crashingPromptPart.isPresent()
+                && parts.contains(crashingPromptPart.get() + ":")
+                && parts.contains(",")
+                && parts.indexOf(crashingPromptPart.get() + ":") < parts.lastIndexOf(',');
+    }
+
     private void forwardEvents(
             FleetEngine currentEngine,
             Generation generation,
