--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedEntryHost.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedEntryHost.java
@@ -10,6 +10,7 @@
 import org.amaranthlock.coordination.estimate.PrefillEstimates;
 import org.amaranthlock.coordination.forwarding.CrashHistory;
 import org.amaranthlock.coordination.forwarding.FleetRetryBudget;
+import org.amaranthlock.coordination.forwarding.ForwardingState;
 import org.amaranthlock.coordination.forwarding.HostLoadReport;
 import org.amaranthlock.coordination.forwarding.LoadSheddingPolicy;
 import org.amaranthlock.coordination.forwarding.Mechanisms;
@@ -17,6 +18,8 @@
 import org.amaranthlock.coordination.forwarding.RetryBudgetLimits;
 import org.amaranthlock.coordination.forwarding.RetryUsage;
 import org.amaranthlock.coordination.forwarding.TargetLoadBalancer;
+import org.amaranthlock.coordination.promptpart.PromptPartGuard;
+import org.amaranthlock.coordination.promptpart.PromptPartListener;
 import org.amaranthlock.coordination.targetlimit.LimitListener;
 import org.amaranthlock.coordination.targetlimit.TargetPermits;
 import org.amaranthlock.model.FailureDomain;
@@ -35,11 +38,9 @@
 
     private final String name;
     private final FailureDomain domain;
-    private final Mechanisms mechanisms;
     private final VirtualTimeScheduler scheduler;
     private final TargetLoadBalancer loadBalancer;
-    private final CrashHistory crashHistory = new CrashHistory();
-    private final PrefillEstimates prefillEstimates = new PrefillEstimates();
+    private final ForwardingState forwardingState;
     private final RetryUsage retryUsage = new RetryUsage(RETRY_BUDGET_LIMITS.windowMillis());
     private final FleetRetryBudget retryBudget;
     private final List<SimulatedEntryHost> peers = new ArrayList<>();
@@ -54,7 +55,6 @@
             Mechanisms mechanisms,
             VirtualTimeScheduler scheduler) {
         this.name = name;
-        this.mechanisms = mechanisms;
         this.domain = domain;
         this.scheduler = scheduler;
         this.retryBudget = new FleetRetryBudget(RETRY_BUDGET_LIMITS, retryUsage, () -> peers.size() + 1);
@@ -65,6 +65,12 @@
                 unlimitedPermits(name),
                 new BrittleTargets(RandomSource.SPLIT_MIX_64.create(0), BrittleListener.none()),
                 mechanisms);
+        this.forwardingState = new ForwardingState(
+                loadBalancer,
+                new CrashHistory(),
+                new PromptPartGuard(name, PromptPartListener.none()),
+                new PrefillEstimates(),
+                mechanisms);
     }
 
     /** Returns permits of a host whose engines name no limit. */
@@ -91,16 +97,8 @@
         return loadBalancer;
     }
 
-    Mechanisms mechanisms() {
-        return mechanisms;
-    }
-
-    PrefillEstimates prefillEstimates() {
-        return prefillEstimates;
-    }
-
-    CrashHistory crashHistory() {
-        return crashHistory;
+    ForwardingState forwardingState() {
+        return forwardingState;
     }
 
     FleetRetryBudget retryBudget() {
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedStream.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedStream.java
@@ -80,18 +80,9 @@
         long tokens =
                 prompt.stream().mapToInt(EngineRequest.PromptPart::tokens).sum() + (long) eventCount * TOKENS_PER_EVENT;
         RequestAttributes attributes = new RequestAttributes(
-                id, OptionalLong.empty(), Optional.empty(), tokens, Optional.empty(), id.hashCode());
+                id, OptionalLong.empty(), Optional.empty(), tokens, Optional.empty(), List.of(), id.hashCode());
         this.request = new ForwardedRequest(
-                attributes,
-                route,
-                service,
-                Optional.empty(),
-                host.loadBalancer(),
-                host.retryBudget(),
-                host.crashHistory(),
-                host.prefillEstimates(),
-                host.mechanisms(),
-                this);
+                attributes, route, service, Optional.empty(), host.forwardingState(), host.retryBudget(), this);
     }
 
     void start() {
@@ -149,6 +140,11 @@
                 () -> request.onCrashCheckResult(attempt, engine.alive(), scheduler.nowMillis()));
     }
 
+    @Override
+    public void probeLostTarget(Attempt attempt) {
+        throw new UnsupportedOperationException("simulated prompts have no parts that crash engines");
+    }
+
     @Override
     public void copyKvCache(Attempt attempt, EntryTarget backup) {
         SimulatedStreamingEngine engine = engines.get(attempt.target().id());
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.amaranthlock.coordination.estimate.PrefillEstimates;
 import org.amaranthlock.model.TargetId;
 
 /**
@@ -22,9 +21,6 @@
     /** Deliveries to targets beyond the maximum attempts of the route, for targets that did not execute the request. */
     private static final int EXTRA_DELIVERIES = 3;
 
-    /** Statuses that tell a client that its request was not executed; targets state this in a separate header. */
-    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 429, 503);
-
     /** Cause of decisions on a request because targets limit their request rate. */
     private static final String TARGET_LIMIT = "target-limit";
 
@@ -50,17 +46,13 @@
     private final AttemptPermits permits;
     private final RelayPolicy relayPolicy;
     private final StreamTargetChecks targetChecks;
+    private final PromptSearch promptSearch;
+    private final TargetCheck targetCheck;
 
     private long deadlineMillis;
     private boolean completed;
 
-    /** Next attempt, which waits for the check of its target. */
-    private Optional<PendingAttempt> pending = Optional.empty();
-
-    /** Whether the engines have been asked which of them holds the prompt. */
-    private boolean locating;
-
-    /** Time at which a stream without an attempt is tried again. */
+    /** Time at which a request without an attempt is tried again. */
     private long resumeAtMillis;
 
     /** Creates a request, which is sent by {@link #start}. */
@@ -69,22 +61,19 @@
             Route route,
             ServiceDefinition service,
             Optional<Integer> priority,
-            TargetLoadBalancer loadBalancer,
+            ForwardingState state,
             FleetRetryBudget retryBudget,
-            CrashHistory crashHistory,
-            PrefillEstimates prefillEstimates,
-            Mechanisms mechanisms,
             ForwardingPort port) {
         this.attributes = Objects.requireNonNull(attributes, "attributes");
         this.route = Objects.requireNonNull(route, "route");
         this.service = Objects.requireNonNull(service, "service");
         this.priority = Objects.requireNonNull(priority, "priority");
-        this.loadBalancer = Objects.requireNonNull(loadBalancer, "load balancer");
+        this.loadBalancer = state.loadBalancer();
         this.retryBudget = Objects.requireNonNull(retryBudget, "retry budget");
-        this.forecast = new FirstEventForecast(service, attributes, prefillEstimates, mechanisms);
-        this.mechanisms = Objects.requireNonNull(mechanisms, "mechanisms");
+        this.mechanisms = state.mechanisms();
+        this.forecast = new FirstEventForecast(service, attributes, state.prefillEstimates(), mechanisms);
         this.port = Objects.requireNonNull(port, "port");
-        this.poisonDetector = new PoisonDetector(attributes.fingerprint(), crashHistory, loadBalancer, port);
+        this.poisonDetector = new PoisonDetector(attributes, state, port);
         this.attempts = new AttemptTracker(loadBalancer, attributes.tokens());
         this.stream = new StreamProgress(port, attributes.lastEventId().orElse(-1L));
         this.decisions = new DecisionRecorder(port, attempts, stream);
@@ -92,6 +81,8 @@
         this.silence = new SilenceMonitor(route, mechanisms);
         this.permits = new AttemptPermits(loadBalancer, service, route.kind());
         this.relayPolicy = new RelayPolicy(route, service, loadBalancer, retryBudget, attempts, port);
+        this.targetCheck = new TargetCheck(attempts, decisions, port);
+        this.promptSearch = new PromptSearch(attributes, service, loadBalancer, mechanisms, port);
         this.targetChecks = new StreamTargetChecks(service, silence, permits, port);
         this.kvCacheBackup = new KvCacheBackup(attributes, service, loadBalancer, mechanisms, port);
     }
@@ -123,26 +114,19 @@
             fail(Rejection.retryLater(retryAfter.getAsLong(), "overloaded"), nowMillis);
             return;
         }
-        if (mayBeHeldByEngine()) {
-            locating = true;
+        if (promptSearch.isUseful()) {
+            promptSearch.start(nowMillis);
             scheduleTimer(nowMillis);
-            port.locatePrompt(
-                    attributes.lastPromptPart().orElseThrow(),
-                    loadBalancer.reachableTargets(service.name(), nowMillis));
             return;
         }
         dispatchUnlessTooLate(nowMillis);
     }
 
-    /**
-     * Handles the answer which engine holds the prompt; empty if none does, or none answered in time. A client that
-     * resumes a stream has mostly lost its host, and no other host knows the engine of the stream.
-     */
+    /** Handles the answer which engine holds the prompt; empty if none does, or none answered in time. */
     public void onPromptLocated(Optional<EntryTarget> holder, long nowMillis) {
-        if (completed || !locating) {
+        if (!promptSearch.end() || completed) {
             return;
         }
-        locating = false;
         if (holder.isPresent()) {
             retryTargets.preferHolder(holder.get());
             dispatch("prompt-held", nowMillis);
@@ -163,13 +147,9 @@
             handleNotRun(ended, response, nowMillis);
             return;
         }
-        boolean misleadingStatus = !route.isRetryable() && NOT_RUN_STATUSES.contains(response.status());
-        // A success needs the target's stamp, and a streaming route expects an event stream.
-        boolean unusable = misleadingStatus
-                || stream.opened()
-                || (response.isSuccess() && (!response.stamped() || route.kind() == RouteKind.STREAMING));
         attempts.countExecution();
-        if (unusable || (response.status() >= 500 && route.isRetryable() && hasAttemptsLeft())) {
+        boolean mayRetry = route.isRetryable() && hasAttemptsLeft();
+        if (stream.opened() || !route.accepts(response) || (response.status() >= 500 && mayRetry)) {
             handleFailure(ended, "status-" + response.status(), nowMillis);
             return;
         }
@@ -220,7 +200,7 @@
             return;
         }
         kvCacheBackup.onCopyCompleted(attempt, backup, copyId);
-        recordDecision(
+        decisions.record(
                 copyId.isPresent() ? "copied" : "not-copied", currentAttempt(), "to-" + backup.id(), 0, nowMillis);
     }
 
@@ -246,7 +226,7 @@
             retryBudget.release();
         }
         handleUnreachable(ended.target(), nowMillis);
-        recordDecision("not-sent", ended, cause, 0, nowMillis);
+        decisions.record("not-sent", ended, cause, 0, nowMillis);
         retry("not-sent", nowMillis);
     }
 
@@ -285,21 +265,23 @@
             return;
         }
         boolean counted = poisonDetector.recordUnreachable(attempt, nowMillis);
-        recordDecision(counted ? "crash-counted" : "crash-with-domain", attempt, "unreachable", 0, nowMillis);
+        decisions.record(counted ? "crash-counted" : "crash-with-domain", attempt, "unreachable", 0, nowMillis);
+    }
+
+    /** Handles the probe of the target of an attempt that was lost before it began to answer. */
+    public void onLostTargetProbed(Attempt attempt, boolean reachable, long nowMillis) {
+        poisonDetector.recordProbe(attempt, reachable, nowMillis);
+        decisions.record(reachable ? "target-alive" : "target-crashed", attempt, "after-loss", 0, nowMillis);
     }
 
     /** Handles the result of a check whether the target of the next attempt responds. */
     public void onTargetChecked(EntryTarget target, boolean responds, long nowMillis) {
-        if (completed
-                || pending.isEmpty()
-                || !pending.get().destination().target().equals(target)) {
+        Optional<PendingAttempt> checked = targetCheck.end(target);
+        if (completed || checked.isEmpty()) {
             return;
         }
-        PendingAttempt checked = pending.get();
-        pending = Optional.empty();
-        attempts.releaseReservation();
         if (responds) {
-            send(checked.destination(), checked.cause(), nowMillis);
+            send(checked.get().destination(), checked.get().cause(), nowMillis);
             return;
         }
         handleUnreachable(target, nowMillis);
@@ -354,10 +336,14 @@
         if (handOver(nowMillis)) {
             return;
         }
-        if (poisonDetector.isPoison(nowMillis)) {
-            fail(Rejection.of(502, "crashes-targets"), nowMillis);
-            return;
+        switch (poisonDetector.decide(stream.begun(), attempts.executions() > 0, nowMillis)) {
+            case SendDecision.Reject reject -> fail(reject.rejection(), nowMillis);
+            case SendDecision.Wait wait -> awaitTrial(wait.millis(), nowMillis);
+            case SendDecision.Send _ -> dispatchToTarget(cause, nowMillis);
         }
+    }
+
+    private void dispatchToTarget(String cause, long nowMillis) {
         Optional<RetryTargets.Destination> destination = retryTargets.choose(nowMillis);
         if (destination.isEmpty()) {
             requestPermit(cause, nowMillis);
@@ -367,19 +353,25 @@
                 handleNoTarget(TARGET_LIMIT, nowMillis);
                 return;
             }
-            pending = Optional.of(new PendingAttempt(destination.get(), cause));
-            attempts.reserve(target);
-            decisions.record("checking", Optional.empty(), target.id().value(), 0, nowMillis);
+            targetCheck.start(new PendingAttempt(destination.get(), cause), nowMillis);
             scheduleTimer(nowMillis);
-            port.checkResponds(target);
         } else {
             send(destination.get(), cause, nowMillis);
         }
     }
 
+    private void awaitTrial(long millis, long nowMillis) {
+        decisions.recordOnce("awaiting-trial", "suspect-prompt-part", nowMillis);
+        resumeAtMillis = nowMillis + millis;
+        scheduleTimer(nowMillis);
+    }
+
     /** Has the request served by another host if this one has no path to the targets; returns whether it did. */
     private boolean handOver(long nowMillis) {
         completed = relayPolicy.handOver(stream, decisions.arrivedAtMillis(), deadlineMillis, nowMillis);
+        if (completed) {
+            poisonDetector.release();
+        }
         return completed;
     }
 
@@ -438,7 +430,7 @@
         attempts.begin(attempt);
         silence.recordSend(nowMillis);
         poisonDetector.recordSend(attempt.number(), nowMillis);
-        recordDecision(destination.copy().isPresent() ? "sent-to-copy" : "sent", attempt, cause, 0, nowMillis);
+        decisions.record(destination.copy().isPresent() ? "sent-to-copy" : "sent", attempt, cause, 0, nowMillis);
         port.send(attempt);
         scheduleTimer(nowMillis);
     }
@@ -450,7 +442,7 @@
         } else {
             loadBalancer.recordRejection(ended.target(), nowMillis);
         }
-        recordDecision("not-run", ended, "status-" + response.status(), response.status(), nowMillis);
+        decisions.record("not-run", ended, "status-" + response.status(), response.status(), nowMillis);
         retry("not-run", nowMillis);
     }
 
@@ -462,7 +454,7 @@
     private void handleFailure(Attempt ended, String cause, long nowMillis) {
         loadBalancer.recordFailure(ended.target(), nowMillis);
         retryTargets.avoid(ended.target());
-        recordDecision("lost", ended, cause, 0, nowMillis);
+        decisions.record("lost", ended, cause, 0, nowMillis);
         if (!route.isRetryable() || !hasAttemptsLeft()) {
             fail(Rejection.of(502, cause), nowMillis);
             return;
@@ -470,6 +462,11 @@
         retry(cause, nowMillis);
     }
 
+    /** Returns whether the current attempt may be given up for another one. */
+    private boolean mayBeAbandoned() {
+        return route.isRetryable() && attempts.executions() + 1 < route.maxAttempts();
+    }
+
     private boolean hasAttemptsLeft() {
         return attempts.executions() < route.maxAttempts();
     }
@@ -510,9 +507,9 @@
 
     private void checkTimeouts(long nowMillis) {
         boolean generating = attempts.generating();
-        boolean lastAttempt = attempts.executions() + 1 >= route.maxAttempts();
-        if (route.isRetryable()
-                && !lastAttempt
+        if (poisonDetector.shouldWithdraw(nowMillis) && mayBeAbandoned()) {
+            withdrawAttempt(nowMillis);
+        } else if (mayBeAbandoned()
                 && silence.isSilentTooLong(generating, nowMillis)
                 && retryTargets.hasAlternative(currentAttempt().target(), nowMillis)) {
             abandonAttempt(silence.timeoutCause(generating), nowMillis);
@@ -521,6 +518,15 @@
         }
     }
 
+    /** Takes the current attempt back from its target, which has not failed. */
+    private void withdrawAttempt(long nowMillis) {
+        port.cancel(currentAttempt());
+        Attempt withdrawn = endAttempt();
+        attempts.countExecution();
+        decisions.record("withdrawn", withdrawn, "suspect-prompt-part", 0, nowMillis);
+        retry("suspect-prompt-part", nowMillis);
+    }
+
     private void abandonAttempt(String cause, long nowMillis) {
         Attempt abandoned = currentAttempt();
         port.cancel(abandoned);
@@ -533,16 +539,9 @@
         return attempts.current().map(_ -> endAttempt());
     }
 
-    private boolean mayBeHeldByEngine() {
-        return service.engine()
-                && mechanisms.uses(Mechanism.PROMPT_LOCATION)
-                && attributes.lastEventId().isPresent()
-                && attributes.lastPromptPart().isPresent();
-    }
-
     /** Returns whether the next attempt waits for an answer of its target or of the engines. */
     private boolean isWaitingForTarget() {
-        return locating || pending.isPresent() || permits.waiting();
+        return promptSearch.running() || targetCheck.running() || permits.waiting();
     }
 
     private boolean isCurrent(int attempt) {
@@ -560,11 +559,12 @@
         attempts.markGenerating();
         poisonDetector.recordResponse(nowMillis);
         loadBalancer.recordSuccess(currentAttempt().target(), nowMillis);
-        recordDecision("first-event", currentAttempt(), "running", 0, nowMillis);
+        decisions.record("first-event", currentAttempt(), "running", 0, nowMillis);
     }
 
     private Attempt endAttempt() {
         Attempt ended = attempts.end();
+        poisonDetector.recordAttemptEnded();
         kvCacheBackup.release(ended, retryTargets.usableCopy());
         return ended;
     }
@@ -575,7 +575,9 @@
         }
         long dueMillis;
         if (attempts.current().isPresent()) {
-            dueMillis = silence.nextDueMillis(attempts.generating(), deadlineMillis, nowMillis);
+            dueMillis = Math.min(
+                    poisonDetector.withdrawalMillis(),
+                    silence.nextDueMillis(attempts.generating(), deadlineMillis, nowMillis));
         } else {
             dueMillis = isWaitingForTarget() ? deadlineMillis : Math.min(deadlineMillis, resumeAtMillis);
         }
@@ -585,10 +587,7 @@
     private void complete(String step, Optional<Attempt> attempt, String cause, int status, long nowMillis) {
         completed = true;
         attempts.releaseReservation();
+        poisonDetector.release();
         decisions.recordLast(step, attempt, cause, status, nowMillis);
     }
-
-    private void recordDecision(String step, Attempt attempt, String cause, int status, long nowMillis) {
-        decisions.record(step, Optional.of(attempt), cause, status, nowMillis);
-    }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingPort.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingPort.java
@@ -34,6 +34,12 @@
      */
     void checkCrash(Attempt attempt, long delayMillis);
 
+    /**
+     * Checks at once whether the target of a lost attempt accepts connections; the result is passed to
+     * {@link ForwardedRequest#onLostTargetProbed}.
+     */
+    void probeLostTarget(Attempt attempt);
+
     /**
      * Asks the engine of an attempt to copy its KV cache to another engine; the result is passed to
      * {@link ForwardedRequest#onCopyCompleted}.
--- /dev/null
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingState.java
@@ -0,0 +1,29 @@
+package org.amaranthlock.coordination.forwarding;
+
+import java.util.Objects;
+import org.amaranthlock.coordination.estimate.PrefillEstimates;
+import org.amaranthlock.coordination.promptpart.PromptPartGuard;
+
+/**
+ * What a host knows of targets and requests, which all its requests share.
+ *
+ * @param loadBalancer load and failures of the targets
+ * @param crashHistory crashes under equal requests
+ * @param promptPartGuard crashes under requests that share a part of their prompts
+ * @param prefillEstimates time that engines take to prefill prompts
+ * @param mechanisms mechanisms that are used
+ */
+public record ForwardingState(
+        TargetLoadBalancer loadBalancer,
+        CrashHistory crashHistory,
+        PromptPartGuard promptPartGuard,
+        PrefillEstimates prefillEstimates,
+        Mechanisms mechanisms) {
+    public ForwardingState {
+        Objects.requireNonNull(loadBalancer, "load balancer");
+        Objects.requireNonNull(crashHistory, "crash history");
+        Objects.requireNonNull(promptPartGuard, "prompt part guard");
+        Objects.requireNonNull(prefillEstimates, "prefill estimates");
+        Objects.requireNonNull(mechanisms, "mechanisms");
+    }
+}
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/HostLoadReport.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/HostLoadReport.java
@@ -39,4 +39,10 @@
         Objects.requireNonNull(brittle, "brittle");
         Objects.requireNonNull(limits, "limits");
     }
+
+    /** Returns the report of a host that has observed nothing yet. */
+    public static HostLoadReport empty(String host) {
+        return new HostLoadReport(
+                host, Map.of(), Set.of(), Map.of(), 0, Set.of(), BrittleReport.EMPTY, LimitReport.EMPTY);
+    }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/Mechanism.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/Mechanism.java
@@ -39,7 +39,10 @@
     ADDRESS_SUCCESSION("address-succession"),
 
     /** A host without a path to the targets of a service has requests served by another host. */
-    RELAY("relay");
+    RELAY("relay"),
+
+    /** Requests with a part of their prompts under which a target crashed are sent one at a time, then rejected. */
+    PROMPT_PART_TRIALS("prompt-part-trials");
 
     private final String key;
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/PoisonDetector.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/PoisonDetector.java
@@ -2,9 +2,12 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import org.amaranthlock.coordination.promptpart.RequestParts;
+import org.amaranthlock.coordination.promptpart.TrialDecision;
 
 /** Detects whether a request crashes the targets that execute it; not thread-safe. */
 final class PoisonDetector {
@@ -19,7 +22,21 @@
      */
     private static final Set<String> CRASH_CAUSES = Set.of("closed", "SocketException", "unreachable");
 
+    /** Causes of a lost attempt after which a target that refuses connections counts as crashed by a prompt part. */
+    private static final Set<String> BROKEN_CONNECTION_CAUSES = Set.of("closed", "SocketException");
+
+    private static final String CRASHING_PART = "crashing-prompt-part";
+
+    /** Interval at which a request that waits for a probe asks whether it may be sent, in milliseconds. */
+    private static final long PROBE_MILLIS = 20;
+
+    /** Time in which the other hosts can say that a suspect part is sound, before an attempt is withdrawn. */
+    private static final long WITHDRAWAL_DELAY_MILLIS = 100;
+
+    private static final long NEVER = Long.MAX_VALUE;
+
     private final long fingerprint;
+    private final RequestParts parts;
     private final CrashHistory crashHistory;
     private final TargetLoadBalancer loadBalancer;
     private final ForwardingPort port;
@@ -30,6 +47,12 @@
     /** Attempts whose targets may have crashed, until they have been checked. */
     private final Set<Integer> unchecked = new HashSet<>();
 
+    /** Attempts whose targets may have crashed because of a part of the prompt, until they have been probed. */
+    private final Set<Integer> unprobed = new HashSet<>();
+
+    /** Time at which the current attempt is withdrawn if its target is then still likely to crash. */
+    private long withdrawalMillis = NEVER;
+
     /** Attempts whose targets this request has crashed. */
     private final Set<Integer> crashed = new HashSet<>();
 
@@ -43,16 +66,69 @@
         private static final KnownAtSend NOTHING = new KnownAtSend(0, Set.of());
     }
 
-    PoisonDetector(long fingerprint, CrashHistory crashHistory, TargetLoadBalancer loadBalancer, ForwardingPort port) {
-        this.fingerprint = fingerprint;
-        this.crashHistory = Objects.requireNonNull(crashHistory, "crash history");
-        this.loadBalancer = Objects.requireNonNull(loadBalancer, "load balancer");
+    PoisonDetector(RequestAttributes attributes, ForwardingState state, ForwardingPort port) {
+        boolean partsTried = state.mechanisms().uses(Mechanism.PROMPT_PART_TRIALS);
+        this.fingerprint = attributes.fingerprint();
+        this.parts = state.promptPartGuard().request(partsTried ? attributes.sharedPromptParts() : List.of());
+        this.crashHistory = state.crashHistory();
+        this.loadBalancer = state.loadBalancer();
         this.port = Objects.requireNonNull(port, "port");
+        parts.onBlamed(this::scheduleWithdrawal);
+    }
+
+    /**
+     * Decides whether the request is sent.
+     *
+     * @param begun whether a target has begun to answer it, which shows that no part of its prompt crashes targets
+     * @param mayHaveRun whether a target may have executed it
+     */
+    SendDecision decide(boolean begun, boolean mayHaveRun, long nowMillis) {
+        if (crashHistory.isPoison(fingerprint, nowMillis)) {
+            return new SendDecision.Reject(Rejection.of(502, "crashes-targets"));
+        }
+        if (begun) {
+            return new SendDecision.Send();
+        }
+        if (!unprobed.isEmpty()) {
+            return new SendDecision.Wait(PROBE_MILLIS);
+        }
+        return switch (parts.decide(nowMillis)) {
+            case TrialDecision.Granted _ -> new SendDecision.Send();
+            case TrialDecision.Wait wait -> new SendDecision.Wait(wait.millis());
+            case TrialDecision.Rejected rejected ->
+                new SendDecision.Reject(
+                        mayHaveRun
+                                ? Rejection.of(502, CRASHING_PART)
+                                : Rejection.retryLater(rejected.retryAfterMillis(), CRASHING_PART));
+        };
     }
 
-    /** Returns whether the request must not be sent again. */
-    boolean isPoison(long nowMillis) {
-        return crashHistory.isPoison(fingerprint, nowMillis);
+    /** Returns when {@link #shouldWithdraw} is to be asked next. */
+    long withdrawalMillis() {
+        return withdrawalMillis;
+    }
+
+    /**
+     * Returns whether the current attempt is to be withdrawn because its target is likely to crash under it, as a target
+     * did under a request with the same part. It was sent before this was known.
+     */
+    boolean shouldWithdraw(long nowMillis) {
+        if (nowMillis < withdrawalMillis) {
+            return false;
+        }
+        withdrawalMillis = NEVER;
+        return parts.isBlamed(nowMillis);
+    }
+
+    /** Records that the current attempt has ended. */
+    void recordAttemptEnded() {
+        withdrawalMillis = NEVER;
+        parts.recordEnd();
+    }
+
+    /** Lets other requests with the same suspect parts be tried. */
+    void release() {
+        parts.release();
     }
 
     /**
@@ -68,6 +144,7 @@
         knownAtSend.put(
                 attempt,
                 new KnownAtSend(crashHistory.consecutiveCrashes(fingerprint, nowMillis), Set.copyOf(unchecked)));
+        parts.recordSend(attempt, nowMillis);
     }
 
     /** Schedules a check of the target of an attempt that ended before any response or event. */
@@ -76,6 +153,18 @@
             unchecked.add(attempt.number());
             port.checkCrash(attempt, CRASH_CHECK_DELAY_MILLIS);
         }
+        if (BROKEN_CONNECTION_CAUSES.contains(cause) && !parts.isEmpty()) {
+            unprobed.add(attempt.number());
+            port.probeLostTarget(attempt);
+        }
+    }
+
+    /** Records whether the target of a lost attempt accepts connections right after the loss. */
+    void recordProbe(Attempt attempt, boolean reachable, long nowMillis) {
+        unprobed.remove(attempt.number());
+        if (!reachable) {
+            parts.recordCrash(attempt.number(), nowMillis);
+        }
     }
 
     /** Records that the target of a lost attempt accepts connections, that is, that it did not crash. */
@@ -104,8 +193,16 @@
         return causedByRequest;
     }
 
-    /** Records that a target sent a response or an event for the request. */
+    /** Records that a target has begun to answer the request. */
     void recordResponse(long nowMillis) {
         crashHistory.recordResponse(fingerprint, nowMillis);
+        parts.recordBegun(nowMillis);
+    }
+
+    private void scheduleWithdrawal(long nowMillis) {
+        if (withdrawalMillis == NEVER) {
+            withdrawalMillis = nowMillis + WITHDRAWAL_DELAY_MILLIS;
+            port.scheduleTimer(withdrawalMillis);
+        }
     }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RequestAttributes.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RequestAttributes.java
@@ -1,8 +1,10 @@
 package org.amaranthlock.coordination.forwarding;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.amaranthlock.model.Arguments;
+import org.amaranthlock.model.PromptPartId;
 
 /**
  * Attributes of a client's request that forwarding decisions depend on.
@@ -12,6 +14,7 @@
  * @param lastEventId id of the last event that the client received of an interrupted stream
  * @param tokens KV cache size that the request is expected to need on an engine, in tokens; 0 if unspecified
  * @param lastPromptPart last part of the prompt, which belongs to the request or its session; empty if unspecified
+ * @param sharedPromptParts the other parts of the prompt, which requests may share
  * @param fingerprint hash of client, path and body; equal for retries of the same request
  */
 public record RequestAttributes(
@@ -20,8 +23,10 @@
         Optional<Long> lastEventId,
         long tokens,
         Optional<PromptPart> lastPromptPart,
+        List<PromptPartId> sharedPromptParts,
         long fingerprint) {
     public RequestAttributes {
         Arguments.requireText(id, "request id");
+        sharedPromptParts = List.copyOf(sharedPromptParts);
     }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/Route.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/Route.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import org.amaranthlock.model.Arguments;
 import org.amaranthlock.model.ServiceName;
 
@@ -32,6 +33,9 @@
         boolean keyless,
         boolean resumable,
         List<WeightedService> services) {
+    /** Statuses that tell a client that its request was not executed; targets state this in a separate header. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 429, 503);
+
     public Route {
         Arguments.requireText(host, "host");
         Arguments.requireText(pathPrefix, "path prefix");
@@ -51,6 +55,18 @@
         };
     }
 
+    /**
+     * Returns whether the complete response of a target may reach a client. A success needs the target's stamp and, on a
+     * streaming route, consists of events. A status that promises that the request was not executed needs the target's own
+     * statement if the client may not repeat it otherwise.
+     */
+    public boolean accepts(TargetResponse response) {
+        if (response.isSuccess()) {
+            return response.stamped() && kind != RouteKind.STREAMING;
+        }
+        return isRetryable() || !NOT_RUN_STATUSES.contains(response.status());
+    }
+
     /** Returns this route with another maximum number of targets that may execute a request. */
     public Route withMaxAttempts(int attempts) {
         return new Route(
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/StreamProgress.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/StreamProgress.java
@@ -25,6 +25,11 @@
         return opened;
     }
 
+    /** Returns whether the client has received events, also from another host. */
+    boolean begun() {
+        return lastEventId >= 0;
+    }
+
     /** Returns the id of the last event sent to the client; -1 for none. */
     long lastEventId() {
         return lastEventId;
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/AbstractForwardedRequestTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/AbstractForwardedRequestTest.java
@@ -7,6 +7,8 @@
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import org.amaranthlock.coordination.estimate.PrefillEstimates;
+import org.amaranthlock.coordination.promptpart.PromptPartGuard;
+import org.amaranthlock.coordination.promptpart.PromptPartListener;
 
 /** Targets, recorded calls and helpers for tests of {@link ForwardedRequest}. */
 abstract class AbstractForwardedRequestTest {
@@ -18,6 +20,7 @@
     final RecordingPort port = new RecordingPort();
     final TargetLoadBalancer loadBalancer = EntryTargets.loadBalancer(1);
     final CrashHistory crashHistory = new CrashHistory();
+    final PromptPartGuard promptPartGuard = new PromptPartGuard("host-1", PromptPartListener.none());
     final PrefillEstimates prefillEstimates = new PrefillEstimates();
     final FleetRetryBudget retryBudget =
             new FleetRetryBudget(new RetryBudgetLimits(0.8, 40, 10_000), new RetryUsage(10_000), () -> 1);
@@ -46,11 +49,8 @@
                 route(kind),
                 engineService(),
                 Optional.empty(),
-                loadBalancer,
+                new ForwardingState(loadBalancer, crashHistory, promptPartGuard, prefillEstimates, Mechanisms.ALL),
                 retryBudget,
-                crashHistory,
-                prefillEstimates,
-                Mechanisms.ALL,
                 recordingPort);
     }
 
@@ -69,7 +69,7 @@
     }
 
     static RequestAttributes requestAttributes() {
-        return new RequestAttributes("r", OptionalLong.of(60_000), Optional.empty(), 0, Optional.empty(), 0);
+        return new RequestAttributes("r", OptionalLong.of(60_000), Optional.empty(), 0, Optional.empty(), List.of(), 0);
     }
 
     static Route route(RouteKind kind) {
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestCrashTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestCrashTest.java
@@ -3,13 +3,20 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.IntStream;
+import org.amaranthlock.coordination.promptpart.RequestParts;
+import org.amaranthlock.model.PromptPartId;
 import org.amaranthlock.model.TargetId;
 import org.junit.jupiter.api.Test;
 
 /** Tests of requests that may crash their targets. */
 class ForwardedRequestCrashTest extends AbstractForwardedRequestTest {
+    private static final List<PromptPartId> PARTS = List.of(new PromptPartId("shared"), new PromptPartId("crashing"));
+
     // Guards against a request that crashes each target it reaches.
     @Test
     void rejectsRequestThatCrashedThreeTargets() {
@@ -139,4 +146,88 @@
         request.onAttemptLost(1, "closed", 200);
         assertThat(port.crashChecks).isEmpty();
     }
+
+    // Guards against a crashing request that goes to the next engine before the first crash is known.
+    @Test
+    void waitsUntilTheTargetOfALostAttemptHasBeenProbed() {
+        ForwardedRequest request = startWithPart();
+        Attempt lost = port.lastSent();
+        request.onAttemptLost(1, "closed", 10);
+        assertThat(port.sent).hasSize(1);
+        assertThat(port.lostTargetsProbed).containsExactly(lost);
+        request.onLostTargetProbed(lost, true, 30);
+        request.onTimer(40);
+        assertThat(port.sent).hasSize(2);
+    }
+
+    @Test
+    void rejectsRequestWhosePartCrashedThreeTargets() {
+        RequestParts other = promptPartGuard.request(PARTS);
+        other.recordSend(1, 0);
+        other.recordCrash(1, 0);
+        ForwardedRequest request = startWithPart();
+        request.onTimer(80);
+        for (int attempt = 1; attempt <= 2; attempt++) {
+            Attempt lost = port.lastSent();
+            long lostAtMillis = attempt * 1_000;
+            request.onAttemptLost(attempt, "closed", lostAtMillis);
+            request.onLostTargetProbed(lost, false, lostAtMillis + 20);
+            request.onTimer(lostAtMillis + 40); // claims the part
+            request.onTimer(lostAtMillis + 140);
+        }
+        assertThat(port.sent).hasSize(2);
+        assertThat(port.rejections.getFirst().status()).isEqualTo(502);
+        assertThat(port.rejections.getFirst().reason()).isEqualTo("crashing-prompt-part");
+    }
+
+    // Guards against a refusal that claims more or less than is true: such a request was not executed.
+    @Test
+    void rejectsFurtherRequestWithTheSamePartAsNotExecuted() {
+        RequestParts earlier = promptPartGuard.request(PARTS);
+        for (int attempt = 1; attempt <= 3; attempt++) {
+            earlier.recordSend(attempt, attempt);
+            earlier.recordCrash(attempt, attempt);
+        }
+        startWithPart();
+        assertThat(port.sent).isEmpty();
+        assertThat(port.rejections.getFirst().status()).isEqualTo(503);
+        assertThat(port.rejections.getFirst().retryAfterMillis()).isPresent();
+    }
+
+    // Load pattern: several requests with the part are in flight when the first of them crashes its engine.
+    @Test
+    void withdrawsAttemptWhosePartCrashedAnotherTarget() {
+        ForwardedRequest request = startWithPart();
+        RequestParts other = promptPartGuard.request(PARTS);
+        other.recordSend(1, 10);
+        other.recordCrash(1, 20);
+        request.onTimer(60);
+        assertThat(port.cancelled).isEmpty();
+        request.onTimer(120);
+        assertThat(port.cancelled).hasSize(1);
+        assertThat(port.sent).hasSize(1);
+        request.onTimer(210);
+        assertThat(port.sent).hasSize(2);
+    }
+
+    @Test
+    void doesNotWithdrawStreamThatHasBegun() {
+        ForwardedRequest request = startWithPart();
+        request.onStreamOpened(1, response(200, true, false), 5);
+        request.onEvents(1, events(0), 10);
+        RequestParts other = promptPartGuard.request(PARTS);
+        other.recordSend(1, 15);
+        other.recordCrash(1, 20);
+        request.onTimer(200);
+        assertThat(port.cancelled).isEmpty();
+    }
+
+    private ForwardedRequest startWithPart() {
+        RequestAttributes attributes =
+                new RequestAttributes("r", OptionalLong.of(60_000), Optional.empty(), 0, Optional.empty(), PARTS, 7);
+        ForwardedRequest request = create(attributes, RouteKind.STREAMING, port);
+        port.requestWithRespondingTargets = request;
+        request.start(0);
+        return request;
+    }
 }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestLimitTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestLimitTest.java
@@ -157,11 +157,9 @@
                 route(kind),
                 engineService(),
                 Optional.empty(),
-                limitedLoadBalancer,
+                new ForwardingState(
+                        limitedLoadBalancer, crashHistory, promptPartGuard, new PrefillEstimates(), Mechanisms.ALL),
                 retryBudget,
-                crashHistory,
-                new PrefillEstimates(),
-                Mechanisms.ALL,
                 port);
         port.requestWithRespondingTargets = request;
         request.start(nowMillis);
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestResumeTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestResumeTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.stream.IntStream;
@@ -12,7 +13,7 @@
     @Test
     void startsAfterLastEventIdOfClient() {
         ForwardedRequest request = create(
-                new RequestAttributes("r", OptionalLong.empty(), Optional.of(12L), 0, Optional.empty(), 0),
+                new RequestAttributes("r", OptionalLong.empty(), Optional.of(12L), 0, Optional.empty(), List.of(), 0),
                 RouteKind.STREAMING,
                 port);
         request.start(0);
@@ -94,7 +95,7 @@
     private ForwardedRequest startResumed(long timeLeftMillis, RecordingPort recordingPort) {
         ForwardedRequest request = create(
                 new RequestAttributes(
-                        "r", OptionalLong.of(timeLeftMillis), Optional.of(12L), 0, Optional.of(PROMPT), 0),
+                        "r", OptionalLong.of(timeLeftMillis), Optional.of(12L), 0, Optional.of(PROMPT), List.of(), 0),
                 RouteKind.STREAMING,
                 recordingPort);
         request.start(0);
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/MechanismsTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/MechanismsTest.java
@@ -11,6 +11,8 @@
 import org.amaranthlock.coordination.brittle.BrittleReport;
 import org.amaranthlock.coordination.brittle.BrittleTargets;
 import org.amaranthlock.coordination.estimate.PrefillEstimates;
+import org.amaranthlock.coordination.promptpart.PromptPartGuard;
+import org.amaranthlock.coordination.promptpart.PromptPartListener;
 import org.amaranthlock.coordination.targetlimit.LimitReport;
 import org.amaranthlock.model.FailureDomain;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -102,15 +104,23 @@
                 List.of(new WeightedService(EntryTargets.SERVICE, 1)));
         return new ForwardedRequest(
                 new RequestAttributes(
-                        "r", OptionalLong.empty(), Optional.of(3L), 0, Optional.of(new PromptPart("a1", 8_000)), 0),
+                        "r",
+                        OptionalLong.empty(),
+                        Optional.of(3L),
+                        0,
+                        Optional.of(new PromptPart("a1", 8_000)),
+                        List.of(),
+                        0),
                 route,
                 ENGINES,
                 Optional.empty(),
-                loadBalancer(mechanisms),
+                new ForwardingState(
+                        loadBalancer(mechanisms),
+                        new CrashHistory(),
+                        new PromptPartGuard("host-1", PromptPartListener.none()),
+                        new PrefillEstimates(),
+                        mechanisms),
                 new FleetRetryBudget(new RetryBudgetLimits(0.8, 40, 10_000), new RetryUsage(10_000), () -> 1),
-                new CrashHistory(),
-                new PrefillEstimates(),
-                mechanisms,
                 port);
     }
 
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/RecordingPort.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/RecordingPort.java
@@ -12,6 +12,7 @@
     final List<KvCacheCopy> copiesFreed = new ArrayList<>();
     final List<EntryTarget> copiesRequested = new ArrayList<>();
     final List<Attempt> crashChecks = new ArrayList<>();
+    final List<Attempt> lostTargetsProbed = new ArrayList<>();
     final List<Attempt> reportRequests = new ArrayList<>();
     final List<TargetResponse> responses = new ArrayList<>();
     final List<Rejection> rejections = new ArrayList<>();
@@ -74,6 +75,11 @@
         crashChecks.add(attempt);
     }
 
+    @Override
+    public void probeLostTarget(Attempt attempt) {
+        lostTargetsProbed.add(attempt);
+    }
+
     @Override
     public void copyKvCache(Attempt attempt, EntryTarget backup) {
         copiesRequested.add(backup);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
@@ -150,6 +150,12 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    @Override
+    public void probeLostTarget(Attempt attempt) {
+        calls.connections()
+                .probe(attempt.target(), reachable -> forwardedRequest.onLostTargetProbed(attempt, reachable, now()));
+    }
+
     @Override
     public void copyKvCache(Attempt attempt, EntryTarget backupTarget) {
         calls.connections()
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -10,22 +10,23 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.amaranthlock.coordination.brittle.BrittleReport;
 import org.amaranthlock.coordination.brittle.BrittleTargets;
+import org.amaranthlock.coordination.estimate.PrefillEstimates;
 import org.amaranthlock.coordination.forwarding.AdmissionPolicy;
+import org.amaranthlock.coordination.forwarding.CrashHistory;
+import org.amaranthlock.coordination.forwarding.ForwardingState;
 import org.amaranthlock.coordination.forwarding.HostLoadReport;
 import org.amaranthlock.coordination.forwarding.LeastDelayPlacement;
 import org.amaranthlock.coordination.forwarding.LoadSheddingPolicy;
 import org.amaranthlock.coordination.forwarding.StoreReaderSelector;
 import org.amaranthlock.coordination.forwarding.SuspensionAwareClock;
 import org.amaranthlock.coordination.forwarding.TargetLoadBalancer;
-import org.amaranthlock.coordination.targetlimit.LimitReport;
+import org.amaranthlock.coordination.promptpart.PromptPartGuard;
 import org.amaranthlock.coordination.targetlimit.PermitTransport;
 import org.amaranthlock.coordination.targetlimit.TargetPermits;
 import org.amaranthlock.entry.control.ConfigurationPollTimes;
@@ -34,8 +35,10 @@
 import org.amaranthlock.entry.control.PeerMessageDispatcher;
 import org.amaranthlock.entry.control.PeerQueries;
 import org.amaranthlock.entry.control.PeerStoreClient;
+import org.amaranthlock.entry.control.PeerStoreReader;
 import org.amaranthlock.entry.control.PeerStoreServer;
 import org.amaranthlock.entry.control.PermitQueryClient;
+import org.amaranthlock.entry.control.PromptPartExchange;
 import org.amaranthlock.entry.control.TargetWatcher;
 import org.amaranthlock.entry.front.ClientServer;
 import org.amaranthlock.entry.front.StatusServer;
@@ -89,6 +92,7 @@
     private final EntryMetrics metrics = new EntryMetrics();
     private final DecisionLog log;
     private final TargetPermits permits;
+    private final PromptPartExchange promptPartExchange;
     private final RequestForwarder requestForwarder;
     private final NettyPlatformStore store;
     private final ClientServer clientServer;
@@ -122,8 +126,17 @@
         PermitQueryClient permitQueryClient =
                 new PermitQueryClient(controlLoop, trafficLoop, new FleetPeerQueries(), log, metrics);
         this.permits = createPermits(permitQueryClient, random);
+        PromptPartGuard promptPartGuard =
+                new PromptPartGuard(settings.hostName(), new PromptPartLog(log, metrics, this::reportPromptParts));
+        this.promptPartExchange = new PromptPartExchange(
+                promptPartGuard,
+                trafficLoop,
+                controlLoop,
+                new FleetPeerQueries(),
+                EntryProcess::monotonicMillis,
+                random);
         RelayClient relayClient = new RelayClient(controlLoop, trafficLoop, new FleetPeerQueries(), metrics);
-        this.requestForwarder = createForwarder(trafficLoop, ageClock, random, relayClient);
+        this.requestForwarder = createForwarder(trafficLoop, ageClock, random, relayClient, promptPartGuard);
         this.store = new NettyPlatformStore(controlLoop, settings.storeAddress());
         PeerStoreServer peerStoreServer = new PeerStoreServer(ageClock::millis);
         PeerStoreClient peerStoreClient = new PeerStoreClient(
@@ -133,18 +146,7 @@
                 EntryProcess::monotonicMillis,
                 log,
                 metrics);
-        this.configurationPoller = new ConfigurationPoller(
-                store,
-                controlLoop,
-                ageClock::millis,
-                ConfigurationPollTimes.within(settings.bounds().maxConfigurationAgeMillis()),
-                peerStoreClient,
-                peerStoreServer,
-                (configuration, sentAt) ->
-                        trafficLoop.execute(() -> requestForwarder.onConfigurationConfirmed(configuration, sentAt)),
-                this::announceConfiguration,
-                log,
-                metrics);
+        this.configurationPoller = createConfigurationPoller(controlLoop, ageClock, peerStoreClient, peerStoreServer);
         this.targetWatcher = new TargetWatcher(
                 store,
                 controlLoop,
@@ -155,8 +157,7 @@
                 settings.mechanisms(),
                 log,
                 metrics);
-        this.loadReport = new HostLoadReport(
-                settings.hostName(), Map.of(), Set.of(), Map.of(), 0, Set.of(), BrittleReport.EMPTY, LimitReport.EMPTY);
+        this.loadReport = HostLoadReport.empty(settings.hostName());
         this.peerConnections = new PeerConnections(
                 controlLoop,
                 settings.peerAddress(),
@@ -170,7 +171,8 @@
                         new RelayServer(requestForwarder),
                         trafficLoop,
                         report -> trafficLoop.execute(() -> requestForwarder.applyLoadReport(report)),
-                        this::updateConnectedPeers,
+                        promptPartExchange::onReport,
+                        this::onConnectionChanged,
                         configurationPoller::onVersionAnnounced),
                 log);
         this.peerDirectory = new PeerDirectory(
@@ -201,6 +203,7 @@
                 LIMIT_REPORT_INTERVAL_MILLIS,
                 LIMIT_REPORT_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
+        promptPartExchange.start();
         readinessServer.start();
         startMetrics();
         log.write(
@@ -299,7 +302,8 @@
             EventLoop trafficLoop,
             SuspensionAwareClock ageClock,
             UniformRandomProvider random,
-            RelayClient relayClient) {
+            RelayClient relayClient,
+            PromptPartGuard promptPartGuard) {
         TargetConnectionPool connections =
                 new TargetConnectionPool(trafficLoop, EntryProcess::monotonicMillis, metrics);
         PromptLocator promptLocator =
@@ -312,14 +316,12 @@
                         settings.bounds().maxRevocationMillis(),
                         settings.bounds().maxConfigurationAgeMillis()),
                 settings.bounds().retryBudget(),
-                new TargetLoadBalancer(
-                        settings.failureDomain(),
-                        new LeastDelayPlacement(random),
-                        new LoadSheddingPolicy(random),
-                        permits,
-                        new BrittleTargets(random, new BrittleLog(log, metrics)),
+                new ForwardingState(
+                        createLoadBalancer(random),
+                        new CrashHistory(),
+                        promptPartGuard,
+                        new PrefillEstimates(),
                         settings.mechanisms()),
-                settings.mechanisms(),
                 random,
                 new OutboundCalls(connections, promptLocator, relayClient),
                 log,
@@ -332,16 +334,55 @@
         peerConnections.broadcast(new EntryPeerMessage.ConfigurationAnnounced(version));
     }
 
+    private ConfigurationPoller createConfigurationPoller(
+            EventLoop controlLoop,
+            SuspensionAwareClock ageClock,
+            PeerStoreReader peerReader,
+            PeerStoreServer peerStoreServer) {
+        return new ConfigurationPoller(
+                store,
+                controlLoop,
+                ageClock::millis,
+                ConfigurationPollTimes.within(settings.bounds().maxConfigurationAgeMillis()),
+                peerReader,
+                peerStoreServer,
+                (configuration, sentAt) -> trafficGroup
+                        .next()
+                        .execute(() -> requestForwarder.onConfigurationConfirmed(configuration, sentAt)),
+                this::announceConfiguration,
+                log,
+                metrics);
+    }
+
+    private TargetLoadBalancer createLoadBalancer(UniformRandomProvider random) {
+        return new TargetLoadBalancer(
+                settings.failureDomain(),
+                new LeastDelayPlacement(random),
+                new LoadSheddingPolicy(random),
+                permits,
+                new BrittleTargets(random, new BrittleLog(log, metrics)),
+                settings.mechanisms());
+    }
+
     /** Applies a change of the registered peers; called on the control thread. */
     private void updatePeers(Set<PeerRegistration> registeredPeers) {
         peerConnections.updatePeers(registeredPeers);
         trafficGroup.next().execute(() -> requestForwarder.updateRegisteredHostCount(registeredPeers.size() + 1));
     }
 
-    /** Applies a change of the connected peers; called on the control thread. */
-    private void updateConnectedPeers() {
+    /** Applies a change of the connection to a peer; called on the control thread. */
+    private void onConnectionChanged(String peer) {
         Set<String> connected = peerConnections.connectedPeers();
         trafficGroup.next().execute(() -> permits.updateReachableHosts(connected));
+        if (connected.contains(peer)) {
+            promptPartExchange.onConnected(peer);
+        }
+    }
+
+    /** Tells the other hosts what this one has found out about prompt parts; called on the traffic thread. */
+    private void reportPromptParts() {
+        // Not at once: the changes of one step go out together, and the caller may be in the middle of one.
+        trafficGroup.next().execute(promptPartExchange::reportChanges);
     }
 
     /** Publishes the load of this host if it has changed; called on the traffic thread after each change. */
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
@@ -13,7 +13,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
-import org.amaranthlock.coordination.estimate.PrefillEstimates;
 import org.amaranthlock.coordination.forwarding.AdmissionPolicy;
 import org.amaranthlock.coordination.forwarding.AdmissionResult;
 import org.amaranthlock.coordination.forwarding.ApiKeyOwner;
@@ -23,8 +22,8 @@
 import org.amaranthlock.coordination.forwarding.EntryTarget;
 import org.amaranthlock.coordination.forwarding.FleetRetryBudget;
 import org.amaranthlock.coordination.forwarding.ForwardedRequest;
+import org.amaranthlock.coordination.forwarding.ForwardingState;
 import org.amaranthlock.coordination.forwarding.HostLoadReport;
-import org.amaranthlock.coordination.forwarding.Mechanisms;
 import org.amaranthlock.coordination.forwarding.Rejection;
 import org.amaranthlock.coordination.forwarding.RequestLimits;
 import org.amaranthlock.coordination.forwarding.RetryBudgetLimits;
@@ -62,15 +61,14 @@
     private final AdmissionPolicy admissionPolicy;
     private final RetryBudgetLimits retryBudgetLimits;
     private final RetryUsage retryUsage;
+    private final ForwardingState state;
     private final TargetLoadBalancer loadBalancer;
-    private final Mechanisms mechanisms;
+    private final CrashHistory crashHistory;
     private final UniformRandomProvider random;
     private final OutboundCalls calls;
     private final DecisionLog log;
     private final EntryMetrics metrics;
     private final Runnable onLoadChanged;
-    private final CrashHistory crashHistory = new CrashHistory();
-    private final PrefillEstimates prefillEstimates = new PrefillEstimates();
     private final CachedConfiguration cachedConfiguration = new CachedConfiguration();
     private final Map<ServiceName, FleetRetryBudget> retryBudgets = new HashMap<>();
     private final Set<ActiveRequest> activeRequests = new LinkedHashSet<>();
@@ -85,8 +83,7 @@
             LongSupplier ageClockMillis,
             AdmissionPolicy admissionPolicy,
             RetryBudgetLimits retryBudgetLimits,
-            TargetLoadBalancer loadBalancer,
-            Mechanisms mechanisms,
+            ForwardingState state,
             UniformRandomProvider random,
             OutboundCalls calls,
             DecisionLog log,
@@ -98,8 +95,9 @@
         this.admissionPolicy = Objects.requireNonNull(admissionPolicy, "admission policy");
         this.retryBudgetLimits = Objects.requireNonNull(retryBudgetLimits, "retry budget limits");
         this.retryUsage = new RetryUsage(retryBudgetLimits.windowMillis());
-        this.loadBalancer = Objects.requireNonNull(loadBalancer, "load balancer");
-        this.mechanisms = Objects.requireNonNull(mechanisms, "mechanisms");
+        this.state = Objects.requireNonNull(state, "state");
+        this.loadBalancer = state.loadBalancer();
+        this.crashHistory = state.crashHistory();
         this.random = Objects.requireNonNull(random, "random");
         this.calls = Objects.requireNonNull(calls, "calls");
         this.log = Objects.requireNonNull(log, "log");
@@ -347,17 +345,8 @@
                 configurationAgeMillis(),
                 "relayed",
                 relayed);
-        ForwardedRequest forwarded = new ForwardedRequest(
-                request.toAttributes(),
-                route,
-                service,
-                priority,
-                loadBalancer,
-                budget,
-                crashHistory,
-                prefillEstimates,
-                mechanisms,
-                activeRequest);
+        ForwardedRequest forwarded =
+                new ForwardedRequest(request.toAttributes(), route, service, priority, state, budget, activeRequest);
         if (relayed) {
             activeRequest.startCounted(forwarded);
         } else {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerMessageDispatcher.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerMessageDispatcher.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.amaranthlock.coordination.forwarding.HostLoadReport;
+import org.amaranthlock.coordination.promptpart.PromptPartReport;
 import org.amaranthlock.coordination.targetlimit.PermitDecision;
 import org.amaranthlock.coordination.targetlimit.PermitRequest;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
@@ -22,7 +23,8 @@
     private final RelayServer relayServer;
     private final Executor trafficLoop;
     private final Consumer<HostLoadReport> loadReportListener;
-    private final Runnable connectionListener;
+    private final Consumer<PromptPartReport> promptPartListener;
+    private final Consumer<String> connectionListener;
     private final LongConsumer versionListener;
 
     /** Handles the permit requests of other hosts. */
@@ -37,7 +39,8 @@
      *
      * @param trafficLoop runs the calls of {@code relayServer}
      * @param loadReportListener receives the load reports of other hosts
-     * @param connectionListener called when a connection to another host has been opened or closed
+     * @param promptPartListener receives the reports of other hosts on prompt parts
+     * @param connectionListener receives the name of a host when a connection to it has been opened or closed
      * @param versionListener receives the versions of the configuration that other hosts know
      */
     public PeerMessageDispatcher(
@@ -49,7 +52,8 @@
             RelayServer relayServer,
             Executor trafficLoop,
             Consumer<HostLoadReport> loadReportListener,
-            Runnable connectionListener,
+            Consumer<PromptPartReport> promptPartListener,
+            Consumer<String> connectionListener,
             LongConsumer versionListener) {
         this.peerStoreServer = Objects.requireNonNull(peerStoreServer, "peer store server");
         this.peerStoreClient = Objects.requireNonNull(peerStoreClient, "peer store client");
@@ -60,6 +64,7 @@
         this.trafficLoop = Objects.requireNonNull(trafficLoop, "traffic loop");
         this.connectionListener = Objects.requireNonNull(connectionListener, "connection listener");
         this.versionListener = Objects.requireNonNull(versionListener, "version listener");
+        this.promptPartListener = Objects.requireNonNull(promptPartListener, "prompt part listener");
         this.loadReportListener = Objects.requireNonNull(loadReportListener, "load report listener");
     }
 
@@ -67,6 +72,7 @@
     public void onMessage(EntryPeerMessage message, Consumer<EntryPeerMessage> reply) {
         switch (message) {
             case EntryPeerMessage.LoadReport loadReport -> loadReportListener.accept(loadReport.report());
+            case EntryPeerMessage.PromptParts parts -> promptPartListener.accept(parts.report());
             case EntryPeerMessage.ConfigurationQuery query -> peerStoreServer.handleQuery(query, reply);
             case EntryPeerMessage.ConfigurationAnnounced announced -> versionListener.accept(announced.version());
             case EntryPeerMessage.TargetsQuery query -> peerStoreServer.handleQuery(query, reply);
@@ -102,7 +108,7 @@
 
     @Override
     public void onConnectionOpened(String peer) {
-        connectionListener.run();
+        connectionListener.accept(peer);
     }
 
     @Override
@@ -110,6 +116,6 @@
         peerStoreClient.onPeerLost(peer, "link-closed");
         permitQueryClient.onConnectionClosed(peer);
         relayClient.onConnectionClosed(peer);
-        connectionListener.run();
+        connectionListener.accept(peer);
     }
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/metrics/EntryMetrics.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/metrics/EntryMetrics.java
@@ -54,6 +54,11 @@
             .help("Changes of the request rate limits that targets name, by change.")
             .labelNames("change")
             .register(registry);
+    private final Counter promptPartChanges = Counter.builder()
+            .name("amaranthlock_prompt_part_changes_total")
+            .help("Changes of what this host believes of prompt parts, by change.")
+            .labelNames("change")
+            .register(registry);
     private final Gauge configurationVersion = Gauge.builder()
             .name("amaranthlock_configuration_version")
             .help("Version of the configuration in force.")
@@ -95,6 +100,11 @@
         limitChanges.labelValues(change).inc();
     }
 
+    /** Counts a change of what this host believes of a prompt part. */
+    public void recordPromptPartChange(String change) {
+        promptPartChanges.labelValues(change).inc();
+    }
+
     /** Updates the version of the configuration in force. */
     public void updateConfigurationVersion(long version) {
         configurationVersion.set(version);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
@@ -5,6 +5,7 @@
 import org.amaranthlock.coordination.forwarding.HostLoadReport;
 import org.amaranthlock.coordination.forwarding.Rejection;
 import org.amaranthlock.coordination.forwarding.TargetResponse;
+import org.amaranthlock.coordination.promptpart.PromptPartReport;
 import org.amaranthlock.coordination.targetlimit.PermitDecision;
 import org.amaranthlock.coordination.targetlimit.PermitRequest;
 import org.amaranthlock.platform.ClientRequest;
@@ -28,6 +29,14 @@
      */
     record ConfigurationQuery(long id, long revision) implements EntryPeerMessage {}
 
+    /** Reports prompt parts that may crash targets; has no response. */
+    record PromptParts(PromptPartReport report) implements EntryPeerMessage {
+        /** Checks that the report is present. */
+        public PromptParts {
+            Objects.requireNonNull(report, "report");
+        }
+    }
+
     /** Announces a version of the configuration that the sender has found in the store; has no response. */
     record ConfigurationAnnounced(long version) implements EntryPeerMessage {}
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
@@ -41,6 +41,7 @@
     private static final int RELAY_STREAM_ENDED = 15;
     private static final int RELAY_ABORTED = 16;
     private static final int CONFIGURATION_ANNOUNCED = 17;
+    private static final int PROMPT_PARTS = 18;
     private static final int MAX_ENTRIES = 10_000;
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -53,6 +54,10 @@
                 case EntryPeerMessage.LoadReport loadReport -> packLoadReport(packer, loadReport.report());
                 case EntryPeerMessage.ConfigurationQuery query ->
                     pack(packer, CONFIGURATION_QUERY, query.id(), query.revision());
+                case EntryPeerMessage.PromptParts parts -> {
+                    pack(packer, PROMPT_PARTS);
+                    PromptPartCodec.packReport(packer, parts.report());
+                }
                 case EntryPeerMessage.ConfigurationAnnounced announced ->
                     pack(packer, CONFIGURATION_ANNOUNCED, announced.version());
                 case EntryPeerMessage.TargetsQuery query -> pack(packer, TARGETS_QUERY, query.id(), query.revision());
@@ -97,6 +102,7 @@
                 case LOAD_REPORT -> new EntryPeerMessage.LoadReport(unpackLoadReport(unpacker));
                 case CONFIGURATION_QUERY ->
                     new EntryPeerMessage.ConfigurationQuery(unpacker.unpackLong(), unpacker.unpackLong());
+                case PROMPT_PARTS -> new EntryPeerMessage.PromptParts(PromptPartCodec.unpackReport(unpacker));
                 case CONFIGURATION_ANNOUNCED -> new EntryPeerMessage.ConfigurationAnnounced(unpacker.unpackLong());
                 case TARGETS_QUERY -> new EntryPeerMessage.TargetsQuery(unpacker.unpackLong(), unpacker.unpackLong());
                 case CONFIGURATION_CONFIRMED ->
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/RequestForwarderTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/RequestForwarderTest.java
@@ -10,8 +10,11 @@
 import java.util.Set;
 import org.amaranthlock.coordination.brittle.BrittleListener;
 import org.amaranthlock.coordination.brittle.BrittleTargets;
+import org.amaranthlock.coordination.estimate.PrefillEstimates;
 import org.amaranthlock.coordination.forwarding.AdmissionPolicy;
+import org.amaranthlock.coordination.forwarding.CrashHistory;
 import org.amaranthlock.coordination.forwarding.EntryConfiguration;
+import org.amaranthlock.coordination.forwarding.ForwardingState;
 import org.amaranthlock.coordination.forwarding.LeastDelayPlacement;
 import org.amaranthlock.coordination.forwarding.LoadSheddingPolicy;
 import org.amaranthlock.coordination.forwarding.Mechanisms;
@@ -19,6 +22,8 @@
 import org.amaranthlock.coordination.forwarding.RetryBudgetLimits;
 import org.amaranthlock.coordination.forwarding.TargetLoadBalancer;
 import org.amaranthlock.coordination.forwarding.TargetTable;
+import org.amaranthlock.coordination.promptpart.PromptPartGuard;
+import org.amaranthlock.coordination.promptpart.PromptPartListener;
 import org.amaranthlock.coordination.targetlimit.LimitListener;
 import org.amaranthlock.coordination.targetlimit.TargetPermits;
 import org.amaranthlock.entry.control.PeerQueries;
@@ -73,19 +78,23 @@
                 () -> 0,
                 new AdmissionPolicy(5_000, 2_500),
                 new RetryBudgetLimits(0.8, 150, 10_000),
-                new TargetLoadBalancer(
-                        new FailureDomain("a"),
-                        new LeastDelayPlacement(random),
-                        new LoadSheddingPolicy(random),
-                        new TargetPermits(
-                                "host-1",
-                                (_, _, result) -> result.accept(Optional.empty()),
-                                LimitListener.none(),
-                                () -> 0,
-                                random),
-                        new BrittleTargets(random, BrittleListener.none()),
+                new ForwardingState(
+                        new TargetLoadBalancer(
+                                new FailureDomain("a"),
+                                new LeastDelayPlacement(random),
+                                new LoadSheddingPolicy(random),
+                                new TargetPermits(
+                                        "host-1",
+                                        (_, _, result) -> result.accept(Optional.empty()),
+                                        LimitListener.none(),
+                                        () -> 0,
+                                        random),
+                                new BrittleTargets(random, BrittleListener.none()),
+                                Mechanisms.ALL),
+                        new CrashHistory(),
+                        new PromptPartGuard("host-1", PromptPartListener.none()),
+                        new PrefillEstimates(),
                         Mechanisms.ALL),
-                Mechanisms.ALL,
                 random,
                 new OutboundCalls(
                         connections,
