Tests that fail because bytes of workers are read without a bound

A stand-in worker sends a header line, interim responses, a body, a response to another request, an event, short lines or a stream without end, until its connection is closed. Seen on the code as it stands: 268 MB (all that the stand-in sends) of a response to another request and of short lines are read, 88 MB of one event; a lookup of another client on the same loop fails; a stream whose client does not read stays in memory. Header lines, interim responses and bodies end in time.

--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetWorker.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetWorker.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.amaranthlock.standin.Standin;
 import org.amaranthlock.standin.fleet.EngineBatch.KvCopy;
 import org.amaranthlock.standin.fleet.FleetEngine.Generation;
@@ -56,6 +57,8 @@
     private final Map<Socket, Thread> connections = new ConcurrentHashMap<>();
     private final AtomicInteger openStreams = new AtomicInteger();
     private final AtomicInteger sentEvents = new AtomicInteger();
+    private final AtomicLong endlessBytes = new AtomicLong();
+    private final AtomicInteger openEndlessResponses = new AtomicInteger();
     private volatile FleetEngine engine;
     private volatile ServerSocket listener;
     private volatile Thread acceptor;
@@ -183,6 +186,16 @@
         crashingPromptPart = Optional.of(partId);
     }
 
+    /** Returns the number of bytes of endless responses that the worker has sent. */
+    public long endlessByteCount() {
+        return endlessBytes.get();
+    }
+
+    /** Returns whether the worker is sending an endless response. */
+    public boolean sendsEndlessly() {
+        return openEndlessResponses.get() > 0;
+    }
+
     /** Returns whether the worker accepts connections. */
     public boolean isListening() {
         return !listener.isClosed();
@@ -303,6 +316,10 @@
             return streamGeneration(request, out);
         }
         recordExecution(request);
+        if (fault != null && fault.isEndless()) {
+            sendEndlessly(fault, request, out);
+            return false;
+        }
         return fault == null ? sendCompleteResponse(request, out) : sendFaultyResponse(fault, request, out, connection);
     }
 
@@ -404,6 +421,15 @@
         write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
     }
 
+    private void sendEndlessly(WorkerFault fault, WorkerRequest request, OutputStream out) throws IOException {
+        openEndlessResponses.incrementAndGet();
+        try {
+            new EndlessResponse(fault, request.id(), endlessBytes).sendTo(out);
+        } finally {
+            openEndlessResponses.decrementAndGet();
+        }
+    }
+
     private boolean sendFaultyResponse(WorkerFault fault, WorkerRequest request, OutputStream out, Socket connection)
             throws IOException, InterruptedException {
         String body = "done " + request.id();
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/WorkerFault.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/WorkerFault.java
@@ -27,5 +27,24 @@
     /** Responds before reading the request body, then reads the body and executes the request. */
     EARLY_RESPONSE,
     /** Crashes when it starts to execute the request. */
-    CRASH
+    CRASH,
+    /** Executes the request and sends a header line that never ends. */
+    ENDLESS_HEADER,
+    /** Executes the request and sends interim responses without end. */
+    ENDLESS_INTERIM_RESPONSES,
+    /** Executes the request and sends a body that never ends. */
+    ENDLESS_BODY,
+    /** Executes the request and sends a response for another request that never ends. */
+    ENDLESS_FOREIGN_RESPONSE,
+    /** Executes the request and sends a stream whose first event never ends. */
+    ENDLESS_EVENT,
+    /** Executes the request and sends a stream whose first event consists of short lines without end. */
+    ENDLESS_LINES,
+    /** Executes the request and sends a stream of large events without end. */
+    ENDLESS_STREAM;
+
+    /** Returns whether the worker sends bytes until the caller closes the connection. */
+    public boolean isEndless() {
+        return name().startsWith("ENDLESS_");
+    }
 }
