Bound what is read of a target that sends bytes without end

Callers saw, with such a target: lookups of other clients that failed while its bytes were read, and hosts whose memory it could fill.

Cause: the splitter of event streams kept bytes until a blank line came, and copied all of them at each line feed; responses to other requests and interim responses were skipped for as long as they came; a body could have 8 MB on every connection at once; a stream whose client did not read was kept in memory.

Header lines were bounded already (by the decoder), as were the times (by the deadline of the request and the timeouts of calls).

New tests show that an answer or a stream without length and chunks is complete when its connection closes, unless it is reset or ends inside an event.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/EventStreamSplitter.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/EventStreamSplitter.java
@@ -8,28 +8,39 @@
 /**
  * Splits the bytes of an event stream into whole events, so that a stream can resume after the last whole event.
  *
- * <p>Not thread-safe.
+ * <p>Each byte is looked at once, and the bytes of one event are bounded. Not thread-safe.
  */
 public final class EventStreamSplitter {
+    /** Longest event, in bytes; an event of a text stream has a few hundred. */
+    public static final int MAX_EVENT_BYTES = 256 * 1024;
+
     private static final String ID_FIELD = "id:";
 
+    /** Bytes of the event that is not complete yet. */
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
 
+    /** Whether the current line has a character other than its line break. */
+    private boolean lineHasContent;
+
+    /** Whether the current event has a line with content; blank lines before it do not end it. */
+    private boolean eventHasContent;
+
     /**
      * Adds bytes and returns the events that they complete.
      *
-     * @throws NumberFormatException if an event has no numeric id
+     * @throws MalformedStreamException if an event has no numeric id or is too long
      */
     public List<StreamEvent> add(byte[] bytes) {
         List<StreamEvent> events = new ArrayList<>();
-        for (byte next : bytes) {
-            pending.write(next);
-            if (next == '\n' && endsWithBlankLine()) {
-                byte[] event = pending.toByteArray();
-                pending.reset();
-                events.add(new StreamEvent(id(event), event));
+        int start = 0;
+        for (int i = 0; i < bytes.length; i++) {
+            if (endsEvent(bytes[i])) {
+                append(bytes, start, i + 1);
+                start = i + 1;
+                events.add(takeEvent());
             }
         }
+        append(bytes, start, bytes.length);
         return events;
     }
 
@@ -38,21 +49,53 @@
         return pending.size() == 0;
     }
 
-    private boolean endsWithBlankLine() {
-        byte[] bytes = pending.toByteArray();
-        int end = bytes.length;
-        if (end >= 2 && bytes[end - 2] == '\n') {
-            return true;
+    /** Returns the number of bytes of the event that is not complete yet. */
+    public int pendingBytes() {
+        return pending.size();
+    }
+
+    /** Records the next byte and returns whether it ends a blank line after a line with content. */
+    private boolean endsEvent(byte next) {
+        if (next == '\n') {
+            boolean blankLine = !lineHasContent;
+            lineHasContent = false;
+            return blankLine && eventHasContent;
+        }
+        if (next != '\r') {
+            lineHasContent = true;
+            eventHasContent = true;
+        }
+        return false;
+    }
+
+    private void append(byte[] bytes, int from, int to) {
+        if (pending.size() + to - from > MAX_EVENT_BYTES) {
+            throw new MalformedStreamException("event of more than " + MAX_EVENT_BYTES + " bytes");
         }
-        return end >= 4 && bytes[end - 2] == '\r' && bytes[end - 3] == '\n' && bytes[end - 4] == '\r';
+        pending.write(bytes, from, to - from);
+    }
+
+    private StreamEvent takeEvent() {
+        byte[] event = pending.toByteArray();
+        pending.reset();
+        eventHasContent = false;
+        return new StreamEvent(id(event), event);
     }
 
     private static long id(byte[] event) {
         for (String line : new String(event, StandardCharsets.ISO_8859_1).split("\r?\n")) {
             if (line.startsWith(ID_FIELD)) {
-                return Long.parseLong(line.substring(ID_FIELD.length()).trim());
+                return parseId(line.substring(ID_FIELD.length()).trim());
             }
         }
-        throw new NumberFormatException("event has no \"id\" field; a stream cannot resume after it");
+        throw new MalformedStreamException(MalformedStreamException.NO_NUMBER);
+    }
+
+    private static long parseId(String text) {
+        try {
+            return Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            throw new MalformedStreamException(MalformedStreamException.NO_NUMBER, e);
+        }
     }
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -52,6 +52,7 @@
 import org.amaranthlock.entry.settings.EntrySettings;
 import org.amaranthlock.entry.settings.EntrySettingsReader;
 import org.amaranthlock.entry.target.PromptLocator;
+import org.amaranthlock.entry.target.ResponseMemory;
 import org.amaranthlock.entry.target.TargetConnectionPool;
 import org.amaranthlock.model.AmaranthlockException;
 import org.amaranthlock.platform.NettyPlatformStore;
@@ -305,7 +306,7 @@
             RelayClient relayClient,
             PromptPartGuard promptPartGuard) {
         TargetConnectionPool connections =
-                new TargetConnectionPool(trafficLoop, EntryProcess::monotonicMillis, metrics);
+                new TargetConnectionPool(trafficLoop, ResponseMemory.ofHeap(), EntryProcess::monotonicMillis, metrics);
         PromptLocator promptLocator =
                 new PromptLocator(trafficLoop, connections::listKvCache, EntryProcess::monotonicMillis, random, log);
         return new RequestForwarder(
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RelayEvents.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RelayEvents.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.function.LongSupplier;
 import org.amaranthlock.coordination.forwarding.EventStreamSplitter;
+import org.amaranthlock.coordination.forwarding.MalformedStreamException;
 import org.amaranthlock.coordination.forwarding.RelayedRequest;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.entry.relay.RelayListener;
@@ -46,8 +47,8 @@
     private void onEvents(byte[] bytes) {
         try {
             request.onEvents(attempt, splitter.add(bytes), now());
-        } catch (NumberFormatException e) {
-            request.onLost(attempt, "event-without-number", now());
+        } catch (MalformedStreamException e) {
+            request.onLost(attempt, e.reason().replace(' ', '-'), now());
         }
     }
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
@@ -261,6 +261,11 @@
         return draining;
     }
 
+    @Override
+    public void onClientTooSlow(String requestId) {
+        log.write("client-too-slow", "id", requestId);
+    }
+
     @Override
     public void onRejectedEarly(String requestId, int status, String reason) {
         metrics.recordRequest("rejected", reason, 0);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientConnectionHandler.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientConnectionHandler.java
@@ -50,6 +50,9 @@
      */
     private static final long LINGER_MILLIS = 1_000;
 
+    /** Bytes of a stream that its client has not read, from which on the stream is broken off. */
+    private static final int MAX_UNSENT_BYTES = 1024 * 1024;
+
     private final ClientExchangeHandler exchangeHandler;
     private final Deque<HttpObject> queued = new ArrayDeque<>();
     private ChannelHandlerContext context;
@@ -146,7 +149,13 @@
         context.write(response);
     }
 
+    /** Writes events; breaks the stream off if the client has not read too many of them. */
     void writeEvents(byte[] events) {
+        if (context.channel().bytesBeforeWritable() > MAX_UNSENT_BYTES) {
+            exchangeHandler.onClientTooSlow(exchange.requestId());
+            context.close();
+            return;
+        }
         context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(events)));
     }
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientExchangeHandler.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientExchangeHandler.java
@@ -14,6 +14,9 @@
     /** Returns whether the process is shutting down, so that connections close after their current response. */
     boolean draining();
 
+    /** Records a stream that was broken off because its client had not read too much of it. */
+    void onClientTooSlow(String requestId);
+
     /** Records a request that was rejected before it was received completely. */
     void onRejectedEarly(String requestId, int status, String reason);
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ConnectionExchange.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ConnectionExchange.java
@@ -65,6 +65,10 @@
         }
     }
 
+    String requestId() {
+        return requestId;
+    }
+
     void onClientDisconnected() {
         disconnected = true;
         onDisconnect.run();
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
@@ -18,6 +18,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.amaranthlock.coordination.forwarding.EventStreamSplitter;
+import org.amaranthlock.coordination.forwarding.MalformedStreamException;
 import org.amaranthlock.coordination.forwarding.StreamEvent;
 import org.amaranthlock.platform.TargetResponseDecoder;
 
@@ -25,7 +26,8 @@
  * HTTP connection to a target that carries one exchange at a time.
  *
  * <p>A response whose request id differs from that of the current exchange is skipped, and the connection is not
- * reused.
+ * reused. What a target may send is bounded: the head by the decoder, the body and the skipped responses by this class,
+ * events by {@link EventStreamSplitter}, and what is buffered on all connections by {@link ResponseMemory}.
  */
 final class HttpTargetConnection extends SimpleChannelInboundHandler<HttpObject> {
     /** Time for which an idle connection may be reused if the target does not state its idle timeout. */
@@ -36,10 +38,14 @@
      */
     private static final long IDLE_TIMEOUT_MARGIN_MILLIS = 1_000;
 
-    /** Maximum size of a response body, which is buffered in memory. */
-    private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+    /** Maximum size of the bodies of skipped responses to one request, in bytes. */
+    private static final int MAX_SKIPPED_BYTES = 1024 * 1024;
+
+    /** Maximum number of interim and other skipped responses to one request. */
+    private static final int MAX_SKIPPED_RESPONSES = 32;
 
     private final Consumer<HttpTargetConnection> returnToPool;
+    private final ResponseMemory memory;
     private final LongSupplier clockMillis;
     private Channel channel;
     private TargetExchange exchange;
@@ -52,10 +58,14 @@
     private String failureCause;
     private ByteArrayOutputStream body;
     private EventStreamSplitter events;
+    private int skippedBytes;
+    private int skippedResponses;
+    private long reservedBytes;
     private long reusableUntilMillis;
 
-    HttpTargetConnection(Consumer<HttpTargetConnection> returnToPool, LongSupplier clockMillis) {
+    HttpTargetConnection(Consumer<HttpTargetConnection> returnToPool, ResponseMemory memory, LongSupplier clockMillis) {
         this.returnToPool = returnToPool;
+        this.memory = memory;
         this.clockMillis = clockMillis;
     }
 
@@ -86,6 +96,8 @@
         method = next.request().method();
         activeAtWrite = channel.isActive();
         requestSent = false;
+        skippedBytes = 0;
+        skippedResponses = 0;
     }
 
     void markRequestSent() {
@@ -111,7 +123,9 @@
         if (message instanceof HttpResponse response) {
             beginResponse(response);
         }
-        if (message instanceof HttpContent content && !skippingResponse && !isIdle()) {
+        if (message instanceof HttpContent content && skippingResponse) {
+            skipContent(content);
+        } else if (message instanceof HttpContent content && !isIdle()) {
             readContent(content);
         }
         if (message instanceof LastHttpContent) {
@@ -144,7 +158,7 @@
 
     private void beginResponse(HttpResponse response) {
         if (response.status().codeClass() == io.netty.handler.codec.http.HttpStatusClass.INFORMATIONAL) {
-            skippingResponse = true;
+            skipResponse();
             return;
         }
         if (isIdle()) {
@@ -152,8 +166,12 @@
             return;
         }
         if (!TargetResponseDecoder.isResponseTo(response, exchange.requestId())) {
-            skippingResponse = true;
             notReusable = true;
+            skipResponse();
+            return;
+        }
+        if (HttpUtil.getContentLength(response, 0L) > exchange.maxResponseBytes()) {
+            fail(tooLong());
             return;
         }
         head = response;
@@ -166,26 +184,66 @@
     }
 
     private void readContent(HttpContent content) {
-        byte[] bytes = ByteBufUtil.getBytes(content.content());
         if (events == null) {
-            body.writeBytes(bytes);
-            if (body.size() > MAX_RESPONSE_BYTES) {
-                fail("answer of more than " + MAX_RESPONSE_BYTES + " bytes");
-            }
-            return;
+            readBody(content);
+        } else {
+            readEvents(content);
+        }
+    }
+
+    private void readBody(HttpContent content) {
+        int size = body.size() + content.content().readableBytes();
+        if (size > exchange.maxResponseBytes()) {
+            fail(tooLong());
+        } else if (reserve(size)) {
+            body.writeBytes(ByteBufUtil.getBytes(content.content()));
         }
+    }
+
+    private void readEvents(HttpContent content) {
         List<StreamEvent> completeEvents;
         try {
-            completeEvents = events.add(bytes);
-        } catch (NumberFormatException e) {
-            fail("event without a number");
+            completeEvents = events.add(ByteBufUtil.getBytes(content.content()));
+        } catch (MalformedStreamException e) {
+            fail(e.reason());
             return;
         }
-        if (!completeEvents.isEmpty()) {
+        if (reserve(events.pendingBytes()) && !completeEvents.isEmpty()) {
             exchange.listener().onEvents(completeEvents);
         }
     }
 
+    private void skipResponse() {
+        skippingResponse = true;
+        skippedResponses++;
+        if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+            fail("more than " + MAX_SKIPPED_RESPONSES + " responses before the expected one");
+        }
+    }
+
+    private void skipContent(HttpContent content) {
+        skippedBytes += content.content().readableBytes();
+        if (skippedBytes > MAX_SKIPPED_BYTES) {
+            fail("more than " + MAX_SKIPPED_BYTES + " bytes before the expected response");
+        }
+    }
+
+    /** Reserves memory for this number of bytes instead of the bytes before; fails the exchange if none is left. */
+    private boolean reserve(long bytes) {
+        memory.release(reservedBytes);
+        reservedBytes = 0;
+        if (!memory.tryReserve(bytes)) {
+            fail("no memory left for responses");
+            return false;
+        }
+        reservedBytes = bytes;
+        return true;
+    }
+
+    private String tooLong() {
+        return "answer of more than " + exchange.maxResponseBytes() + " bytes";
+    }
+
     private void completeResponse() {
         // When a connection that was reset closes, the decoder ends a response without a length as if it were complete.
         if (failureCause != null) {
@@ -196,10 +254,7 @@
         HttpResponse response = head;
         byte[] responseBody = body == null ? null : body.toByteArray();
         boolean truncated = events != null && !events.atBoundary();
-        exchange = null;
-        head = null;
-        body = null;
-        events = null;
+        clearResponse();
         if (truncated) {
             close();
             completedExchange.complete();
@@ -223,6 +278,15 @@
         }
     }
 
+    private void clearResponse() {
+        exchange = null;
+        head = null;
+        body = null;
+        events = null;
+        memory.release(reservedBytes);
+        reservedBytes = 0;
+    }
+
     private boolean isSelfDelimited(HttpResponse response) {
         return HttpUtil.isContentLengthSet(response)
                 || HttpUtil.isTransferEncodingChunked(response)
@@ -238,7 +302,7 @@
             channel.close();
         }
         TargetExchange failedExchange = exchange;
-        exchange = null;
+        clearResponse();
         if (failedExchange == null || failedExchange.completed()) {
             return;
         }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnectionPool.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnectionPool.java
@@ -36,7 +36,6 @@
 import org.amaranthlock.platform.EngineReportDecoder;
 import org.amaranthlock.platform.KvCacheContents;
 import org.amaranthlock.platform.KvCacheCopyCall;
-import org.amaranthlock.platform.TargetResponseDecoder;
 
 /** Pool of persistent connections to all targets. All calls are on one event loop. */
 public final class TargetConnectionPool {
@@ -53,13 +52,15 @@
     private static final long COPY_TIMEOUT_MILLIS = 2_000;
 
     private final EventLoop loop;
+    private final ResponseMemory memory;
     private final LongSupplier clockMillis;
     private final EntryMetrics metrics;
     private final Bootstrap bootstrap;
     private final Map<TargetId, Deque<HttpTargetConnection>> idle = new HashMap<>();
 
     /** Creates a pool whose connections run on {@code loop}. */
-    public TargetConnectionPool(EventLoop loop, LongSupplier clockMillis, EntryMetrics metrics) {
+    public TargetConnectionPool(EventLoop loop, ResponseMemory memory, LongSupplier clockMillis, EntryMetrics metrics) {
+        this.memory = Objects.requireNonNull(memory, "memory");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
@@ -85,7 +86,7 @@
         }
         metrics.recordTargetConnection("request");
         HttpTargetConnection newConnection =
-                new HttpTargetConnection(connection -> addIdleConnection(target.id(), connection), clockMillis);
+                new HttpTargetConnection(connection -> addIdleConnection(target.id(), connection), memory, clockMillis);
         Bootstrap connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
@@ -136,8 +137,7 @@
      */
     public void checkResponds(EntryTarget target, Consumer<Boolean> result) {
         CheckListener listener = new CheckListener(result);
-        TargetExchange exchange =
-                new TargetExchange(TargetResponseDecoder.NO_REQUEST_ID, reportRequest(target), listener);
+        TargetExchange exchange = TargetExchange.call(reportRequest(target), listener);
         send(target, exchange, false);
         loop.schedule(
                 () -> {
@@ -178,7 +178,7 @@
             Function<byte[], Optional<T>> decoder,
             Consumer<Optional<T>> result) {
         CallListener<T> listener = new CallListener<>(decoder, result);
-        TargetExchange exchange = new TargetExchange(TargetResponseDecoder.NO_REQUEST_ID, request, listener);
+        TargetExchange exchange = TargetExchange.call(request, listener);
         send(target, exchange, true);
         loop.schedule(
                 () -> {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetExchange.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetExchange.java
@@ -3,22 +3,40 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.Objects;
+import org.amaranthlock.platform.TargetResponseDecoder;
 
 /** Request to a target, until its response is complete, it fails or it is cancelled. */
 public final class TargetExchange {
+    /** Longest body of a response for a client, in bytes; it is buffered until it is complete. */
+    private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+
+    /** Longest body of a response to a call, in bytes; an engine lists a few thousand prompt parts. */
+    private static final int MAX_CALL_RESPONSE_BYTES = 1024 * 1024;
+
     private final String requestId;
     private final FullHttpRequest request;
     private final ExchangeListener listener;
+    private final int maxResponseBytes;
     private Channel channel;
     private boolean completed;
 
-    /** Creates an exchange, which takes ownership of the request's buffer. */
+    /** Creates an exchange for a request of a client; takes ownership of the request's buffer. */
     public TargetExchange(String requestId, FullHttpRequest request, ExchangeListener listener) {
+        this(requestId, request, listener, MAX_RESPONSE_BYTES);
+    }
+
+    private TargetExchange(String requestId, FullHttpRequest request, ExchangeListener listener, int maxResponseBytes) {
+        this.maxResponseBytes = maxResponseBytes;
         this.requestId = Objects.requireNonNull(requestId, "request id");
         this.request = Objects.requireNonNull(request, "request");
         this.listener = Objects.requireNonNull(listener, "listener");
     }
 
+    /** Creates an exchange for a call of this host itself; takes ownership of the request's buffer. */
+    static TargetExchange call(FullHttpRequest request, ExchangeListener listener) {
+        return new TargetExchange(TargetResponseDecoder.NO_REQUEST_ID, request, listener, MAX_CALL_RESPONSE_BYTES);
+    }
+
     /** Cancels the exchange and closes its connection, so that the target stops working on the request. */
     public void cancel() {
         if (completed) {
@@ -30,6 +48,11 @@
         }
     }
 
+    /** Returns the size of the longest body that is accepted, in bytes. */
+    int maxResponseBytes() {
+        return maxResponseBytes;
+    }
+
     String requestId() {
         return requestId;
     }
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/RequestForwarderTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/RequestForwarderTest.java
@@ -32,6 +32,7 @@
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.entry.relay.RelayClient;
 import org.amaranthlock.entry.target.PromptLocator;
+import org.amaranthlock.entry.target.ResponseMemory;
 import org.amaranthlock.entry.target.TargetConnectionPool;
 import org.amaranthlock.model.FailureDomain;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -71,7 +72,8 @@
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create(1);
         EntryMetrics metrics = new EntryMetrics();
         DecisionLog log = new DecisionLog(Logger.getLogger("request-forwarder-test"), () -> 0);
-        TargetConnectionPool connections = new TargetConnectionPool(loop, () -> 0, metrics);
+        TargetConnectionPool connections =
+                new TargetConnectionPool(loop, new ResponseMemory(1 << 20), () -> 0, metrics);
         return new RequestForwarder(
                 loop,
                 () -> 0,
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientConnectionHandlerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientConnectionHandlerTest.java
@@ -47,6 +47,11 @@
             return draining;
         }
 
+        @Override
+        public void onClientTooSlow(String requestId) {
+            throw new AssertionError("no client of this test is slow");
+        }
+
         @Override
         public void onRejectedEarly(String requestId, int status, String reason) {
             // The tests check the status in the encoded response.
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientServerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientServerTest.java
@@ -40,6 +40,11 @@
             return false;
         }
 
+        @Override
+        public void onClientTooSlow(String requestId) {
+            throw new AssertionError("no client of this test is slow");
+        }
+
         @Override
         public void onRejectedEarly(String requestId, int status, String reason) {
             // No test sends a malformed request.
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/HttpTargetConnectionTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/HttpTargetConnectionTest.java
@@ -21,7 +21,8 @@
 
     private final RecordingListener listener = new RecordingListener();
     private final List<HttpTargetConnection> reusableConnections = new ArrayList<>();
-    private final HttpTargetConnection connection = new HttpTargetConnection(reusableConnections::add, () -> 0);
+    private final ResponseMemory memory = new ResponseMemory(1 << 20);
+    private final HttpTargetConnection connection = new HttpTargetConnection(reusableConnections::add, memory, () -> 0);
     private final EmbeddedChannel channel =
             new EmbeddedChannel(new HttpRequestEncoder(), connection.decoder(), connection);
 
@@ -144,6 +145,69 @@
         assertThat(listener.lostCause).isNotNull();
     }
 
+    // Guards against a stream without length and chunks that is taken for complete although it ended inside an event.
+    @Test
+    void streamWithoutLengthEndsWithConnection() {
+        receive(OK + "Content-Type: text/event-stream\r\n\r\nid: 0\ndata: a\n\n");
+        channel.close();
+        assertThat(listener.events).containsExactly(0L);
+        assertThat(listener.streamEnded).isTrue();
+    }
+
+    @Test
+    void reportsStreamWithoutLengthThatEndsInsideEventAsLost() {
+        receive(OK + "Content-Type: text/event-stream\r\n\r\nid: 0\ndata: a\n\nid: 1\ndata: b\n");
+        channel.close();
+        assertThat(listener.streamEnded).isFalse();
+        assertThat(listener.lostCause).isEqualTo("stream ended inside an event");
+    }
+
+    @Test
+    void reportsResetStreamWithoutLengthAsLost() {
+        receive(OK + "Content-Type: text/event-stream\r\n\r\nid: 0\ndata: a\n\n");
+        channel.pipeline().fireExceptionCaught(new IOException("Connection reset by peer"));
+        channel.close();
+        assertThat(listener.streamEnded).isFalse();
+        assertThat(listener.lostCause).isEqualTo("IOException");
+    }
+
+    @Test
+    void rejectsBodyThatIsAnnouncedTooLong() {
+        receive(OK + "Content-Length: 99999999\r\n\r\n");
+        assertThat(listener.lostCause).startsWith("answer of more than");
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    // Guards against memory that is never free again after a response was read, lost or broken off.
+    @Test
+    void releasesMemoryWhenResponseEnds() {
+        receive(OK + "Content-Length: 4\r\n\r\nok");
+        assertThat(memory.usedBytes()).isEqualTo(2);
+        receive("ok");
+        assertThat(memory.usedBytes()).isEqualTo(0);
+        begin();
+        receive(OK + "Content-Length: 4\r\n\r\nok");
+        channel.close();
+        assertThat(memory.usedBytes()).isEqualTo(0);
+    }
+
+    @Test
+    void failsResponseForWhichNoMemoryIsLeft() {
+        memory.tryReserve((1 << 20) - 1);
+        receive(OK + "Content-Length: 4\r\n\r\nok");
+        assertThat(listener.lostCause).isEqualTo("no memory left for responses");
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    @Test
+    void failsAfterManyInterimResponses() {
+        for (int i = 0; i < 33; i++) {
+            receive("HTTP/1.1 102 Processing\r\n\r\n");
+        }
+        assertThat(listener.lostCause).contains("before the expected one");
+        assertThat(channel.isOpen()).isFalse();
+    }
+
     private void begin() {
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/p", Unpooled.EMPTY_BUFFER);
