BUDGET: the store keeps which prompt parts crash targets

Callers would see the crashes again after all hosts have been killed: what hosts know of a crashing part lives in their memories only.

Now the host that sees the third consecutive crash writes the part to the store, under a kind of its own, one call for each verdict, and writes it again if the part is found sound after all. A host reads these objects once, at its start, and hears of later ones from the other hosts.

hostThatStartsKnowsTheCrashingPart guards it.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/promptpart/PartRecords.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/promptpart/PartRecords.java
@@ -36,6 +36,10 @@
     private final PromptPartListener listener;
     private final Map<PromptPartId, PartRecord> records = new HashMap<>();
     private final Set<PromptPartId> changed = new HashSet<>();
+
+    /** Parts whose requests are rejected, or no longer are, because of what this host saw. */
+    private final Set<PromptPartId> verdicts = new HashSet<>();
+
     private final Map<PromptPartId, Long> begunAtMillis = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<PromptPartId, Long> eldest) {
@@ -114,6 +118,9 @@
             PartRecord partRecord = recordOf(part);
             partRecord.recordCrash(crashesAtSend.get(part), others, nowMillis);
             changed.add(part);
+            if (partRecord.crashes() >= CONDEMNING_CRASHES) {
+                verdicts.add(part);
+            }
             listener.onSuspected(part, partRecord.crashes(), partRecord.companions());
         }
         trim();
@@ -127,6 +134,9 @@
             PartRecord partRecord = records.get(part);
             if (partRecord != null && partRecord.recordBegun(nowMillis)) {
                 changed.add(part);
+                if (partRecord.crashes() >= CONDEMNING_CRASHES) {
+                    verdicts.add(part);
+                }
                 listener.onCleared(part);
             }
         }
@@ -170,6 +180,13 @@
         return evidence;
     }
 
+    /** Returns the verdicts of this host since the last call: parts that it found crashing, or sound after all. */
+    List<PartEvidence> takeVerdicts(long nowMillis) {
+        List<PartEvidence> evidence = evidenceOf(verdicts, nowMillis);
+        verdicts.clear();
+        return evidence;
+    }
+
     /** Returns what is known of all parts of which crashes are remembered. */
     List<PartEvidence> all(long nowMillis) {
         return evidenceOf(records.keySet(), nowMillis);
@@ -246,6 +263,7 @@
                     .getKey();
             records.remove(weakest);
             changed.remove(weakest);
+            verdicts.remove(weakest);
         }
     }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/promptpart/PromptPartGuard.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/promptpart/PromptPartGuard.java
@@ -66,6 +66,19 @@
         return evidence.isEmpty() ? Optional.empty() : Optional.of(report(evidence));
     }
 
+    /**
+     * Returns the verdicts of this host since the last call, which have to outlive all hosts: parts whose requests are
+     * rejected, and parts that were found sound after all, without any crash.
+     */
+    public List<PartEvidence> takeVerdicts(long nowMillis) {
+        return records.takeVerdicts(nowMillis);
+    }
+
+    /** Applies verdicts of hosts that may have ended. */
+    public void applyVerdicts(List<PartEvidence> verdicts, long nowMillis) {
+        verdicts.forEach(evidence -> records.merge(evidence, nowMillis));
+    }
+
     /** Has the trials of this host reported again, because the other hosts forget what they do not hear repeatedly. */
     public void repeatTrials() {
         trials.repeat();
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -39,6 +39,7 @@
 import org.amaranthlock.entry.control.PeerStoreServer;
 import org.amaranthlock.entry.control.PermitQueryClient;
 import org.amaranthlock.entry.control.PromptPartExchange;
+import org.amaranthlock.entry.control.PromptPartVerdicts;
 import org.amaranthlock.entry.control.TargetWatcher;
 import org.amaranthlock.entry.front.ClientServer;
 import org.amaranthlock.entry.front.StatusServer;
@@ -129,16 +130,10 @@
         this.permits = createPermits(permitQueryClient, random);
         PromptPartGuard promptPartGuard =
                 new PromptPartGuard(settings.hostName(), new PromptPartLog(log, metrics, this::reportPromptParts));
-        this.promptPartExchange = new PromptPartExchange(
-                promptPartGuard,
-                trafficLoop,
-                controlLoop,
-                new FleetPeerQueries(),
-                EntryProcess::monotonicMillis,
-                random);
         RelayClient relayClient = new RelayClient(controlLoop, trafficLoop, new FleetPeerQueries(), metrics);
         this.requestForwarder = createForwarder(trafficLoop, ageClock, random, relayClient, promptPartGuard);
         this.store = new NettyPlatformStore(controlLoop, settings.storeAddress());
+        this.promptPartExchange = createPromptPartExchange(promptPartGuard, trafficLoop, controlLoop, random);
         PeerStoreServer peerStoreServer = new PeerStoreServer(ageClock::millis);
         PeerStoreClient peerStoreClient = new PeerStoreClient(
                 controlLoop,
@@ -355,6 +350,25 @@
                 metrics);
     }
 
+    private PromptPartExchange createPromptPartExchange(
+            PromptPartGuard guard, EventLoop trafficLoop, EventLoop controlLoop, UniformRandomProvider random) {
+        PromptPartVerdicts verdicts = new PromptPartVerdicts(
+                store,
+                controlLoop,
+                System::currentTimeMillis,
+                read -> trafficLoop.execute(() -> guard.applyVerdicts(read, monotonicMillis())),
+                log,
+                metrics);
+        return new PromptPartExchange(
+                guard,
+                trafficLoop,
+                controlLoop,
+                new FleetPeerQueries(),
+                verdicts,
+                EntryProcess::monotonicMillis,
+                random);
+    }
+
     private TargetLoadBalancer createLoadBalancer(UniformRandomProvider random) {
         return new TargetLoadBalancer(
                 settings.failureDomain(),
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PromptPartExchange.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PromptPartExchange.java
@@ -27,33 +27,39 @@
     private final EventLoop trafficLoop;
     private final EventLoop controlLoop;
     private final PeerQueries peerQueries;
+    private final PromptPartVerdicts verdicts;
     private final LongSupplier clockMillis;
     private final UniformRandomProvider random;
 
-    /** Creates an exchange that sends through {@code peerQueries}. */
+    /** Creates an exchange that sends through {@code peerQueries} and keeps verdicts in the store. */
     public PromptPartExchange(
             PromptPartGuard guard,
             EventLoop trafficLoop,
             EventLoop controlLoop,
             PeerQueries peerQueries,
+            PromptPartVerdicts verdicts,
             LongSupplier clockMillis,
             UniformRandomProvider random) {
         this.guard = Objects.requireNonNull(guard, "guard");
         this.trafficLoop = Objects.requireNonNull(trafficLoop, "traffic loop");
         this.controlLoop = Objects.requireNonNull(controlLoop, "control loop");
         this.peerQueries = Objects.requireNonNull(peerQueries, "peer queries");
+        this.verdicts = Objects.requireNonNull(verdicts, "verdicts");
         this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
         this.random = Objects.requireNonNull(random, "random");
     }
 
-    /** Starts to make up for lost reports. */
+    /** Starts to read verdicts and to make up for lost reports. */
     public void start() {
+        verdicts.start();
         trafficLoop.scheduleAtFixedRate(
                 this::repeat, REPEAT_INTERVAL_MILLIS, REPEAT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** Tells the other hosts what this one has found out; called on the traffic loop. */
+    /** Tells the other hosts and the store what this one has found out; called on the traffic loop. */
     public void reportChanges() {
+        guard.takeVerdicts(clockMillis.getAsLong())
+                .forEach(verdict -> controlLoop.execute(() -> verdicts.save(verdict)));
         send(
                 guard.takeChanges(clockMillis.getAsLong()),
                 report -> peerQueries
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/CrashingPromptPartTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/CrashingPromptPartTest.java
@@ -53,6 +53,21 @@
         assertThat(crashes).isAtMost(MAX_CRASHES);
     }
 
+    // Guards against a fleet whose hosts are all killed and learn again, by further crashes, which part it is.
+    @Test
+    void hostThatStartsKnowsTheCrashingPart() {
+        send("dead0");
+        EntryFixture.await(() ->
+                fixture.store.spec("amaranthlock-prompt-parts", CRASHING_PART).isPresent());
+        fixture.restart();
+        assertThat(send("dead1")).contains("HTTP/1.1 503");
+        assertThat(fixture.executions("dead1")).isEmpty();
+    }
+
+    private String send(String id) {
+        return fixture.callWithPrompt("POST /draft/x", id, "aa01:20," + CRASHING_PART + ":10,e" + id + ":20");
+    }
+
     // Guards against shutting out sound requests that share the account, the route and the first part.
     @Test
     void soundRequestsThatShareOtherPartsAreServed() {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryFixture.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryFixture.java
@@ -28,9 +28,9 @@
     final FleetStore store = new FleetStore("127.0.0.1", 0);
     final List<FleetWorker> desks = new ArrayList<>();
     final List<FleetWorker> engines = new ArrayList<>();
-    private final int clientPort;
-    private final int readinessPort;
-    private final EntryProcess process;
+    private int clientPort;
+    private int readinessPort;
+    private EntryProcess process;
 
     /** Starts and registers workers, then starts the daemon and waits until it is ready. */
     EntryFixture(int deskCount, int engineCount) {
@@ -47,6 +47,16 @@
             engines.add(startWorker("engine-" + i, true, eventMillis, "engines", i));
         }
         store.put("config", "main", OperatorConfiguration.standard(1, "key-1"));
+        startProcess();
+    }
+
+    /** Replaces the daemon by one that knows nothing of before but what the store holds. */
+    void restart() {
+        process.stop();
+        startProcess();
+    }
+
+    private void startProcess() {
         process = new EntryProcess(EntrySettingsReader.parse(settings(store.address())));
         process.start();
         clientPort = process.clientAddress().getPort();
