--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/AttemptTracker.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/AttemptTracker.java
@@ -9,6 +9,7 @@
  */
 final class AttemptTracker {
     private final TargetLoadBalancer loadBalancer;
+    private final Route route;
     private final long tokens;
     private Attempt current;
 
@@ -23,8 +24,9 @@
     private int deliveries;
     private int executions;
 
-    AttemptTracker(TargetLoadBalancer loadBalancer, long tokens) {
+    AttemptTracker(TargetLoadBalancer loadBalancer, Route route, long tokens) {
         this.loadBalancer = Objects.requireNonNull(loadBalancer, "load balancer");
+        this.route = Objects.requireNonNull(route, "route");
         this.tokens = tokens;
     }
 
@@ -43,6 +45,16 @@
         return executions;
     }
 
+    /** Returns whether another target may execute the request. */
+    boolean hasAttemptsLeft() {
+        return executions < route.maxAttempts();
+    }
+
+    /** Returns whether the current attempt may be given up for another one. */
+    boolean mayBeAbandoned() {
+        return route.isRetryable() && executions + 1 < route.maxAttempts();
+    }
+
     /** Returns the current attempt. */
     Optional<Attempt> current() {
         return Optional.ofNullable(current);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -74,7 +74,7 @@
         this.forecast = new FirstEventForecast(service, attributes, state.prefillEstimates(), mechanisms);
         this.port = Objects.requireNonNull(port, "port");
         this.poisonDetector = new PoisonDetector(attributes, state, port);
-        this.attempts = new AttemptTracker(loadBalancer, attributes.tokens());
+        this.attempts = new AttemptTracker(loadBalancer, route, attributes.tokens());
         this.stream = new StreamProgress(port, attributes.lastEventId().orElse(-1L));
         this.decisions = new DecisionRecorder(port, attempts, stream);
         this.retryTargets = new RetryTargets(loadBalancer, service, attributes.tokens());
@@ -148,7 +148,7 @@
             return;
         }
         attempts.countExecution();
-        boolean mayRetry = route.isRetryable() && hasAttemptsLeft();
+        boolean mayRetry = route.isRetryable() && attempts.hasAttemptsLeft();
         if (stream.opened() || !route.accepts(response) || (response.status() >= 500 && mayRetry)) {
             handleFailure(ended, "status-" + response.status(), nowMillis);
             return;
@@ -455,22 +455,13 @@
         loadBalancer.recordFailure(ended.target(), nowMillis);
         retryTargets.avoid(ended.target());
         decisions.record("lost", ended, cause, 0, nowMillis);
-        if (!route.isRetryable() || !hasAttemptsLeft()) {
+        if (!route.isRetryable() || !attempts.hasAttemptsLeft()) {
             fail(Rejection.of(502, cause), nowMillis);
             return;
         }
         retry(cause, nowMillis);
     }
 
-    /** Returns whether the current attempt may be given up for another one. */
-    private boolean mayBeAbandoned() {
-        return route.isRetryable() && attempts.executions() + 1 < route.maxAttempts();
-    }
-
-    private boolean hasAttemptsLeft() {
-        return attempts.executions() < route.maxAttempts();
-    }
-
     private void retry(String cause, long nowMillis) {
         if (attempts.deliveries() >= route.maxAttempts() + EXTRA_DELIVERIES) {
             fail(permits.finalRejection(cause, attempts.executions() > 0), nowMillis);
@@ -507,9 +498,9 @@
 
     private void checkTimeouts(long nowMillis) {
         boolean generating = attempts.generating();
-        if (poisonDetector.shouldWithdraw(nowMillis) && mayBeAbandoned()) {
+        if (poisonDetector.shouldWithdraw(nowMillis) && attempts.mayBeAbandoned()) {
             withdrawAttempt(nowMillis);
-        } else if (mayBeAbandoned()
+        } else if (attempts.mayBeAbandoned()
                 && silence.isSilentTooLong(generating, nowMillis)
                 && retryTargets.hasAlternative(currentAttempt().target(), nowMillis)) {
             abandonAttempt(silence.timeoutCause(generating), nowMillis);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RelayPolicy.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RelayPolicy.java
@@ -31,8 +31,7 @@
      * whether it did. A request that a target may have executed must be retryable and within the retry budget.
      */
     boolean handOver(StreamProgress stream, long arrivedAtMillis, long deadlineMillis, long nowMillis) {
-        boolean mayBeExecuted =
-                route.isRetryable() ? attempts.executions() < route.maxAttempts() : attempts.executions() == 0;
+        boolean mayBeExecuted = route.isRetryable() ? attempts.hasAttemptsLeft() : attempts.executions() == 0;
         if (!mayBeExecuted || !loadBalancer.shouldRelay(service.name(), nowMillis)) {
             return false;
         }
