--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
@@ -212,7 +212,7 @@
                         request.forHost(attempt.timeLeftMillis(), attempt.lastEventId()),
                         relayFactory.orElseThrow().configurationVersion(),
                         attempt.executionsLeft(),
-                        new RelayEvents(relayedRequest, attempt.number(), clockMillis));
+                        new RelayResponses(relayedRequest, attempt.number(), clockMillis));
     }
 
     @Override
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RelayEvents.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RelayResponses.java
@@ -9,13 +9,13 @@
 import org.amaranthlock.entry.relay.RelayListener;
 
 /** Passes what becomes of one attempt at another host to the state machine of the request. */
-final class RelayEvents implements RelayListener {
+final class RelayResponses implements RelayListener {
     private final RelayedRequest request;
     private final int attempt;
     private final LongSupplier clockMillis;
     private final EventStreamSplitter splitter = new EventStreamSplitter();
 
-    RelayEvents(RelayedRequest request, int attempt, LongSupplier clockMillis) {
+    RelayResponses(RelayedRequest request, int attempt, LongSupplier clockMillis) {
         this.request = Objects.requireNonNull(request, "request");
         this.attempt = attempt;
         this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
