Register a host again whose registration the store has lost

Other hosts close their connections to a host that is no longer listed, and never open them again: it gets no reports, issues and borrows no permits and serves nobody whose paths are cut. The host itself registered only once, at its start, so a store that came back from a copy older than the start left it so until the next one.

Now a host writes its registration again when a list does not contain it. registersAgainWhenItsRegistrationIsMissing failed before (one write where two are needed).

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerDirectory.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerDirectory.java
@@ -14,7 +14,7 @@
 import org.amaranthlock.platform.PlatformStore;
 import org.amaranthlock.platform.StoreReply;
 
-/** Registers this host in the store and periodically lists the other entry hosts registered there. */
+/** Keeps this host registered in the store and periodically lists the other entry hosts registered there. */
 public final class PeerDirectory {
     /** Interval between two lists; a stale list suffices, because load reports affect only the choice of engines. */
     private static final long LIST_INTERVAL_MILLIS = 5_000;
@@ -103,10 +103,22 @@
             return;
         }
         listFailing = false;
+        registerAgainIfMissing();
         publish();
         loop.schedule(this::list, LIST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Registers this host again if the store no longer has its registration. A stale list may be older than the
+     * registration; then the same content is written again, which changes nothing.
+     */
+    private void registerAgainIfMissing() {
+        if (!listing.contains(localRegistration)) {
+            log.write("peer-entry-missing", "host", hostName, "listed", listing.size());
+            register();
+        }
+    }
+
     private void publish() {
         Set<PeerRegistration> listed = new LinkedHashSet<>(listing);
         listed.removeIf(registration -> registration.name().equals(hostName));
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerDirectoryTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerDirectoryTest.java
@@ -64,6 +64,7 @@
     private static final class ScriptedStore implements PlatformStore {
         final Queue<StoreReply> pages = new ArrayDeque<>();
         final List<String> pageStarts = new ArrayList<>();
+        int writes;
 
         @Override
         public void listStale(String kind, String afterName, long timeoutMillis, Consumer<StoreReply> result) {
@@ -73,6 +74,7 @@
 
         @Override
         public void write(String kind, String name, JsonNode spec, long timeoutMillis, Consumer<StoreReply> result) {
+            writes++;
             result.accept(new StoreReply.Found(new StoredObject(name, 1, spec)));
         }
 
@@ -129,6 +131,23 @@
                 .hasSize(1);
     }
 
+    // Guards against a host that the others never hear of again, because the store came back from a copy that is older
+    // than its registration.
+    @Test
+    void registersAgainWhenItsRegistrationIsMissing() {
+        store.pages.add(page(Optional.empty(), "entry-1", "entry-2"));
+        store.pages.add(page(Optional.empty(), "entry-2"));
+        store.pages.add(page(Optional.empty(), "entry-1", "entry-2"));
+        startAndList();
+        assertThat(store.writes).isEqualTo(1);
+        advance(5_000);
+        assertThat(store.writes).isEqualTo(2);
+        assertThat(lines.stream().filter(line -> line.startsWith("event=peer-entry-missing")))
+                .hasSize(1);
+        advance(5_000);
+        assertThat(store.writes).isEqualTo(2);
+    }
+
     private void startAndList() {
         directory.start("10.0.0.1:7000");
         advance(1_500);
@@ -148,6 +167,6 @@
     }
 
     private static PeerRegistration peer(String name) {
-        return new PeerRegistration(name, "10.0.0.2:7000", DOMAIN);
+        return new PeerRegistration(name, "10.0.0." + name.substring("entry-".length()) + ":7000", DOMAIN);
     }
 }
