BUDGET: a trial that takes long lets another request be tried

Sound requests that share a suspect part waited for the one that is tried, however long its engine's queue was: up to the deadline, and so would be served less often at the first attempt (LOST).

Now a trial keeps others from being tried for six seconds at most; the reports of its host no longer name it then.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/promptpart/PartTrials.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/promptpart/PartTrials.java
@@ -4,7 +4,9 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.amaranthlock.model.PromptPartId;
 
 /**
@@ -18,6 +20,9 @@
     /** Time in which the other hosts hear of a claim, in milliseconds. */
     static final long CLAIM_MILLIS = 80;
 
+    /** Time for which a trial keeps others from being tried, in milliseconds; its engine may have a long queue. */
+    static final long TRIAL_MILLIS = 6_000;
+
     /** Time after which the trials of a host that no longer reports are ended, in milliseconds. */
     private static final long REPORT_MILLIS = 5_000;
 
@@ -26,7 +31,21 @@
     private final Map<String, RemoteTrials> remoteTrials = new HashMap<>();
     private boolean changed;
 
-    private record LocalTrial(Set<PromptPartId> parts, long claimedAtMillis, boolean sent) {}
+    /**
+     * Trial of a request of this host.
+     *
+     * @param sentAtMillis time at which the request was first sent; empty while its parts are only claimed
+     */
+    private record LocalTrial(Set<PromptPartId> parts, long claimedAtMillis, OptionalLong sentAtMillis) {
+        private boolean sent() {
+            return sentAtMillis.isPresent();
+        }
+
+        /** Returns whether no other request with these parts is tried meanwhile. */
+        private boolean isExclusive(long nowMillis) {
+            return !sent() || nowMillis - sentAtMillis.getAsLong() < TRIAL_MILLIS;
+        }
+    }
 
     private record RemoteTrials(Set<PromptPartId> claimed, Set<PromptPartId> tried, long atMillis) {}
 
@@ -50,7 +69,8 @@
             return new TrialDecision.Wait(pollMillis);
         }
         if (!trial.sent()) {
-            localTrials.put(request, new LocalTrial(trial.parts(), trial.claimedAtMillis(), true));
+            localTrials.put(
+                    request, new LocalTrial(trial.parts(), trial.claimedAtMillis(), OptionalLong.of(nowMillis)));
             changed = true;
         }
         return new TrialDecision.Granted();
@@ -84,26 +104,35 @@
         changed |= !localTrials.isEmpty();
     }
 
-    Set<PromptPartId> localParts(boolean sent) {
+    /** Returns the parts that requests of this host are about to try. */
+    Set<PromptPartId> claimedParts() {
+        return partsOf(trial -> !trial.sent());
+    }
+
+    /** Returns the parts that requests of this host try, while no other request with them is to be tried. */
+    Set<PromptPartId> triedParts(long nowMillis) {
+        return partsOf(trial -> trial.sent() && trial.isExclusive(nowMillis));
+    }
+
+    private Set<PromptPartId> partsOf(Predicate<LocalTrial> matching) {
         Set<PromptPartId> parts = new HashSet<>();
-        localTrials.values().stream()
-                .filter(trial -> trial.sent() == sent)
-                .forEach(trial -> parts.addAll(trial.parts()));
+        localTrials.values().stream().filter(matching).forEach(trial -> parts.addAll(trial.parts()));
         return parts;
     }
 
     private TrialDecision claim(RequestParts request, Set<PromptPartId> suspects, long pollMillis, long nowMillis) {
         localTrials.remove(request);
-        if (isTaken(suspects)) {
+        if (isTaken(suspects, nowMillis)) {
             return new TrialDecision.Wait(pollMillis);
         }
-        localTrials.put(request, new LocalTrial(Set.copyOf(suspects), nowMillis, false));
+        localTrials.put(request, new LocalTrial(Set.copyOf(suspects), nowMillis, OptionalLong.empty()));
         changed = true;
         return new TrialDecision.Wait(CLAIM_MILLIS);
     }
 
-    private boolean isTaken(Set<PromptPartId> suspects) {
-        return localTrials.values().stream().anyMatch(trial -> intersect(trial.parts(), suspects))
+    private boolean isTaken(Set<PromptPartId> suspects, long nowMillis) {
+        return localTrials.values().stream()
+                        .anyMatch(trial -> trial.isExclusive(nowMillis) && intersect(trial.parts(), suspects))
                 || remoteTrials.values().stream()
                         .anyMatch(
                                 remote -> intersect(remote.tried(), suspects) || intersect(remote.claimed(), suspects));
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/promptpart/PromptPartGuard.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/promptpart/PromptPartGuard.java
@@ -57,13 +57,13 @@
             return Optional.empty();
         }
         trials.markReported();
-        return Optional.of(report(records.takeChanges(nowMillis)));
+        return Optional.of(report(records.takeChanges(nowMillis), nowMillis));
     }
 
     /** Returns all that a host has to know which may have missed reports; empty if there is nothing to know. */
     public Optional<PromptPartReport> fullReport(long nowMillis) {
         List<PartEvidence> evidence = records.all(nowMillis);
-        return evidence.isEmpty() ? Optional.empty() : Optional.of(report(evidence));
+        return evidence.isEmpty() ? Optional.empty() : Optional.of(report(evidence, nowMillis));
     }
 
     /**
@@ -151,7 +151,7 @@
         return trials.decide(request, suspects, POLL_MILLIS, nowMillis);
     }
 
-    private PromptPartReport report(List<PartEvidence> evidence) {
-        return new PromptPartReport(localHost, evidence, trials.localParts(false), trials.localParts(true));
+    private PromptPartReport report(List<PartEvidence> evidence, long nowMillis) {
+        return new PromptPartReport(localHost, evidence, trials.claimedParts(), trials.triedParts(nowMillis));
     }
 }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/promptpart/PromptPartGuardTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/promptpart/PromptPartGuardTest.java
@@ -189,6 +189,26 @@
         assertThat(decide(request)).isEqualTo(GRANTED);
     }
 
+    // Guards against sound requests that wait for one which waits itself in the queue of an overloaded engine.
+    @Test
+    void trialThatTakesLongLetsAnotherRequestBeTried() {
+        PromptPartGuard other = new PromptPartGuard("host-2", PromptPartListener.none());
+        crash(CRASHING);
+        report(guard, other);
+        RequestParts slow = guard.request(List.of(CRASHING));
+        decide(slow);
+        nowMillis += PartTrials.CLAIM_MILLIS;
+        assertThat(decide(slow)).isEqualTo(GRANTED);
+        report(guard, other);
+        nowMillis += PartTrials.TRIAL_MILLIS;
+        guard.repeatTrials();
+        report(guard, other);
+        RequestParts next = other.request(List.of(CRASHING));
+        next.decide(nowMillis);
+        nowMillis += PartTrials.CLAIM_MILLIS;
+        assertThat(next.decide(nowMillis)).isEqualTo(GRANTED);
+    }
+
     // Guards against a report that was delayed and makes a part suspect again that an answer has cleared.
     @Test
     void crashBeforeTheLastAnswerIsIgnored() {
