--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/promptpart/PartRecord.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/promptpart/PartRecord.java
@@ -15,7 +15,7 @@
     static final long NEVER = Long.MIN_VALUE / 2; // half, so that an age does not overflow
 
     /** Time for which an answer that began shows that a part was sound, in milliseconds. */
-    private static final long SOUND_MILLIS = 60_000;
+    static final long SOUND_MILLIS = 60_000;
 
     private int crashes;
     private long crashedAtMillis = NEVER;
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/promptpart/PartRecords.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/promptpart/PartRecords.java
@@ -25,7 +25,8 @@
     /** Factor by which the time until the next trial grows with each crash. */
     private static final int RETRIAL_FACTOR = 4;
 
-    private static final int MAX_RETRIAL_DOUBLINGS = 5;
+    /** How often the time until the next trial grows; the longest is three and a half days. */
+    private static final int MAX_RETRIAL_GROWTHS = 5;
 
     /** Parts of which crashes are remembered. */
     private static final int MAX_RECORDS = 512;
@@ -220,7 +221,7 @@
         long begunAt = Math.max(
                 local == null ? PartRecord.NEVER : local,
                 partRecord == null ? PartRecord.NEVER : partRecord.begunAtMillis());
-        return nowMillis - begunAt < SUSPICION_MILLIS;
+        return nowMillis - begunAt < PartRecord.SOUND_MILLIS;
     }
 
     /** Returns whether a part that was sound lately crashed targets only together with one that was not. */
@@ -244,7 +245,7 @@
 
     private static long retrialDelayMillis(int crashes) {
         long delay = FIRST_RETRIAL_MILLIS;
-        for (int i = CONDEMNING_CRASHES; i < Math.min(crashes, CONDEMNING_CRASHES + MAX_RETRIAL_DOUBLINGS); i++) {
+        for (int i = CONDEMNING_CRASHES; i < Math.min(crashes, CONDEMNING_CRASHES + MAX_RETRIAL_GROWTHS); i++) {
             delay *= RETRIAL_FACTOR;
         }
         return delay;
