Accept a long length in a response to HEAD

The check now leaves HEAD out. acceptsLongLengthInResponseToHead fails without the change (no response where one is expected) and passes with it.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
@@ -170,7 +170,8 @@
             skipResponse();
             return;
         }
-        if (HttpUtil.getContentLength(response, 0L) > exchange.maxResponseBytes()) {
+        boolean hasBody = !HttpMethod.HEAD.equals(method);
+        if (hasBody && HttpUtil.getContentLength(response, 0L) > exchange.maxResponseBytes()) {
             fail(tooLong());
             return;
         }
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/HttpTargetConnectionTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/HttpTargetConnectionTest.java
@@ -178,6 +178,15 @@
         assertThat(channel.isOpen()).isFalse();
     }
 
+    // A response to HEAD names the length that a response to GET would have.
+    @Test
+    void acceptsLongLengthInResponseToHead() {
+        begin(HttpMethod.HEAD);
+        receive(OK + "Content-Length: 99999999\r\n\r\n");
+        assertThat(listener.responses).hasSize(1);
+        assertThat(listener.lostCause).isNull();
+    }
+
     // Guards against memory that is never free again after a response was read, lost or broken off.
     @Test
     void releasesMemoryWhenResponseEnds() {
@@ -209,8 +218,12 @@
     }
 
     private void begin() {
+        begin(HttpMethod.POST);
+    }
+
+    private void begin(HttpMethod method) {
         DefaultFullHttpRequest request =
-                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/p", Unpooled.EMPTY_BUFFER);
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/p", Unpooled.EMPTY_BUFFER);
         connection.begin(new TargetExchange("r1", request, listener));
         channel.writeOutbound(request);
         connection.markRequestSent();
