Restore the cause of a passed-on stream with an event without number

The cause of an attempt that was lost at another host had moved from event-without-number to event-without-a-number with the bound on events; it reaches logs and, as the reason of a 502, clients. Restored letter for letter; an event that is too long has a cause of its own, event-too-long.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/MalformedStreamException.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/MalformedStreamException.java
@@ -6,7 +6,7 @@
 /** A target sent an event stream that cannot be forwarded; the stream has to be resumed on another one. */
 public final class MalformedStreamException extends AmaranthlockException {
     /** Reason for an event without a numeric id, after which a stream cannot resume. */
-    static final String NO_NUMBER = "event without a number";
+    public static final String NO_NUMBER = "event without a number";
 
     private static final long serialVersionUID = 1L;
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RelayResponses.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RelayResponses.java
@@ -48,7 +48,8 @@
         try {
             request.onEvents(attempt, splitter.add(bytes), now());
         } catch (MalformedStreamException e) {
-            request.onLost(attempt, e.reason().replace(' ', '-'), now());
+            boolean noNumber = e.reason().equals(MalformedStreamException.NO_NUMBER);
+            request.onLost(attempt, noNumber ? "event-without-number" : "event-too-long", now());
         }
     }
 
