Log the software version of targets and what a returning client resumes

The logs could not tell by which way a stream came to another version, because no line named a version. Targets now carry the version that they register, as a value type; one that is absent, of another type or overlong is a value of its own. No decision depends on it yet.

--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/ForwardingSimulation.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/ForwardingSimulation.java
@@ -19,6 +19,7 @@
 import org.amaranthlock.coordination.forwarding.WeightedService;
 import org.amaranthlock.model.FailureDomain;
 import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.SoftwareVersion;
 import org.amaranthlock.model.TargetId;
 import org.amaranthlock.standin.fleet.EngineRequest.PromptPart;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -130,7 +131,8 @@
                 scenario.engineConfig().slots(),
                 false,
                 0,
-                1);
+                1,
+                SoftwareVersion.UNKNOWN);
     }
 
     private FailureDomain domain(int index) {
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedStreamingEngine.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedStreamingEngine.java
@@ -150,7 +150,8 @@
                 target.slots(),
                 false,
                 0,
-                target.startedAtMillis() + 1);
+                target.startedAtMillis() + 1,
+                target.version());
     }
 
     /**
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/limit/BrittleTargetSimulation.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/limit/BrittleTargetSimulation.java
@@ -26,6 +26,7 @@
 import org.amaranthlock.coordination.targetlimit.TargetPermits;
 import org.amaranthlock.model.FailureDomain;
 import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.SoftwareVersion;
 import org.amaranthlock.model.TargetId;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -96,7 +97,8 @@
                     SLOTS,
                     false,
                     0,
-                    1);
+                    1,
+                    SoftwareVersion.UNKNOWN);
             targets.add(target);
             desks.put(target.id(), new Desk());
         }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/DecisionRecorder.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/DecisionRecorder.java
@@ -56,6 +56,7 @@
                 step,
                 attempt.map(Attempt::number).orElse(attempts.started()),
                 attempt.map(concerned -> concerned.target().id()),
+                attempt.map(concerned -> concerned.target().version()),
                 cause,
                 status,
                 nowMillis - arrivedAtMillis,
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/EntryTarget.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/EntryTarget.java
@@ -5,6 +5,7 @@
 import org.amaranthlock.model.Arguments;
 import org.amaranthlock.model.FailureDomain;
 import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.SoftwareVersion;
 import org.amaranthlock.model.TargetId;
 
 /**
@@ -19,6 +20,7 @@
  * @param draining whether it accepts no new requests
  * @param remainingWarmUpMillis time until it is warmed up, in milliseconds; it is slow until then
  * @param startedAtMillis start time in Unix milliseconds; 0 if unknown
+ * @param version version of its software; streams of two versions do not fit together
  */
 public record EntryTarget(
         TargetId id,
@@ -29,12 +31,14 @@
         int slots,
         boolean draining,
         long remainingWarmUpMillis,
-        long startedAtMillis) {
+        long startedAtMillis,
+        SoftwareVersion version) {
     public EntryTarget {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(service, "service");
         Arguments.requireText(address, "address");
         Objects.requireNonNull(failureDomain, "failure domain");
+        Objects.requireNonNull(version, "version");
     }
 
     /** Returns whether {@code other} is the same incarnation of the same target at the same address. */
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingDecision.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingDecision.java
@@ -1,6 +1,7 @@
 package org.amaranthlock.coordination.forwarding;
 
 import java.util.Optional;
+import org.amaranthlock.model.SoftwareVersion;
 import org.amaranthlock.model.TargetId;
 
 /**
@@ -10,6 +11,7 @@
  *     crash-with-domain, lost, not-sent, not-run; or the final one: answered, rejected, broken-off, caller-left
  * @param attempt number of the attempt concerned; 0 for none
  * @param target target concerned
+ * @param version version of the software of that target
  * @param cause reason for the decision
  * @param status HTTP status of a response; 0 for none
  * @param elapsedMillis milliseconds since the request arrived
@@ -20,6 +22,7 @@
         String step,
         int attempt,
         Optional<TargetId> target,
+        Optional<SoftwareVersion> version,
         String cause,
         int status,
         long elapsedMillis,
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RelayedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RelayedRequest.java
@@ -243,6 +243,7 @@
                 step,
                 attemptCount,
                 Optional.empty(),
+                Optional.empty(),
                 cause,
                 status,
                 nowMillis - handedOver.arrivedAtMillis(),
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/EntryTargets.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/EntryTargets.java
@@ -7,6 +7,7 @@
 import org.amaranthlock.coordination.targetlimit.TargetPermits;
 import org.amaranthlock.model.FailureDomain;
 import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.SoftwareVersion;
 import org.amaranthlock.model.TargetId;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -66,12 +67,22 @@
                 ended.slots(),
                 false,
                 0,
-                ended.startedAtMillis() + 1);
+                ended.startedAtMillis() + 1,
+                ended.version());
     }
 
     private static EntryTarget target(String id, String domain, boolean draining) {
         int port = FIRST_PORT + Math.floorMod(id.hashCode(), PORT_COUNT);
         return new EntryTarget(
-                new TargetId(id), SERVICE, "10.0.0.1", port, new FailureDomain(domain), 6, draining, 0, 1);
+                new TargetId(id),
+                SERVICE,
+                "10.0.0.1",
+                port,
+                new FailureDomain(domain),
+                6,
+                draining,
+                0,
+                1,
+                SoftwareVersion.UNKNOWN);
     }
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
@@ -273,6 +273,8 @@
                 decision.attempt(),
                 "target",
                 decision.target().map(Object::toString).orElse("-"),
+                "software",
+                decision.version().map(Object::toString).orElse("-"),
                 "cause",
                 decision.cause(),
                 "status",
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
@@ -349,7 +349,11 @@
                 "age_ms",
                 configurationAgeMillis(),
                 "relayed",
-                relayed);
+                relayed,
+                "last_event",
+                request.toAttributes().lastEventId().orElse(-1L),
+                "resumes",
+                request.resumedRequest().orElse("-"));
         ForwardedRequest forwarded =
                 new ForwardedRequest(request.toAttributes(), route, service, priority, state, budget, activeRequest);
         if (relayed) {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/TargetWatcher.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/TargetWatcher.java
@@ -175,7 +175,9 @@
                 "revision",
                 object.revision(),
                 "state",
-                target.map(found -> found.draining() ? "draining" : "ready").orElse("gone"));
+                target.map(found -> found.draining() ? "draining" : "ready").orElse("gone"),
+                "software",
+                target.map(found -> found.version().toString()).orElse("-"));
     }
 
     private void publish() {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/PromptLocatorTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/PromptLocatorTest.java
@@ -16,6 +16,7 @@
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.model.FailureDomain;
 import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.SoftwareVersion;
 import org.amaranthlock.model.TargetId;
 import org.apache.commons.rng.simple.RandomSource;
 import org.jboss.logging.Logger;
@@ -114,6 +115,7 @@
                 8,
                 false,
                 0,
-                1);
+                1,
+                SoftwareVersion.UNKNOWN);
     }
 }
