Test that fails: streams hold events of two software versions

Stand-in engines write events that depend on their software version and list the prompts that they hold.

--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/EngineBatch.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/EngineBatch.java
@@ -160,6 +160,11 @@
         return runningTokens + copies.values().stream().mapToInt(KvCopy::tokens).sum();
     }
 
+    /** Returns the number of tokens of each prompt part in the KV cache, the least recently used part first. */
+    public Map<String, Integer> cachedParts() {
+        return new LinkedHashMap<>(prefixCache);
+    }
+
     /** Returns the number of prompt tokens prefilled so far, including those prefilled again after a preemption. */
     public long prefilledTokens() {
         return prefilledTokens;
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetEngine.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetEngine.java
@@ -122,6 +122,16 @@
         return report;
     }
 
+    /** Returns the list of the prompt parts that the KV cache holds. */
+    synchronized ObjectNode heldParts() {
+        ObjectNode list = JsonNodeFactory.instance.objectNode();
+        ArrayNode held = list.putArray("held");
+        batch.cachedParts()
+                .forEach((part, tokens) ->
+                        held.addArray().add("").add(part).add(tokens).add("m"));
+        return list;
+    }
+
     private void runSteps() {
         long stepEndNanos = System.nanoTime();
         while (awaitWork()) {
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetWorker.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetWorker.java
@@ -30,7 +30,8 @@
  * Stand-in for a worker, which is an engine or a plain worker.
  *
  * <p>It writes raw bytes to its sockets, so that it can violate the protocol. The events of a stream depend only on the
- * request, so that a test can tell whether a response is complete and correct.
+ * request and on the version of the software, so that a test can tell whether a response is complete and correct and
+ * comes from workers of one version.
  */
 public final class FleetWorker implements Standin {
     /** Number of events in a complete stream. */
@@ -39,6 +40,9 @@
     /** Path of the call that sets the request rate limit; the value, or {@link #NO_LIMIT}, follows it. */
     public static final String LIMIT_PATH = "/standin/request-limit/";
 
+    /** Version of the software of a worker for which none is set. */
+    public static final String FIRST_VERSION = "v1";
+
     /** Value that ends the request rate limit. */
     public static final String NO_LIMIT = "none";
 
@@ -67,6 +71,7 @@
     private volatile int startCount;
     private volatile Optional<String> requestLimit = Optional.empty();
     private volatile Optional<String> crashingPromptPart = Optional.empty();
+    private volatile String softwareVersion = FIRST_VERSION;
 
     /**
      * Creates a worker.
@@ -186,6 +191,11 @@
         crashingPromptPart = Optional.of(partId);
     }
 
+    /** Sets the version of the software, which the worker registers and which its streams depend on. */
+    public void softwareVersion(String version) {
+        softwareVersion = version;
+    }
+
     /** Returns the number of bytes of endless responses that the worker has sent. */
     public long endlessByteCount() {
         return endlessBytes.get();
@@ -218,7 +228,7 @@
                 .put("service", service)
                 .put("address", address())
                 .put("zone", zone)
-                .put("version", "v1")
+                .put("version", softwareVersion)
                 .put("slots", 8)
                 .put("state", state)
                 .put("cold_left_ms", 0)
@@ -226,9 +236,15 @@
                 .put("born", startCount);
     }
 
-    /** Returns event {@code number} of the stream for a request with the given body. */
+    /** Returns event {@code number} of the stream for a request with the given body, at the first version. */
     public static String streamEvent(int number, String body) {
-        return "id: " + number + "\ndata: " + Integer.toHexString(body.hashCode()) + "-" + number + "\n\n";
+        return streamEvent(number, body, FIRST_VERSION);
+    }
+
+    /** Returns event {@code number} of the stream that workers of a version write for a request with the given body. */
+    public static String streamEvent(int number, String body, String version) {
+        String text = Integer.toHexString((version + body).hashCode()) + "-" + number;
+        return "id: " + number + "\ndata: " + text + "\n\n";
     }
 
     private void accept(ServerSocket accepting) {
@@ -288,6 +304,11 @@
             write(out, responseHead(200, "", report.length()) + report);
             return true;
         }
+        if (engine != null && head.requestLine().startsWith("GET /api/kv-list")) {
+            String held = engine.heldParts().toString();
+            write(out, responseHead(200, "", held.length()) + held);
+            return true;
+        }
         if (engine != null && head.requestLine().contains(" " + CopySender.PATH)) {
             write(out, responseHead(handleCopyRequest(head) ? 200 : 503, "", 0));
             return true;
@@ -416,8 +437,8 @@
                 + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     }
 
-    private static void writeEvent(int number, WorkerRequest request, OutputStream out) throws IOException {
-        String event = streamEvent(number, request.body());
+    private void writeEvent(int number, WorkerRequest request, OutputStream out) throws IOException {
+        String event = streamEvent(number, request.body(), softwareVersion);
         write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
     }
 
