ORDER: a stream goes on at the software version that began it

What callers saw: a stream whose engine crashed went on at an engine of another version, and its events did not fit together. Cause: nothing read the version of a target's registration when it chose the next target, the engine for the KV cache copy, or another host that serves a request.

The version is now bound from the first event that is passed on, and is part of the constraint that every choice obeys: a new attempt, the engine that may still hold the prompt, the copy, and the search for an alternative to a silent engine. A copy is made at an engine of the stream's own version only. A stream of which only other versions are left is broken off at once.

What a client that returns to another host gets is not mended by this.

--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedStream.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedStream.java
@@ -24,6 +24,7 @@
 import org.amaranthlock.coordination.forwarding.StreamEvent;
 import org.amaranthlock.coordination.forwarding.TargetResponse;
 import org.amaranthlock.coordination.forwarding.TargetStatements;
+import org.amaranthlock.model.SoftwareVersion;
 import org.amaranthlock.model.TargetId;
 import org.amaranthlock.standin.fleet.EngineBatch.Sequence;
 import org.amaranthlock.standin.fleet.EngineRequest;
@@ -210,7 +211,7 @@
     }
 
     @Override
-    public void openStream(TargetResponse head) {
+    public void openStream(TargetResponse head, Optional<SoftwareVersion> version) {
         // The timings start with the first event.
     }
 
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/limit/BrittleTargetSimulation.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/limit/BrittleTargetSimulation.java
@@ -20,6 +20,7 @@
 import org.amaranthlock.coordination.forwarding.LoadSheddingPolicy;
 import org.amaranthlock.coordination.forwarding.Mechanisms;
 import org.amaranthlock.coordination.forwarding.ServiceDefinition;
+import org.amaranthlock.coordination.forwarding.TargetConstraint;
 import org.amaranthlock.coordination.forwarding.TargetLoadBalancer;
 import org.amaranthlock.coordination.forwarding.TargetTable;
 import org.amaranthlock.coordination.targetlimit.LimitListener;
@@ -214,7 +215,8 @@
         }
 
         private void request(Set<TargetId> avoided) {
-            Optional<EntryTarget> chosen = loadBalancer.chooseTarget(DEFINITION, 0, avoided, scheduler.nowMillis());
+            Optional<EntryTarget> chosen =
+                    loadBalancer.chooseTarget(DEFINITION, 0, TargetConstraint.avoiding(avoided), scheduler.nowMillis());
             if (chosen.isEmpty()) {
                 return;
             }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/AttemptPermits.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/AttemptPermits.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Objects;
-import java.util.Set;
 import java.util.function.LongConsumer;
 import org.amaranthlock.coordination.brittle.BrittleStatement;
 import org.amaranthlock.coordination.targetlimit.LimitStatement;
@@ -87,8 +86,8 @@
     }
 
     /** Returns the targets that the request may be sent to with a permit only. */
-    List<TargetId> limitedTargets(Set<TargetId> avoided, long nowMillis) {
-        return loadBalancer.limitedTargets(service, avoided, nowMillis);
+    List<TargetId> limitedTargets(TargetConstraint constraint, long nowMillis) {
+        return loadBalancer.limitedTargets(service, constraint, nowMillis);
     }
 
     /**
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -12,7 +12,7 @@
  *
  * <p>A request that must not be executed twice is sent to a second target only if the first one stated that it did not
  * execute it, or if no byte was sent. A resumable event stream resumes on another target after the last event that the
- * client received. Events of attempts other than the current one are ignored. Not thread-safe.
+ * client received, at the software version that began it. Events of attempts other than the current one are ignored. Not thread-safe.
  */
 public final class ForwardedRequest {
     /** Delay before an interrupted stream for which no target or retry was available is tried again. */
@@ -24,6 +24,9 @@
     /** Cause of decisions on a request because targets limit their request rate. */
     private static final String TARGET_LIMIT = "target-limit";
 
+    /** Cause of decisions on an event stream because no target of the version that began it is left. */
+    private static final String VERSION_GONE = "version-gone";
+
     /** Causes after which an attempt is not retried on the same engine: it has failed, or makes no progress. */
     private static final Set<String> NO_SAME_TARGET_CAUSES = Set.of("unreachable", "stalled", "no-first-event");
 
@@ -170,7 +173,7 @@
             abandonAttempt("no-stamp", nowMillis);
             return;
         }
-        stream.offerHead(response);
+        stream.offerHead(response, Optional.of(currentAttempt().target().version()));
     }
 
     /** Handles complete events of a stream. */
@@ -184,6 +187,9 @@
         }
         long lastEventId = stream.lastEventId();
         OptionalLong afterGap = stream.forward(events);
+        if (stream.begun()) {
+            retryTargets.bindTo(currentAttempt().target().version());
+        }
         if (afterGap.isPresent()) {
             abandonAttempt("event-" + afterGap.getAsLong() + "-after-" + lastEventId, nowMillis);
             return;
@@ -368,7 +374,8 @@
 
     /** Has the request served by another host if this one has no path to the targets; returns whether it did. */
     private boolean handOver(long nowMillis) {
-        completed = relayPolicy.handOver(stream, decisions.arrivedAtMillis(), deadlineMillis, nowMillis);
+        completed = relayPolicy.handOver(
+                stream, retryTargets.streamVersion(), decisions.arrivedAtMillis(), deadlineMillis, nowMillis);
         if (completed) {
             poisonDetector.release();
         }
@@ -377,7 +384,7 @@
 
     /** Waits for a permit if only targets are left that limit their request rate. */
     private void requestPermit(String cause, long nowMillis) {
-        List<TargetId> limited = permits.limitedTargets(retryTargets.avoided(), nowMillis);
+        List<TargetId> limited = permits.limitedTargets(retryTargets.constraint(), nowMillis);
         if (!limited.isEmpty()) {
             decisions.record("awaiting-permit", Optional.empty(), cause, 0, nowMillis);
         }
@@ -472,8 +479,9 @@
 
     /** Rejects the request or, if the client already receives the stream, schedules a search among all targets. */
     private void handleNoTarget(String cause, long nowMillis) {
-        if (!stream.opened()) {
-            fail(permits.finalRejection(cause, attempts.executions() > 0), nowMillis);
+        boolean versionGone = retryTargets.isVersionGone();
+        if (!stream.opened() || versionGone) {
+            fail(permits.finalRejection(versionGone ? VERSION_GONE : cause, attempts.executions() > 0), nowMillis);
             return;
         }
         retryTargets.forgetAvoided();
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RelayPolicy.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RelayPolicy.java
@@ -1,6 +1,8 @@
 package org.amaranthlock.coordination.forwarding;
 
 import java.util.Objects;
+import java.util.Optional;
+import org.amaranthlock.model.SoftwareVersion;
 
 /** Decides whether a request is passed to another host because this one has no path to the targets. Not thread-safe. */
 final class RelayPolicy {
@@ -30,7 +32,12 @@
      * Passes a request without a current attempt to another host if this one has no path to the targets, and returns
      * whether it did. A request that a target may have executed must be retryable and within the retry budget.
      */
-    boolean handOver(StreamProgress stream, long arrivedAtMillis, long deadlineMillis, long nowMillis) {
+    boolean handOver(
+            StreamProgress stream,
+            Optional<SoftwareVersion> streamVersion,
+            long arrivedAtMillis,
+            long deadlineMillis,
+            long nowMillis) {
         boolean mayBeExecuted = route.isRetryable() ? attempts.hasAttemptsLeft() : attempts.executions() == 0;
         if (!mayBeExecuted || !loadBalancer.shouldRelay(service.name(), nowMillis)) {
             return false;
@@ -39,8 +46,8 @@
         if (isRetry && !retryBudget.tryAcquire(nowMillis)) {
             return false;
         }
-        boolean handedOver =
-                port.handOver(new RelayStart(stream, attempts.executions(), arrivedAtMillis, deadlineMillis));
+        boolean handedOver = port.handOver(
+                new RelayStart(stream, streamVersion, attempts.executions(), arrivedAtMillis, deadlineMillis));
         if (!handedOver && isRetry) {
             retryBudget.release();
         }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RelayedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RelayedRequest.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
 import org.amaranthlock.coordination.membership.RendezvousOrder;
 import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.SoftwareVersion;
 
 /**
  * State machine of a request that another host sends to a target because this one has no path to any.
@@ -35,6 +37,7 @@
     private final StreamProgress stream;
     private final ForwardingPort port;
     private final Set<String> tried = new HashSet<>();
+    private Optional<SoftwareVersion> streamVersion;
     private int executions;
     private int attemptCount;
     private Optional<RelayAttempt> current = Optional.empty();
@@ -55,6 +58,7 @@
         this.handedOver = Objects.requireNonNull(handedOver, "state handed over");
         this.port = Objects.requireNonNull(port, "port");
         this.stream = handedOver.stream();
+        this.streamVersion = handedOver.streamVersion();
         this.executions = handedOver.executions();
     }
 
@@ -81,16 +85,27 @@
         port.respond(response);
     }
 
-    /** Handles the response head of an event stream. */
-    public void onStreamOpened(int attempt, TargetResponse head) {
+    /**
+     * Handles the response head of an event stream.
+     *
+     * @param version version of the target that began the stream; empty if the other host does not tell it
+     */
+    public void onStreamOpened(int attempt, TargetResponse head, Optional<SoftwareVersion> version) {
         if (isCurrent(attempt)) {
-            stream.offerHead(head);
+            stream.offerHead(head, version);
         }
     }
 
     /** Handles complete events of a stream. */
     public void onEvents(int attempt, List<StreamEvent> events, long nowMillis) {
-        if (isCurrent(attempt) && stream.forward(events).isPresent()) {
+        if (!isCurrent(attempt)) {
+            return;
+        }
+        OptionalLong afterGap = stream.forward(events);
+        if (stream.begun()) {
+            streamVersion = streamVersion.or(stream::version);
+        }
+        if (afterGap.isPresent()) {
             port.cancelRelay(current.orElseThrow());
             endLost("event-missing", nowMillis);
         }
@@ -178,6 +193,7 @@
                 next.get(),
                 handedOver.deadlineMillis() - nowMillis,
                 stream.lastEventId() < 0 ? Optional.empty() : Optional.of(stream.lastEventId()),
+                streamVersion,
                 route.maxAttempts() - executions);
         current = Optional.of(attempt);
         record("relayed", cause + "-to-" + next.get(), 0, nowMillis);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RetryTargets.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RetryTargets.java
@@ -5,11 +5,12 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.amaranthlock.model.SoftwareVersion;
 import org.amaranthlock.model.TargetId;
 
 /**
- * What the ended attempts of a request leave behind for the next one: targets to avoid, an engine that may still hold
- * the prompt, and a copy of the KV cache. Not thread-safe.
+ * What the ended attempts of a request leave behind for the next one: targets to avoid, the version that began the
+ * event stream, an engine that may still hold the prompt, and a copy of the KV cache. Not thread-safe.
  */
 final class RetryTargets {
     private final TargetLoadBalancer loadBalancer;
@@ -25,6 +26,9 @@
 
     private boolean returnedToHolder;
 
+    /** Version that began the event stream; empty while any version may. */
+    private Optional<SoftwareVersion> streamVersion = Optional.empty();
+
     /**
      * Destination of an attempt.
      *
@@ -44,6 +48,28 @@
         return returnedToHolder;
     }
 
+    /** Binds the event stream to the version that began it, unless it is bound already. */
+    void bindTo(SoftwareVersion version) {
+        if (streamVersion.isEmpty()) {
+            streamVersion = Optional.of(version);
+        }
+    }
+
+    /** Returns the version that began the event stream; empty while any version may. */
+    Optional<SoftwareVersion> streamVersion() {
+        return streamVersion;
+    }
+
+    /** Returns whether the event stream cannot go on, because only targets of other versions are left. */
+    boolean isVersionGone() {
+        return streamVersion.isPresent() && loadBalancer.isVersionGone(service.name(), streamVersion.get());
+    }
+
+    /** Returns what the target of the next attempt must satisfy. */
+    TargetConstraint constraint() {
+        return new TargetConstraint(avoided, streamVersion);
+    }
+
     /** Returns the targets on which the request has failed. */
     Set<TargetId> avoided() {
         return avoided;
@@ -95,7 +121,7 @@
         }
         Optional<KvCacheCopy> copy = takeUsableCopy(nowMillis);
         return copy.map(KvCacheCopy::engine)
-                .or(() -> loadBalancer.chooseTarget(service, tokens, avoided, nowMillis))
+                .or(() -> loadBalancer.chooseTarget(service, tokens, constraint(), nowMillis))
                 .map(target -> new Destination(target, copy));
     }
 
@@ -107,14 +133,14 @@
         if (!service.engine()) {
             return true;
         }
-        Set<TargetId> excluded = new HashSet<>(avoided);
-        excluded.add(current.id());
-        return loadBalancer.hasSpareCapacity(service, tokens, excluded, nowMillis);
+        TargetConstraint others = constraint().alsoAvoiding(current.id());
+        return loadBalancer.hasSpareCapacity(service, tokens, others, nowMillis);
     }
 
     private Optional<EntryTarget> takePromptHolder(long nowMillis) {
         Optional<EntryTarget> holder = Optional.ofNullable(promptHolder)
                 .filter(loadBalancer::isRegistered)
+                .filter(constraint()::allowsVersionOf)
                 .filter(this::mayReceive)
                 .filter(engine -> !loadBalancer.isDomainFailing(engine.failureDomain(), nowMillis));
         promptHolder = null;
@@ -129,7 +155,7 @@
     /** A copy can be used only once. */
     private Optional<KvCacheCopy> takeUsableCopy(long nowMillis) {
         Optional<KvCacheCopy> copy = usableCopy
-                .filter(kept -> !avoided.contains(kept.engine().id()))
+                .filter(kept -> constraint().allows(kept.engine()))
                 .filter(kept -> mayReceive(kept.engine()))
                 .filter(kept -> loadBalancer.isReachable(kept.engine(), nowMillis));
         usableCopy = Optional.empty();
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/StreamProgress.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/StreamProgress.java
@@ -3,7 +3,9 @@
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
+import org.amaranthlock.model.SoftwareVersion;
 
 /**
  * Event stream to one client, which gets each event once and in order, whatever attempt it comes from. Not thread-safe.
@@ -11,6 +13,7 @@
 public final class StreamProgress {
     private final ForwardingPort port;
     private TargetResponse head;
+    private Optional<SoftwareVersion> version = Optional.empty();
     private boolean opened;
     private long lastEventId;
 
@@ -40,13 +43,23 @@
         return head.status();
     }
 
-    /** Sets the head of the stream; the client gets the one of the first target that sends events. */
-    void offerHead(TargetResponse offered) {
+    /**
+     * Sets the head of the stream; the client gets the one of the first target that sends events.
+     *
+     * @param offeredVersion version of that target; empty if it is not told
+     */
+    void offerHead(TargetResponse offered, Optional<SoftwareVersion> offeredVersion) {
         if (!opened) {
             head = offered;
+            version = offeredVersion;
         }
     }
 
+    /** Returns the version of the target whose head was taken; empty if it is not told. */
+    Optional<SoftwareVersion> version() {
+        return version;
+    }
+
     /**
      * Sends those events to the client that it does not have yet, up to the first gap.
      *
@@ -83,7 +96,7 @@
     private void open() {
         if (!opened) {
             opened = true;
-            port.openStream(head);
+            port.openStream(head, version);
         }
     }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
@@ -16,6 +16,7 @@
 import org.amaranthlock.coordination.targetlimit.TargetPermits;
 import org.amaranthlock.model.FailureDomain;
 import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.SoftwareVersion;
 import org.amaranthlock.model.TargetId;
 
 /**
@@ -94,13 +95,12 @@
      * Chooses a target.
      *
      * @param tokens KV cache size that the request is expected to need on an engine, in tokens
-     * @param avoided targets on which the request has failed
      */
     public Optional<EntryTarget> chooseTarget(
-            ServiceDefinition service, long tokens, Set<TargetId> avoided, long nowMillis) {
-        List<CandidateLoad> candidates = candidates(service, avoided, nowMillis);
+            ServiceDefinition service, long tokens, TargetConstraint constraint, long nowMillis) {
+        List<CandidateLoad> candidates = candidates(service, constraint, nowMillis);
         if (!candidates.isEmpty()) {
-            permits.prefetch(service.name(), limitedTargets(service, avoided, nowMillis));
+            permits.prefetch(service.name(), limitedTargets(service, constraint, nowMillis));
         }
         return placementPolicy
                 .chooseTarget(service, tokens, candidates)
@@ -114,8 +114,8 @@
     }
 
     /** Returns the targets that could be chosen if this host had a permit for them, least loaded first. */
-    public List<TargetId> limitedTargets(ServiceDefinition service, Set<TargetId> avoided, long nowMillis) {
-        return usableTargets(service, avoided, nowMillis).stream()
+    public List<TargetId> limitedTargets(ServiceDefinition service, TargetConstraint constraint, long nowMillis) {
+        return usableTargets(service, constraint, nowMillis).stream()
                 .filter(target -> !permits.mayReceive(target.incarnation()))
                 .sorted(Comparator.comparingInt(target ->
                         inFlight.getOrDefault(target.id(), InFlightLoad.NONE).requests()))
@@ -140,17 +140,34 @@
     /** Returns the retry delay for a client if all engines are overloaded; empty if its request is to be sent. */
     public OptionalLong retryAfterMillis(ServiceDefinition service, long tokens, long nowMillis) {
         return service.engine() && mechanisms.uses(Mechanism.LOAD_SHEDDING)
-                ? loadSheddingPolicy.retryAfterMillis(service, tokens, candidates(service, Set.of(), nowMillis))
+                ? loadSheddingPolicy.retryAfterMillis(
+                        service, tokens, candidates(service, TargetConstraint.NONE, nowMillis))
                 : OptionalLong.empty();
     }
 
     /** Returns whether a request that makes no progress on its engine could start immediately on another one. */
-    public boolean hasSpareCapacity(ServiceDefinition service, long tokens, Set<TargetId> avoided, long nowMillis) {
-        return candidates(service, avoided, nowMillis).stream()
+    public boolean hasSpareCapacity(
+            ServiceDefinition service, long tokens, TargetConstraint constraint, long nowMillis) {
+        return candidates(service, constraint, nowMillis).stream()
                 .anyMatch(engine -> LoadSheddingPolicy.hasSpareCapacity(service, tokens, engine));
     }
 
-    /** Chooses an available engine with free KV cache in another failure domain for the backup of a stream. */
+    /**
+     * Returns whether only targets of other versions are left that take new requests. A service without any target says
+     * nothing about its versions, for example while its targets start again.
+     */
+    public boolean isVersionGone(ServiceName service, SoftwareVersion version) {
+        List<EntryTarget> serving = table.targets(service).stream()
+                .filter(target -> !target.draining())
+                .toList();
+        return !serving.isEmpty()
+                && serving.stream().noneMatch(target -> target.version().equals(version));
+    }
+
+    /**
+     * Chooses an available engine with free KV cache in another failure domain for the backup of a stream. It runs the
+     * version of the stream's engine, because the stream goes on there if that engine is lost.
+     */
     public Optional<EntryTarget> chooseBackup(
             ServiceDefinition service, EntryTarget primary, long tokens, Set<TargetId> avoided, long nowMillis) {
         expireRemoteReports(nowMillis);
@@ -159,6 +176,7 @@
                         && !avoided.contains(target.id())
                         && !permits.isLimited(target.incarnation())
                         && !target.failureDomain().equals(primary.failureDomain())
+                        && target.version().equals(primary.version())
                         && health.isAvailable(target, nowMillis))
                 .toList();
         return placementPolicy.chooseBackup(service, tokens, candidateLoads(candidates, nowMillis));
@@ -337,18 +355,18 @@
         return local.plus(remoteInFlight.getOrDefault(target, InFlightLoad.NONE));
     }
 
-    private List<CandidateLoad> candidates(ServiceDefinition service, Set<TargetId> avoided, long nowMillis) {
-        List<EntryTarget> permitted = usableTargets(service, avoided, nowMillis).stream()
+    private List<CandidateLoad> candidates(ServiceDefinition service, TargetConstraint constraint, long nowMillis) {
+        List<EntryTarget> permitted = usableTargets(service, constraint, nowMillis).stream()
                 .filter(target -> permits.mayReceive(target.incarnation()))
                 .toList();
         return candidateLoads(permitted, nowMillis);
     }
 
     /** Returns the available targets or, if none is available, all that may receive the request. */
-    private List<EntryTarget> usableTargets(ServiceDefinition service, Set<TargetId> avoided, long nowMillis) {
+    private List<EntryTarget> usableTargets(ServiceDefinition service, TargetConstraint constraint, long nowMillis) {
         expireRemoteReports(nowMillis);
         List<EntryTarget> usable = table.targets(service.name()).stream()
-                .filter(target -> !target.draining() && !avoided.contains(target.id()))
+                .filter(target -> !target.draining() && constraint.allows(target))
                 .filter(target -> hasConnectionLeft(service, target) && hasRoom(target, nowMillis))
                 .toList();
         List<EntryTarget> available = usable.stream()
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/AbstractForwardedRequestTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/AbstractForwardedRequestTest.java
@@ -9,12 +9,15 @@
 import org.amaranthlock.coordination.estimate.PrefillEstimates;
 import org.amaranthlock.coordination.promptpart.PromptPartGuard;
 import org.amaranthlock.coordination.promptpart.PromptPartListener;
+import org.amaranthlock.model.SoftwareVersion;
 
 /** Targets, recorded calls and helpers for tests of {@link ForwardedRequest}. */
 abstract class AbstractForwardedRequestTest {
     static final long TIMEOUT_MILLIS = 25_000;
     static final long GOAL_MILLIS = 4_500;
     static final int MAX_ATTEMPTS = 3;
+    static final SoftwareVersion V1 = new SoftwareVersion("v1");
+    static final SoftwareVersion V2 = new SoftwareVersion("v2");
     static final PromptPart PROMPT = new PromptPart("a1", 8_000);
 
     final RecordingPort port = new RecordingPort();
@@ -68,6 +71,14 @@
         loadBalancer.update(new TargetTable(targets));
     }
 
+    /** Registers targets t0, t1 and so on of the given versions, in failure domains a and b in turn. */
+    void registerVersions(String... versions) {
+        List<EntryTarget> targets = IntStream.range(0, versions.length)
+                .mapToObj(i -> EntryTargets.ofVersion("t" + i, i % 2 == 0 ? "a" : "b", versions[i]))
+                .toList();
+        loadBalancer.update(new TargetTable(targets));
+    }
+
     static RequestAttributes requestAttributes() {
         return new RequestAttributes("r", OptionalLong.of(60_000), Optional.empty(), 0, Optional.empty(), List.of(), 0);
     }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/EntryTargets.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/EntryTargets.java
@@ -56,6 +56,22 @@
         return target(id, domain, true);
     }
 
+    /** Returns a target whose software has the given version. */
+    static EntryTarget ofVersion(String id, String domain, String version) {
+        EntryTarget target = ready(id, domain);
+        return new EntryTarget(
+                target.id(),
+                target.service(),
+                target.address(),
+                target.port(),
+                target.failureDomain(),
+                target.slots(),
+                target.draining(),
+                0,
+                target.startedAtMillis(),
+                new SoftwareVersion(version));
+    }
+
     /** Returns a target that runs at the address of another one, which has ended. */
     static EntryTarget successor(String id, EntryTarget ended) {
         return new EntryTarget(
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/MechanismsTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/MechanismsTest.java
@@ -59,11 +59,11 @@
         TargetLoadBalancer alone = loadBalancer(without(Mechanism.SHARED_LOAD));
         alone.addLoad(second, InFlightLoad.generating(0));
         alone.updateRemote(busy, 0);
-        assertThat(alone.chooseTarget(ENGINES, 0, Set.of(), 0)).hasValue(first);
+        assertThat(alone.chooseTarget(ENGINES, 0, TargetConstraint.NONE, 0)).hasValue(first);
         TargetLoadBalancer sharing = loadBalancer(Mechanisms.ALL);
         sharing.addLoad(second, InFlightLoad.generating(0));
         sharing.updateRemote(busy, 0);
-        assertThat(sharing.chooseTarget(ENGINES, 0, Set.of(), 0)).hasValue(second);
+        assertThat(sharing.chooseTarget(ENGINES, 0, TargetConstraint.NONE, 0)).hasValue(second);
     }
 
     @Test
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/RecordingPort.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/RecordingPort.java
@@ -3,6 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import org.amaranthlock.model.SoftwareVersion;
 
 /** {@link ForwardingPort} that records its calls. */
 final class RecordingPort implements ForwardingPort {
@@ -127,7 +129,7 @@
     }
 
     @Override
-    public void openStream(TargetResponse head) {
+    public void openStream(TargetResponse head, Optional<SoftwareVersion> version) {
         heads.add(head);
     }
 
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/RelayedRequestTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/RelayedRequestTest.java
@@ -115,11 +115,12 @@
     @Test
     void streamResumesAtSecondHostAfterLastEvent() {
         RelayedRequest request = relay(RouteKind.STREAMING);
-        request.onStreamOpened(1, response(200, true, false));
+        request.onStreamOpened(1, response(200, true, false), Optional.of(V1));
         request.onEvents(1, events(0, 1, 2), 100);
         request.onLost(1, "link-closed", 200);
         assertThat(port.relayed.get(1).lastEventId()).isEqualTo(Optional.of(2L));
-        request.onStreamOpened(2, response(200, true, false));
+        assertThat(port.relayed.get(1).streamVersion()).isEqualTo(Optional.of(V1));
+        request.onStreamOpened(2, response(200, true, false), Optional.of(V1));
         request.onEvents(2, events(2, 3), 300);
         request.onStreamEnded(2, 400);
         assertThat(port.events.toString()).isEqualTo("0;1;2;3;");
@@ -127,6 +128,27 @@
         assertThat(port.streamEnded).isTrue();
     }
 
+    // Guards against a stream that is bound to a version of which its client got no event.
+    @Test
+    void streamWithoutEventsIsNotBoundToVersion() {
+        RelayedRequest request = relay(RouteKind.STREAMING);
+        request.onStreamOpened(1, response(200, true, false), Optional.of(V1));
+        request.onLost(1, "link-closed", 200);
+        assertThat(port.relayed.get(1).streamVersion()).isEmpty();
+    }
+
+    // Guards against a stream that another host continues at another version.
+    @Test
+    void requestIsHandedOverWithVersionOfItsStream() {
+        registerVersions("v1", "v1");
+        ForwardedRequest request = startStream();
+        request.onEvents(1, events(0, 1), 100);
+        loadBalancer.recordUnreachable(EntryTargets.ofVersion("t0", "a", "v1"), 110);
+        loadBalancer.recordUnreachable(EntryTargets.ofVersion("t1", "b", "v1"), 110);
+        request.onAttemptLost(1, "closed", 1_200);
+        assertThat(port.handedOver.getFirst().streamVersion()).isEqualTo(Optional.of(V1));
+    }
+
     // Guards against targets that work for a client that has left.
     @Test
     void requestIsCancelledAtOtherHostWhenClientLeaves() {
@@ -159,7 +181,7 @@
     }
 
     private RelayedRequest relay(RouteKind kind) {
-        RelayStart handedOver = new RelayStart(new StreamProgress(port, -1), 0, 0, TIMEOUT_MILLIS);
+        RelayStart handedOver = new RelayStart(new StreamProgress(port, -1), Optional.empty(), 0, 0, TIMEOUT_MILLIS);
         RelayedRequest request = new RelayedRequest(
                 requestAttributes(), route(kind), EntryTargets.SERVICE, loadBalancer, handedOver, port);
         request.start(0);
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancerTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancerTest.java
@@ -25,7 +25,8 @@
     @Test
     void doesNotChooseDrainingTarget() {
         loadBalancer.update(new TargetTable(List.of(EntryTargets.draining("t1", "a"))));
-        assertThat(loadBalancer.chooseTarget(ENGINES, 0, Set.of(), 0)).isEmpty();
+        assertThat(loadBalancer.chooseTarget(ENGINES, 0, TargetConstraint.NONE, 0))
+                .isEmpty();
     }
 
     @Test
@@ -34,8 +35,9 @@
         EntryTarget available = EntryTargets.ready("t2", "b");
         loadBalancer.update(new TargetTable(List.of(failed, available)));
         loadBalancer.recordFailure(failed, 0);
-        assertThat(loadBalancer.chooseTarget(ENGINES, 0, Set.of(), 10)).hasValue(available);
-        assertThat(loadBalancer.chooseTarget(ENGINES, 0, Set.of(available.id()), 10))
+        assertThat(loadBalancer.chooseTarget(ENGINES, 0, TargetConstraint.NONE, 10))
+                .hasValue(available);
+        assertThat(loadBalancer.chooseTarget(ENGINES, 0, TargetConstraint.avoiding(Set.of(available.id())), 10))
                 .hasValue(failed);
     }
 
@@ -44,9 +46,11 @@
         EntryTarget local = EntryTargets.ready("t1", "a");
         EntryTarget remote = EntryTargets.ready("t2", "b");
         loadBalancer.update(new TargetTable(List.of(local, remote)));
-        assertThat(loadBalancer.chooseTarget(PLAIN, 0, Set.of(), 0)).hasValue(local);
+        assertThat(loadBalancer.chooseTarget(PLAIN, 0, TargetConstraint.NONE, 0))
+                .hasValue(local);
         loadBalancer.addLoad(local, InFlightLoad.prefilling(0));
-        assertThat(loadBalancer.chooseTarget(PLAIN, 0, Set.of(), 0)).hasValue(remote);
+        assertThat(loadBalancer.chooseTarget(PLAIN, 0, TargetConstraint.NONE, 0))
+                .hasValue(remote);
     }
 
     // Most engines of a domain fail at once. Guards against all hosts of that domain choosing the one engine that is
@@ -59,7 +63,7 @@
         for (int seed = 0; seed < 90; seed++) {
             TargetLoadBalancer host = loadBalancer(seed);
             host.update(new TargetTable(targets));
-            boolean choseLocal = host.chooseTarget(ENGINES, 0, Set.of(), 0)
+            boolean choseLocal = host.chooseTarget(ENGINES, 0, TargetConstraint.NONE, 0)
                     .orElseThrow()
                     .id()
                     .value()
@@ -83,8 +87,8 @@
         for (int round = 0; round < 4; round++) {
             for (int i = 0; i < hosts.size(); i++) {
                 TargetLoadBalancer host = hosts.get(i);
-                EntryTarget chosen =
-                        host.chooseTarget(ENGINES, 0, Set.of(), round).orElseThrow();
+                EntryTarget chosen = host.chooseTarget(ENGINES, 0, TargetConstraint.NONE, round)
+                        .orElseThrow();
                 host.addLoad(chosen, InFlightLoad.prefilling(0));
                 placed.merge(chosen.id(), 1, Integer::sum);
                 HostLoadReport report = host.loadReport("host-" + i, service -> true, Map.of(), 0, round);
@@ -108,8 +112,10 @@
         loadBalancer.addLoad(available, InFlightLoad.generating(0));
         other.recordUnreachable(failed, 1_000);
         loadBalancer.updateRemote(other.loadReport("other", service -> true, Map.of(), 0, 1_010), 1_010);
-        assertThat(loadBalancer.chooseTarget(ENGINES, 0, Set.of(), 1_020)).hasValue(available);
-        assertThat(loadBalancer.chooseTarget(ENGINES, 0, Set.of(), 2_100)).hasValue(failed);
+        assertThat(loadBalancer.chooseTarget(ENGINES, 0, TargetConstraint.NONE, 1_020))
+                .hasValue(available);
+        assertThat(loadBalancer.chooseTarget(ENGINES, 0, TargetConstraint.NONE, 2_100))
+                .hasValue(failed);
     }
 
     // A failure domain stops responding. Guards against connection attempts there, each of which takes its whole
@@ -127,7 +133,8 @@
         loadBalancer.recordUnreachable(unreachable.get(0), 1_000);
         assertThat(loadBalancer.isDomainFailing(new FailureDomain("a"), 1_010)).isFalse();
         loadBalancer.recordUnreachable(unreachable.get(1), 1_010);
-        assertThat(loadBalancer.chooseTarget(ENGINES, 0, Set.of(), 1_020)).hasValue(busy);
+        assertThat(loadBalancer.chooseTarget(ENGINES, 0, TargetConstraint.NONE, 1_020))
+                .hasValue(busy);
         assertThat(loadBalancer.isDomainFailing(new FailureDomain("a"), 2_020)).isFalse();
     }
 
@@ -164,12 +171,13 @@
                 0);
         ServiceDefinition six = new ServiceDefinition(EntryTargets.SERVICE, 6, false, 0, false, false);
         IntStream.range(0, 3).forEach(i -> {
-            assertThat(loadBalancer.chooseTarget(six, 0, Set.of(), 0)).hasValue(only);
+            assertThat(loadBalancer.chooseTarget(six, 0, TargetConstraint.NONE, 0))
+                    .hasValue(only);
             loadBalancer.addLoad(only, InFlightLoad.prefilling(0));
         });
-        assertThat(loadBalancer.chooseTarget(six, 0, Set.of(), 0)).isEmpty();
+        assertThat(loadBalancer.chooseTarget(six, 0, TargetConstraint.NONE, 0)).isEmpty();
         loadBalancer.removeLoad(only, InFlightLoad.prefilling(0));
-        assertThat(loadBalancer.chooseTarget(six, 0, Set.of(), 0)).hasValue(only);
+        assertThat(loadBalancer.chooseTarget(six, 0, TargetConstraint.NONE, 0)).hasValue(only);
     }
 
     @Test
@@ -189,8 +197,10 @@
                         LimitReport.EMPTY),
                 0);
         loadBalancer.addLoad(second, InFlightLoad.generating(0));
-        assertThat(loadBalancer.chooseTarget(ENGINES, 0, Set.of(), 3_900)).hasValue(second);
-        assertThat(loadBalancer.chooseTarget(ENGINES, 0, Set.of(), 4_100)).hasValue(first);
+        assertThat(loadBalancer.chooseTarget(ENGINES, 0, TargetConstraint.NONE, 3_900))
+                .hasValue(second);
+        assertThat(loadBalancer.chooseTarget(ENGINES, 0, TargetConstraint.NONE, 4_100))
+                .hasValue(first);
     }
 
     private static TargetLoadBalancer loadBalancer(long seed) {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
@@ -28,6 +28,7 @@
 import org.amaranthlock.entry.target.ExchangeListener;
 import org.amaranthlock.entry.target.TargetExchange;
 import org.amaranthlock.model.AccountId;
+import org.amaranthlock.model.SoftwareVersion;
 import org.amaranthlock.platform.ClientRequest;
 import org.amaranthlock.platform.TargetRequestEncoder;
 
@@ -245,8 +246,8 @@
     }
 
     @Override
-    public void openStream(TargetResponse head) {
-        exchange.openStream(head);
+    public void openStream(TargetResponse head, Optional<SoftwareVersion> version) {
+        exchange.openStream(head, version);
     }
 
     @Override
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RelayResponses.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RelayResponses.java
@@ -1,6 +1,7 @@
 package org.amaranthlock.entry;
 
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.amaranthlock.coordination.forwarding.EventStreamSplitter;
 import org.amaranthlock.coordination.forwarding.MalformedStreamException;
@@ -37,7 +38,8 @@
             case EntryPeerMessage.RelayAnswered answered -> request.onResponse(attempt, answered.response(), now());
             case EntryPeerMessage.RelayRejected rejected ->
                 request.onRejected(attempt, rejected.rejection(), rejected.anotherHost(), now());
-            case EntryPeerMessage.RelayStreamOpened opened -> request.onStreamOpened(attempt, opened.head());
+            case EntryPeerMessage.RelayStreamOpened opened ->
+                request.onStreamOpened(attempt, opened.head(), Optional.empty());
             case EntryPeerMessage.RelayEvents events -> onEvents(events.events());
             case EntryPeerMessage.RelayStreamEnded _ -> request.onStreamEnded(attempt, now());
             case EntryPeerMessage.RelayAborted _ -> request.onLost(attempt, "broken-off", now());
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientExchange.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientExchange.java
@@ -1,7 +1,9 @@
 package org.amaranthlock.entry.front;
 
+import java.util.Optional;
 import org.amaranthlock.coordination.forwarding.Rejection;
 import org.amaranthlock.coordination.forwarding.TargetResponse;
+import org.amaranthlock.model.SoftwareVersion;
 
 /** Completely received request of a client, until its final response. */
 public interface ClientExchange {
@@ -14,8 +16,12 @@
     /** Sends an error response that this system generates. */
     void reject(Rejection rejection);
 
-    /** Sends the head of an event stream to the client. */
-    void openStream(TargetResponse head);
+    /**
+     * Sends the head of an event stream to the client.
+     *
+     * @param version version of the software that began the stream; empty if it is not known
+     */
+    void openStream(TargetResponse head, Optional<SoftwareVersion> version);
 
     /** Sends complete events to the client. */
     void writeEvents(byte[] events);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ConnectionExchange.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ConnectionExchange.java
@@ -1,8 +1,10 @@
 package org.amaranthlock.entry.front;
 
 import java.util.Objects;
+import java.util.Optional;
 import org.amaranthlock.coordination.forwarding.Rejection;
 import org.amaranthlock.coordination.forwarding.TargetResponse;
+import org.amaranthlock.model.SoftwareVersion;
 
 /** Exchange on a client connection. */
 final class ConnectionExchange implements ClientExchange {
@@ -38,7 +40,7 @@
     }
 
     @Override
-    public void openStream(TargetResponse head) {
+    public void openStream(TargetResponse head, Optional<SoftwareVersion> version) {
         if (!disconnected) {
             connection.openStream(head);
         }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/relay/RelayedExchange.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/relay/RelayedExchange.java
@@ -1,12 +1,14 @@
 package org.amaranthlock.entry.relay;
 
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.amaranthlock.coordination.forwarding.Rejection;
 import org.amaranthlock.coordination.forwarding.TargetResponse;
 import org.amaranthlock.entry.front.ClientExchange;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
+import org.amaranthlock.model.SoftwareVersion;
 
 /** Request that another host has passed on; its responses go back to that host. */
 final class RelayedExchange implements ClientExchange {
@@ -49,7 +51,7 @@
     }
 
     @Override
-    public void openStream(TargetResponse head) {
+    public void openStream(TargetResponse head, Optional<SoftwareVersion> version) {
         send(new EntryPeerMessage.RelayStreamOpened(id, head));
     }
 
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientConnectionHandlerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientConnectionHandlerTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.amaranthlock.coordination.forwarding.RequestLimits;
 import org.amaranthlock.coordination.forwarding.TargetResponse;
@@ -165,7 +166,7 @@
     void closesAbortedStreamWithoutLastChunk() {
         send("POST /s/1 HTTP/1.1\r\n" + HEAD + "\r\n");
         ClientExchange exchange = handler.exchanges.getFirst();
-        exchange.openStream(okResponse());
+        exchange.openStream(okResponse(), Optional.empty());
         exchange.writeEvents("id: 0\n\n".getBytes(StandardCharsets.US_ASCII));
         exchange.abort();
         assertThat(received()).doesNotContain("\r\n0\r\n\r\n");
