--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.amaranthlock.model.SoftwareVersion;
 import org.amaranthlock.model.TargetId;
 
 /**
@@ -95,6 +96,11 @@
         return completed;
     }
 
+    /** Binds the event stream to the version that began it at another host; called before the request is started. */
+    public void bindTo(SoftwareVersion version) {
+        retryTargets.bindTo(version);
+    }
+
     /** Sends the request of a client for the first time, or rejects it if all engines are overloaded. */
     public void start(long nowMillis) {
         retryBudget.recordRequest();
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
@@ -209,10 +209,9 @@
     public void relay(RelayAttempt attempt) {
         relayId = calls.relays()
                 .send(
-                        attempt.host(),
+                        attempt,
                         request.forHost(attempt.timeLeftMillis(), attempt.lastEventId()),
                         relayFactory.orElseThrow().configurationVersion(),
-                        attempt.executionsLeft(),
                         new RelayResponses(relayedRequest, attempt.number(), clockMillis));
     }
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RelayResponses.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RelayResponses.java
@@ -1,7 +1,6 @@
 package org.amaranthlock.entry;
 
 import java.util.Objects;
-import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.amaranthlock.coordination.forwarding.EventStreamSplitter;
 import org.amaranthlock.coordination.forwarding.MalformedStreamException;
@@ -39,7 +38,7 @@
             case EntryPeerMessage.RelayRejected rejected ->
                 request.onRejected(attempt, rejected.rejection(), rejected.anotherHost(), now());
             case EntryPeerMessage.RelayStreamOpened opened ->
-                request.onStreamOpened(attempt, opened.head(), Optional.empty());
+                request.onStreamOpened(attempt, opened.head(), opened.version());
             case EntryPeerMessage.RelayEvents events -> onEvents(events.events());
             case EntryPeerMessage.RelayStreamEnded _ -> request.onStreamEnded(attempt, now());
             case EntryPeerMessage.RelayAborted _ -> request.onLost(attempt, "broken-off", now());
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
@@ -36,6 +36,7 @@
 import org.amaranthlock.entry.front.ClientExchangeHandler;
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.metrics.EntryMetrics;
+import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.entry.relay.RelayServer;
 import org.amaranthlock.model.ServiceName;
 import org.amaranthlock.platform.ClientRequest;
@@ -205,7 +206,7 @@
                         ageMillis == Long.MAX_VALUE ? -1 : ageMillis);
                 exchange.reject(rejection);
             }
-            case AdmissionResult.Admitted admitted -> forward(request, exchange, admitted, OptionalInt.empty());
+            case AdmissionResult.Admitted admitted -> forward(request, exchange, admitted, Optional.empty());
         }
     }
 
@@ -226,10 +227,10 @@
     }
 
     @Override
-    public void handleRelayed(ClientRequest request, int executionsLeft, ClientExchange exchange) {
-        switch (admit(request)) {
+    public void handleRelayed(EntryPeerMessage.RelayRequest message, ClientExchange exchange) {
+        switch (admit(message.request())) {
             case AdmissionResult.Admitted admitted ->
-                forward(request, exchange, admitted, OptionalInt.of(executionsLeft));
+                forward(message.request(), exchange, admitted, Optional.of(message));
             case AdmissionResult.Rejected rejected -> exchange.reject(rejected.rejection());
         }
     }
@@ -299,16 +300,16 @@
     /**
      * Forwards an admitted request.
      *
-     * @param executionsLeft number of targets that may execute a request that another host has passed on; empty for a
-     *     request of a client of this host
+     * @param relay message by which another host has passed on the request; empty for a request of a client of this
+     *     host
      */
     private void forward(
             ClientRequest request,
             ClientExchange exchange,
             AdmissionResult.Admitted admitted,
-            OptionalInt executionsLeft) {
-        boolean relayed = executionsLeft.isPresent();
-        Route route = relayed ? admitted.route().withMaxAttempts(executionsLeft.getAsInt()) : admitted.route();
+            Optional<EntryPeerMessage.RelayRequest> relay) {
+        boolean relayed = relay.isPresent();
+        Route route = relayed ? admitted.route().withMaxAttempts(relay.get().executionsLeft()) : admitted.route();
         ServiceDefinition service = admitted.configuration().service(route.selectService(random.nextDouble()));
         Optional<Integer> priority =
                 service.engine() ? Optional.of(effectivePriority(route, admitted.keyOwner())) : Optional.empty();
@@ -357,6 +358,7 @@
         ForwardedRequest forwarded =
                 new ForwardedRequest(request.toAttributes(), route, service, priority, state, budget, activeRequest);
         if (relayed) {
+            relay.get().streamVersion().ifPresent(forwarded::bindTo);
             activeRequest.startCounted(forwarded);
         } else {
             activeRequest.start(forwarded);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerMessageDispatcher.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerMessageDispatcher.java
@@ -40,7 +40,8 @@
      * @param trafficLoop runs the calls of {@code relayServer}
      * @param loadReportListener receives the load reports of other hosts
      * @param promptPartListener receives the reports of other hosts on prompt parts
-     * @param connectionListener receives the name of a host when a connection to it has been opened or closed
+     * @param connectionListener receives the name of a host when a connection to it has been opened or closed, or when
+     *     it has told which messages it reads
      * @param versionListener receives the versions of the configuration that other hosts know
      */
     public PeerMessageDispatcher(
@@ -86,6 +87,8 @@
             }
             case EntryPeerMessage.RelayCancel cancel ->
                 trafficLoop.execute(() -> relayServer.onCancel(cancel.id(), reply));
+            case EntryPeerMessage.Unsupported unsupported ->
+                throw new IllegalArgumentException("message type " + unsupported.type() + " is not supported");
             case EntryPeerMessage.Response _ ->
                 throw new IllegalArgumentException(
                         "response received on an inbound connection, which carries no queries of this host");
@@ -111,6 +114,11 @@
         connectionListener.accept(peer);
     }
 
+    @Override
+    public void onMessageLevelChanged(String peer) {
+        connectionListener.accept(peer);
+    }
+
     @Override
     public void onConnectionClosed(String peer) {
         peerStoreClient.onPeerLost(peer, "link-closed");
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
@@ -2,25 +2,44 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import org.amaranthlock.coordination.forwarding.HostLoadReport;
 import org.amaranthlock.coordination.forwarding.Rejection;
 import org.amaranthlock.coordination.forwarding.TargetResponse;
 import org.amaranthlock.coordination.promptpart.PromptPartReport;
 import org.amaranthlock.coordination.targetlimit.PermitDecision;
 import org.amaranthlock.coordination.targetlimit.PermitRequest;
+import org.amaranthlock.model.SoftwareVersion;
 import org.amaranthlock.platform.ClientRequest;
 import org.amaranthlock.platform.StoreChange;
 
 /** Message between entry hosts. */
 public sealed interface EntryPeerMessage {
-    /** Load report of the sending host. */
-    record LoadReport(HostLoadReport report) implements EntryPeerMessage {
+    /** Returns the {@link MessageLevel} that a host needs to handle the message. */
+    default int requiredLevel() {
+        return MessageLevel.FIRST;
+    }
+
+    /**
+     * Load report of the sending host.
+     *
+     * @param messageLevel {@link MessageLevel} of that host
+     */
+    record LoadReport(HostLoadReport report, int messageLevel) implements EntryPeerMessage {
         /** Checks that the report is present. */
         public LoadReport {
             Objects.requireNonNull(report, "report");
         }
+
+        /** Creates a load report of this host. */
+        LoadReport(HostLoadReport report) {
+            this(report, MessageLevel.CURRENT);
+        }
     }
 
+    /** Message of a newer build, which is ignored. */
+    record Unsupported(int type) implements EntryPeerMessage {}
+
     /**
      * Asks whether a configuration is still the newest; the receiver confirms it after its next read of the store.
      *
@@ -66,12 +85,25 @@
      * @param id id of the request, unique on its connection
      * @param configurationVersion configuration by which the sender has admitted the request
      * @param executionsLeft number of targets that may execute the request
+     * @param streamVersion version that began the event stream; empty if any version may serve the request, or if it is
+     *     not known
      */
-    record RelayRequest(long id, long configurationVersion, int executionsLeft, ClientRequest request)
+    record RelayRequest(
+            long id,
+            long configurationVersion,
+            int executionsLeft,
+            ClientRequest request,
+            Optional<SoftwareVersion> streamVersion)
             implements EntryPeerMessage {
-        /** Checks that the request is present. */
+        /** Checks that the request and the version are present. */
         public RelayRequest {
             Objects.requireNonNull(request, "request");
+            Objects.requireNonNull(streamVersion, "stream version");
+        }
+
+        @Override
+        public int requiredLevel() {
+            return streamVersion.isPresent() ? MessageLevel.STREAM_VERSIONS : MessageLevel.FIRST;
         }
     }
 
@@ -138,8 +170,18 @@
         }
     }
 
-    /** A target has started an event stream. */
-    record RelayStreamOpened(long id, TargetResponse head) implements RelayResponse {
+    /**
+     * A target has started an event stream.
+     *
+     * @param version version of that target; empty if the responding host does not tell it
+     */
+    record RelayStreamOpened(long id, TargetResponse head, Optional<SoftwareVersion> version) implements RelayResponse {
+        /** Checks that the head and the version are present. */
+        public RelayStreamOpened {
+            Objects.requireNonNull(head, "head");
+            Objects.requireNonNull(version, "version");
+        }
+
         @Override
         public boolean last() {
             return false;
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
@@ -8,11 +8,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.amaranthlock.coordination.brittle.BrittleReport;
 import org.amaranthlock.coordination.forwarding.HostLoadReport;
 import org.amaranthlock.coordination.forwarding.InFlightLoad;
 import org.amaranthlock.model.ServiceName;
+import org.amaranthlock.model.SoftwareVersion;
 import org.amaranthlock.model.TargetId;
 import org.amaranthlock.platform.StoreChange;
 import org.amaranthlock.platform.StoredObject;
@@ -21,7 +23,12 @@
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 
-/** Codec for {@link EntryPeerMessage} in MessagePack: format version, message type, then the fields in order. */
+/**
+ * Codec for {@link EntryPeerMessage} in MessagePack: format version, message type, then the fields in order.
+ *
+ * <p>Hosts of different builds run side by side while a fleet is upgraded. All builds since 5ad7ba2 work together: a
+ * field is only ever appended to a message and has a default, and a new type of message has a {@link MessageLevel}.
+ */
 final class EntryPeerMessageCodec {
     private static final int FORMAT_VERSION = 7;
     private static final int LOAD_REPORT = 1;
@@ -51,7 +58,10 @@
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             packer.packInt(FORMAT_VERSION);
             switch (message) {
-                case EntryPeerMessage.LoadReport loadReport -> packLoadReport(packer, loadReport.report());
+                case EntryPeerMessage.LoadReport loadReport -> {
+                    packLoadReport(packer, loadReport.report());
+                    packer.packInt(loadReport.messageLevel());
+                }
                 case EntryPeerMessage.ConfigurationQuery query ->
                     pack(packer, CONFIGURATION_QUERY, query.id(), query.revision());
                 case EntryPeerMessage.PromptParts parts -> {
@@ -75,10 +85,13 @@
                 case EntryPeerMessage.RelayRequest request -> {
                     pack(packer, RELAY_REQUEST, request.id(), request.configurationVersion(), request.executionsLeft());
                     RelayCodec.packRequest(packer, request.request());
+                    packVersion(packer, request.streamVersion());
                 }
                 case EntryPeerMessage.RelayCancel cancel -> pack(packer, RELAY_CANCEL, cancel.id());
                 case EntryPeerMessage.RelayResponse response -> packRelayResponse(packer, response);
                 case EntryPeerMessage.NotKnown notKnown -> pack(packer, NOT_KNOWN, notKnown.id());
+                case EntryPeerMessage.Unsupported unsupported ->
+                    throw new IllegalArgumentException("message type " + unsupported.type() + " is not supported");
             }
             return packer.toByteArray();
         } catch (IOException e) {
@@ -99,7 +112,7 @@
             }
             int type = unpacker.unpackInt();
             return switch (type) {
-                case LOAD_REPORT -> new EntryPeerMessage.LoadReport(unpackLoadReport(unpacker));
+                case LOAD_REPORT -> new EntryPeerMessage.LoadReport(unpackLoadReport(unpacker), unpackLevel(unpacker));
                 case CONFIGURATION_QUERY ->
                     new EntryPeerMessage.ConfigurationQuery(unpacker.unpackLong(), unpacker.unpackLong());
                 case PROMPT_PARTS -> new EntryPeerMessage.PromptParts(PromptPartCodec.unpackReport(unpacker));
@@ -118,7 +131,8 @@
                             unpacker.unpackLong(),
                             unpacker.unpackLong(),
                             unpacker.unpackInt(),
-                            RelayCodec.unpackRequest(unpacker));
+                            RelayCodec.unpackRequest(unpacker),
+                            unpackVersion(unpacker));
                 case RELAY_CANCEL -> new EntryPeerMessage.RelayCancel(unpacker.unpackLong());
                 case RELAY_ANSWERED ->
                     new EntryPeerMessage.RelayAnswered(unpacker.unpackLong(), RelayCodec.unpackResponse(unpacker));
@@ -126,13 +140,14 @@
                     new EntryPeerMessage.RelayRejected(
                             unpacker.unpackLong(), RelayCodec.unpackRejection(unpacker), unpacker.unpackBoolean());
                 case RELAY_STREAM_OPENED ->
-                    new EntryPeerMessage.RelayStreamOpened(unpacker.unpackLong(), RelayCodec.unpackResponse(unpacker));
+                    new EntryPeerMessage.RelayStreamOpened(
+                            unpacker.unpackLong(), RelayCodec.unpackResponse(unpacker), unpackVersion(unpacker));
                 case RELAY_EVENTS ->
                     new EntryPeerMessage.RelayEvents(unpacker.unpackLong(), RelayCodec.unpackBytes(unpacker));
                 case RELAY_STREAM_ENDED -> new EntryPeerMessage.RelayStreamEnded(unpacker.unpackLong());
                 case RELAY_ABORTED -> new EntryPeerMessage.RelayAborted(unpacker.unpackLong());
                 case NOT_KNOWN -> new EntryPeerMessage.NotKnown(unpacker.unpackLong());
-                default -> throw new IllegalArgumentException("unknown message type " + type);
+                default -> new EntryPeerMessage.Unsupported(type);
             };
         } catch (IOException | MessagePackException e) {
             throw new IllegalArgumentException("malformed message: " + e.getMessage(), e);
@@ -154,6 +169,7 @@
             case EntryPeerMessage.RelayStreamOpened opened -> {
                 pack(packer, RELAY_STREAM_OPENED, opened.id());
                 RelayCodec.packResponse(packer, opened.head());
+                packVersion(packer, opened.version());
             }
             case EntryPeerMessage.RelayEvents events -> {
                 pack(packer, RELAY_EVENTS, events.id());
@@ -171,6 +187,27 @@
         }
     }
 
+    /** Packs a version, or nil for none. */
+    private static void packVersion(MessageBufferPacker packer, Optional<SoftwareVersion> version) throws IOException {
+        if (version.isPresent()) {
+            packer.packString(version.get().value());
+        } else {
+            packer.packNil();
+        }
+    }
+
+    /** Unpacks a version; hosts before {@link MessageLevel#STREAM_VERSIONS} end the message before it. */
+    private static Optional<SoftwareVersion> unpackVersion(MessageUnpacker unpacker) throws IOException {
+        return !unpacker.hasNext() || unpacker.tryUnpackNil()
+                ? Optional.empty()
+                : Optional.of(new SoftwareVersion(unpacker.unpackString()));
+    }
+
+    /** Unpacks the level of a host; the first builds end the message before it. */
+    private static int unpackLevel(MessageUnpacker unpacker) throws IOException {
+        return unpacker.hasNext() ? unpacker.unpackInt() : MessageLevel.FIRST;
+    }
+
     private static void packLoadReport(MessageBufferPacker packer, HostLoadReport report) throws IOException {
         pack(packer, LOAD_REPORT);
         packer.packString(report.host());
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/MessageLevel.java
@@ -0,0 +1,20 @@
+package org.amaranthlock.entry.peer;
+
+/**
+ * Levels of the messages between hosts, for hosts of different builds that run side by side.
+ *
+ * <p>A host names its level in its load reports. It gets messages that need a higher level from nobody. Within a level,
+ * fields are only appended to a message: an older host ignores them, and a newer one uses a default if they are missing.
+ */
+final class MessageLevel {
+    /** Level of hosts that name none. */
+    static final int FIRST = 0;
+
+    /** Messages on the software versions of event streams. */
+    static final int STREAM_VERSIONS = 1;
+
+    /** Level of this build. */
+    static final int CURRENT = STREAM_VERSIONS;
+
+    private MessageLevel() {}
+}
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
@@ -20,6 +20,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -61,6 +62,11 @@
     private final PeerListener listener;
     private final DecisionLog log;
     private final Map<String, Channel> connections = new HashMap<>();
+
+    /** {@link MessageLevel} by host, since the connection to it was opened. */
+    private final Map<String, Integer> messageLevels = new HashMap<>();
+
+    private final Set<Integer> loggedTypes = new HashSet<>();
     private Set<PeerRegistration> peers = Set.of();
     private boolean sendScheduled;
 
@@ -134,18 +140,25 @@
     /**
      * Sends a query to a host.
      *
-     * @return whether the host is connected; if not, nothing is sent
+     * @return whether the host is connected and reads the message; if not, nothing is sent
      */
     public boolean sendQuery(String peer, EntryPeerMessage query) {
         Channel connection = connections.get(peer);
-        if (connection == null || !connection.isActive()) {
+        if (connection == null || !connection.isActive() || query.requiredLevel() > messageLevel(peer)) {
             return false;
         }
         write(connection, query);
         return true;
     }
 
-    /** Sends a message to all connected hosts. */
+    /** Returns the connected hosts that keep the versions of event streams. */
+    public Set<String> peersThatKeepStreamVersions() {
+        return connectedPeers().stream()
+                .filter(peer -> messageLevel(peer) >= MessageLevel.STREAM_VERSIONS)
+                .collect(Collectors.toSet());
+    }
+
+    /** Sends a message, which all builds read, to all connected hosts. */
     public void broadcast(EntryPeerMessage message) {
         byte[] frame = EntryPeerMessageCodec.encode(message);
         connections.values().stream()
@@ -169,6 +182,25 @@
         }
     }
 
+    private int messageLevel(String peer) {
+        return messageLevels.getOrDefault(peer, MessageLevel.FIRST);
+    }
+
+    private void updateMessageLevel(EntryPeerMessage.LoadReport report) {
+        String peer = report.report().host();
+        Integer before = messageLevels.put(peer, report.messageLevel());
+        if (before == null || before != report.messageLevel()) {
+            log.write("peer-message-level", "peer", peer, "level", report.messageLevel());
+            listener.onMessageLevelChanged(peer);
+        }
+    }
+
+    private void logUnsupported(int type) {
+        if (loggedTypes.add(type)) {
+            log.write("peer-message-ignored", "type", type, "level", MessageLevel.CURRENT);
+        }
+    }
+
     private void sendLoadReport() {
         sendScheduled = false;
         if (peers.isEmpty()) {
@@ -226,14 +258,19 @@
         connection.writeAndFlush(Unpooled.wrappedBuffer(EntryPeerMessageCodec.encode(message)));
     }
 
-    /** Decodes frames; a frame that cannot be decoded closes its connection. */
+    /** Decodes frames; one of a newer build is ignored, and one that cannot be decoded closes its connection. */
     private abstract class FrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
         abstract void handle(Channel connection, EntryPeerMessage message);
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
             try {
-                handle(context.channel(), EntryPeerMessageCodec.decode(ByteBufUtil.getBytes(frame)));
+                EntryPeerMessage message = EntryPeerMessageCodec.decode(ByteBufUtil.getBytes(frame));
+                if (message instanceof EntryPeerMessage.Unsupported unsupported) {
+                    logUnsupported(unsupported.type());
+                } else {
+                    handle(context.channel(), message);
+                }
             } catch (IllegalArgumentException e) {
                 log.write("peer-frame-unreadable", "cause", e.getMessage());
                 context.close();
@@ -262,6 +299,9 @@
 
         @Override
         void handle(Channel connection, EntryPeerMessage message) {
+            if (message instanceof EntryPeerMessage.LoadReport report) {
+                updateMessageLevel(report);
+            }
             listener.onMessage(message, reply);
         }
 
@@ -289,11 +329,14 @@
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
+            // The peer learns from it what this host reads, and need not wait for the next one.
+            write(context.channel(), new EntryPeerMessage.LoadReport(loadReport.get()));
             listener.onConnectionOpened(peer);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
+            messageLevels.remove(peer);
             listener.onConnectionClosed(peer);
         }
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerListener.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerListener.java
@@ -20,6 +20,9 @@
     /** Called when a connection to a host has been opened. */
     void onConnectionOpened(String peer);
 
+    /** Called when a host has told for the first time, or differently than before, which messages it reads. */
+    void onMessageLevelChanged(String peer);
+
     /** Called when the connection to a host is closed; pending queries on it get no response. */
     void onConnectionClosed(String peer);
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/relay/RelayClient.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/relay/RelayClient.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import org.amaranthlock.coordination.forwarding.RelayAttempt;
 import org.amaranthlock.entry.control.PeerQueries;
 import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
@@ -39,16 +40,16 @@
      * Sends a request to a host; called on the traffic loop.
      *
      * @param configurationVersion configuration by which this host has admitted the request
-     * @param executionsLeft number of targets that may execute the request
+     * @param attempt host, number of executions left, and version that began the event stream
      * @return id of the request
      */
-    public long send(
-            String host, ClientRequest request, long configurationVersion, int executionsLeft, RelayListener listener) {
+    public long send(RelayAttempt attempt, ClientRequest request, long configurationVersion, RelayListener listener) {
+        String host = attempt.host();
         long id = ++lastId;
         controlLoop.execute(() -> {
             outstanding.put(id, new Outstanding(host, listener));
-            EntryPeerMessage message =
-                    new EntryPeerMessage.RelayRequest(id, configurationVersion, executionsLeft, request);
+            EntryPeerMessage message = new EntryPeerMessage.RelayRequest(
+                    id, configurationVersion, attempt.executionsLeft(), request, attempt.streamVersion());
             if (!peerQueries.sendQuery(host, message)) {
                 outstanding.remove(id);
                 metrics.recordRelay("not-connected");
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/relay/RelayServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/relay/RelayServer.java
@@ -35,7 +35,7 @@
         String reasonNotToServe(ClientRequest request, long configurationVersion);
 
         /** Serves a request, which is not passed to yet another host. */
-        void handleRelayed(ClientRequest request, int executionsLeft, ClientExchange exchange);
+        void handleRelayed(EntryPeerMessage.RelayRequest message, ClientExchange exchange);
     }
 
     /**
@@ -63,7 +63,7 @@
             return;
         }
         active.put(key, exchange);
-        handler.handleRelayed(message.request(), message.executionsLeft(), exchange);
+        handler.handleRelayed(message, exchange);
     }
 
     /** Handles the cancellation of a request. */
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/relay/RelayedExchange.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/relay/RelayedExchange.java
@@ -52,7 +52,7 @@
 
     @Override
     public void openStream(TargetResponse head, Optional<SoftwareVersion> version) {
-        send(new EntryPeerMessage.RelayStreamOpened(id, head));
+        send(new EntryPeerMessage.RelayStreamOpened(id, head, version));
     }
 
     @Override
