BUDGET, DRAIN: targets that rest or leave get no requests

What callers saw: requests took longer, because they went first to a target that had turned its host away and asked for 3 s of rest; it got 5 requests in that time. Cause: nothing read Retry-After or Server-Leaving. A rejection left the target a candidate, and one that turns everything away at once has the fewest requests in flight, so that it is the first choice.

Rest and leaving are a state of one run of a target at this host, beside limits and failures: a rest ends by itself, is bounded to five minutes, and assumed to be a second if it cannot be read; leaving ends with the run, whatever the registration says. Every choice obeys it: first attempts, retries, resumed streams, copies, lists, reports, checks, and once more the moment of sending. None of the two requests that may come within a rest is used, since the half second for what is on its way is enough. If all targets rest, clients get 503 at once with the soonest end, spread over half a second. Other hosts are not told: each is told by the target itself, and keeping them all away from it would cost its capacity.

--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedEntryHost.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedEntryHost.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 import org.amaranthlock.bench.sim.VirtualTimeScheduler;
+import org.amaranthlock.coordination.availability.AvailabilityListener;
+import org.amaranthlock.coordination.availability.TargetAvailability;
 import org.amaranthlock.coordination.brittle.BrittleListener;
 import org.amaranthlock.coordination.brittle.BrittleTargets;
 import org.amaranthlock.coordination.estimate.PrefillEstimates;
@@ -66,6 +68,7 @@
                 loadShedding,
                 unlimitedPermits(name),
                 new BrittleTargets(RandomSource.SPLIT_MIX_64.create(0), BrittleListener.none()),
+                new TargetAvailability(AvailabilityListener.none()),
                 mechanisms);
         this.forwardingState = new ForwardingState(
                 loadBalancer,
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/limit/BrittleTargetSimulation.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/limit/BrittleTargetSimulation.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.amaranthlock.bench.sim.VirtualTimeScheduler;
+import org.amaranthlock.coordination.availability.AvailabilityListener;
+import org.amaranthlock.coordination.availability.TargetAvailability;
 import org.amaranthlock.coordination.brittle.BrittleListener;
 import org.amaranthlock.coordination.brittle.BrittleStatement;
 import org.amaranthlock.coordination.brittle.BrittleTargets;
@@ -209,6 +211,7 @@
                             () -> 0,
                             random),
                     new BrittleTargets(random, BrittleListener.none()),
+                    new TargetAvailability(AvailabilityListener.none()),
                     Mechanisms.ALL);
             loadBalancer.update(new TargetTable(targets));
             targets.forEach(this::recordAnswer);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/AttemptPermits.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/AttemptPermits.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.function.LongConsumer;
 import org.amaranthlock.coordination.brittle.BrittleStatement;
 import org.amaranthlock.coordination.targetlimit.LimitStatement;
@@ -22,17 +23,25 @@
 
     private static final int MISDIRECTED = 421;
 
+    /** Reason of a rejection because all targets have asked for a rest. */
+    private static final String TARGETS_REST = "targets-rest";
+
+    /** Time over which the clients come back that were rejected during a rest, in milliseconds. */
+    private static final int MAX_REST_SPREAD_MILLIS = 500;
+
     private final TargetLoadBalancer loadBalancer;
     private final ServiceDefinition service;
     private final PermitRequest.Priority priority;
+    private final long restSpreadMillis;
     private boolean waiting;
     private boolean denied;
     private int unusedGrants;
     private long retryAfterMillis = NO_TARGET_RETRY_AFTER_MILLIS;
 
-    AttemptPermits(TargetLoadBalancer loadBalancer, ServiceDefinition service, RouteKind kind) {
+    AttemptPermits(TargetLoadBalancer loadBalancer, ServiceDefinition service, RouteKind kind, String requestId) {
         this.loadBalancer = Objects.requireNonNull(loadBalancer, "load balancer");
         this.service = Objects.requireNonNull(service, "service");
+        this.restSpreadMillis = Math.floorMod(requestId.hashCode(), MAX_REST_SPREAD_MILLIS);
         this.priority = kind == RouteKind.IDEMPOTENT ? PermitRequest.Priority.LOW : PermitRequest.Priority.HIGH;
     }
 
@@ -45,8 +54,14 @@
      * Returns the rejection of a request for which no target is left: a 503, which states that the request was not
      * executed and when to return, only if no target may have executed it.
      */
-    Rejection finalRejection(String cause, boolean mayBeExecuted) {
-        return mayBeExecuted ? Rejection.of(502, cause) : Rejection.retryLater(retryAfterMillis, cause);
+    Rejection finalRejection(String cause, boolean mayBeExecuted, long nowMillis) {
+        if (mayBeExecuted) {
+            return Rejection.of(502, cause);
+        }
+        OptionalLong restEnd = loadBalancer.restEndMillis(service.name(), nowMillis);
+        return restEnd.isPresent()
+                ? Rejection.retryLater(restEnd.getAsLong() - nowMillis + restSpreadMillis, TARGETS_REST)
+                : Rejection.retryLater(retryAfterMillis, cause);
     }
 
     /** Returns the time after which a stream that waits for a target is tried again, in milliseconds. */
@@ -58,6 +73,11 @@
         return loadBalancer.permits().isLimited(target.incarnation());
     }
 
+    /** Returns whether the target gets calls of this host itself. */
+    boolean acceptsCalls(EntryTarget target, long nowMillis) {
+        return loadBalancer.acceptsCalls(target, nowMillis);
+    }
+
     /** Uses up the permit for an attempt and returns whether the attempt may be sent. */
     boolean take(EntryTarget target) {
         boolean permitted = loadBalancer.permits().take(target.incarnation());
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -69,13 +69,13 @@
         Mechanisms mechanisms = state.mechanisms();
         this.forecast = new FirstEventForecast(service, attributes, state.prefillEstimates(), mechanisms);
         this.port = Objects.requireNonNull(port, "port");
-        this.poisonDetector = new PoisonDetector(attributes, state, port);
         this.attempts = new AttemptTracker(loadBalancer, route, attributes.tokens());
         this.stream = new StreamProgress(port, attributes.lastEventId().orElse(-1L));
         this.decisions = new DecisionRecorder(port, attempts, stream);
+        this.poisonDetector = new PoisonDetector(attributes, state, decisions, port);
         this.retryTargets = new RetryTargets(loadBalancer, service, attributes.tokens(), route.kind(), mechanisms);
         this.silence = new SilenceMonitor(route, mechanisms);
-        this.permits = new AttemptPermits(loadBalancer, service, route.kind());
+        this.permits = new AttemptPermits(loadBalancer, service, route.kind(), attributes.id());
         this.relayPolicy = new RelayPolicy(route, service, loadBalancer, retryBudget, attempts, port);
         this.targetCheck = new TargetCheck(attempts, decisions, port);
         this.resumption = new StreamResumption(
@@ -137,7 +137,7 @@
         if (!isCurrent(attempt)) {
             return;
         }
-        Attempt ended = endAttempt();
+        Attempt ended = endAttempt(nowMillis);
         permits.recordStatements(ended.target(), response, nowMillis);
         // With 421, a target with another id rejects the request.
         if (response.notRun() || response.status() == 421) {
@@ -209,7 +209,7 @@
         if (!isCurrent(attempt)) {
             return;
         }
-        Attempt ended = endAttempt();
+        Attempt ended = endAttempt(nowMillis);
         loadBalancer.recordSuccess(ended.target(), nowMillis);
         complete("answered", Optional.of(ended), "complete", stream.status(), nowMillis);
         stream.end();
@@ -220,7 +220,7 @@
         if (!isCurrent(attempt)) {
             return;
         }
-        Attempt ended = endAttempt();
+        Attempt ended = endAttempt(nowMillis);
         attempts.undoDelivery();
         if (attempts.deliveries() > 0) { // the first delivery acquires no retry
             retryBudget.release();
@@ -237,7 +237,7 @@
         }
         boolean generating = attempts.generating();
         retryTargets.offerCopy(generating ? kvCacheBackup.findUsableCopy(nowMillis) : Optional.empty());
-        Attempt ended = endAttempt();
+        Attempt ended = endAttempt(nowMillis);
         attempts.countExecution();
         if (!generating) { // a stream that already generates is not counted as the cause of a crash
             poisonDetector.onAttemptLost(ended, cause);
@@ -256,18 +256,12 @@
 
     /** Handles the check whether the target of a lost attempt accepts connections; if it does not, it crashed. */
     public void onCrashCheckResult(Attempt attempt, boolean reachable, long nowMillis) {
-        if (reachable) {
-            poisonDetector.recordReachable(attempt);
-            return;
-        }
-        boolean counted = poisonDetector.recordUnreachable(attempt, nowMillis);
-        decisions.record(counted ? "crash-counted" : "crash-with-domain", attempt, "unreachable", 0, nowMillis);
+        poisonDetector.recordCrashCheck(attempt, reachable, nowMillis);
     }
 
     /** Handles the probe of the target of an attempt that was lost before it began to answer. */
     public void onLostTargetProbed(Attempt attempt, boolean reachable, long nowMillis) {
         poisonDetector.recordProbe(attempt, reachable, nowMillis);
-        decisions.record(reachable ? "target-alive" : "target-crashed", attempt, "after-loss", 0, nowMillis);
     }
 
     /** Handles the result of a check whether the target of the next attempt responds. */
@@ -299,7 +293,7 @@
         if (completed) {
             return;
         }
-        Optional<Attempt> cancelled = cancelAttempt();
+        Optional<Attempt> cancelled = cancelAttempt(nowMillis);
         complete("caller-left", cancelled, "connection-closed", 0, nowMillis);
     }
 
@@ -412,6 +406,10 @@
     }
 
     private void send(RetryTargets.Destination destination, String cause, long nowMillis) {
+        if (!loadBalancer.availability().mayReceive(destination.target().incarnation(), nowMillis)) {
+            dispatch(cause, nowMillis); // it has asked for a rest, or said that it leaves, since it was chosen
+            return;
+        }
         if (!permits.take(destination.target())) {
             retryTargets.offerCopy(destination.copy());
             requestPermit(cause, nowMillis);
@@ -473,7 +471,7 @@
 
     private void retry(String cause, long nowMillis) {
         if (attempts.deliveries() >= route.maxAttempts() + EXTRA_DELIVERIES) {
-            fail(permits.finalRejection(cause, attempts.executions() > 0), nowMillis);
+            fail(permits.finalRejection(cause, attempts.executions() > 0, nowMillis), nowMillis);
             return;
         }
         dispatch(cause, nowMillis);
@@ -484,7 +482,8 @@
         boolean versionGone = retryTargets.isVersionGone();
         if (!stream.opened() || versionGone) {
             fail(
-                    permits.finalRejection(versionGone ? RetryTargets.VERSION_GONE : cause, attempts.executions() > 0),
+                    permits.finalRejection(
+                            versionGone ? RetryTargets.VERSION_GONE : cause, attempts.executions() > 0, nowMillis),
                     nowMillis);
             return;
         }
@@ -504,7 +503,7 @@
     }
 
     private void handleDeadline(long nowMillis) {
-        boolean mayHaveRun = cancelAttempt().isPresent() || attempts.executions() > 0;
+        boolean mayHaveRun = cancelAttempt(nowMillis).isPresent() || attempts.executions() > 0;
         fail(mayHaveRun ? Rejection.of(504, "timeout") : Rejection.retryLater(0, "timeout"), nowMillis);
     }
 
@@ -524,7 +523,7 @@
     /** Takes the current attempt back from its target, which has not failed. */
     private void withdrawAttempt(long nowMillis) {
         port.cancel(currentAttempt());
-        Attempt withdrawn = endAttempt();
+        Attempt withdrawn = endAttempt(nowMillis);
         attempts.countExecution();
         decisions.record("withdrawn", withdrawn, "suspect-prompt-part", 0, nowMillis);
         retry("suspect-prompt-part", nowMillis);
@@ -537,9 +536,9 @@
     }
 
     /** Cancels the current attempt, if there is one, and returns it. */
-    private Optional<Attempt> cancelAttempt() {
+    private Optional<Attempt> cancelAttempt(long nowMillis) {
         attempts.current().ifPresent(port::cancel);
-        return attempts.current().map(_ -> endAttempt());
+        return attempts.current().map(_ -> endAttempt(nowMillis));
     }
 
     /** Returns whether the next attempt waits for an answer of its target or of the engines. */
@@ -565,10 +564,10 @@
         decisions.record("first-event", currentAttempt(), "running", 0, nowMillis);
     }
 
-    private Attempt endAttempt() {
+    private Attempt endAttempt(long nowMillis) {
         Attempt ended = attempts.end();
         poisonDetector.recordAttemptEnded();
-        kvCacheBackup.release(ended, retryTargets.usableCopy());
+        kvCacheBackup.release(ended, retryTargets.usableCopy(), nowMillis);
         return ended;
     }
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/KvCacheBackup.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/KvCacheBackup.java
@@ -64,7 +64,7 @@
         if (!assignedLost
                 || transferPending
                 || !service.kvCacheTransfer()
-                || isLimited(attempt.target())
+                || !loadBalancer.acceptsCalls(attempt.target(), nowMillis)
                 || nowMillis - lastTransferMillis < REFRESH_MILLIS) {
             return;
         }
@@ -113,8 +113,8 @@
      * Releases the copies of an attempt, except {@code used}. They are freed explicitly because engines free unused
      * copies only after some seconds.
      */
-    void release(Attempt attempt, Optional<KvCacheCopy> used) {
-        if (!used.equals(replacementCopy) && !isLimited(attempt.target())) {
+    void release(Attempt attempt, Optional<KvCacheCopy> used, long nowMillis) {
+        if (!used.equals(replacementCopy) && loadBalancer.acceptsCalls(attempt.target(), nowMillis)) {
             replacementCopy.ifPresent(copy -> port.freeCopy(attempt, copy));
         }
         assigned.ifPresent(backup -> loadBalancer.removeLoad(backup, backupLoad()));
@@ -129,11 +129,6 @@
         return loadBalancer.chooseBackup(service, target, attributes.tokens(), excluded, nowMillis);
     }
 
-    /** Returns whether a target limits its requests; calls that are not needed are left out then. */
-    private boolean isLimited(EntryTarget target) {
-        return loadBalancer.permits().isLimited(target.incarnation());
-    }
-
     private void dropReplacement() {
         replacement.ifPresent(backup -> loadBalancer.removeLoad(backup, backupLoad()));
         replacement = Optional.empty();
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/PoisonDetector.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/PoisonDetector.java
@@ -39,6 +39,7 @@
     private final RequestParts parts;
     private final CrashHistory crashHistory;
     private final TargetLoadBalancer loadBalancer;
+    private final DecisionRecorder decisions;
     private final ForwardingPort port;
 
     /** What was known of earlier crashes when an attempt was sent, by attempt number. */
@@ -66,12 +67,14 @@
         private static final KnownAtSend NOTHING = new KnownAtSend(0, Set.of());
     }
 
-    PoisonDetector(RequestAttributes attributes, ForwardingState state, ForwardingPort port) {
+    PoisonDetector(
+            RequestAttributes attributes, ForwardingState state, DecisionRecorder decisions, ForwardingPort port) {
         boolean partsTried = state.mechanisms().uses(Mechanism.PROMPT_PART_TRIALS);
         this.fingerprint = attributes.fingerprint();
         this.parts = state.promptPartGuard().request(partsTried ? attributes.sharedPromptParts() : List.of());
         this.crashHistory = state.crashHistory();
         this.loadBalancer = state.loadBalancer();
+        this.decisions = Objects.requireNonNull(decisions, "decisions");
         this.port = Objects.requireNonNull(port, "port");
         parts.onBlamed(this::scheduleWithdrawal);
     }
@@ -165,32 +168,20 @@
         if (!reachable) {
             parts.recordCrash(attempt.number(), nowMillis);
         }
-    }
-
-    /** Records that the target of a lost attempt accepts connections, that is, that it did not crash. */
-    void recordReachable(Attempt attempt) {
-        unchecked.remove(attempt.number());
+        decisions.record(reachable ? "target-alive" : "target-crashed", attempt, "after-loss", 0, nowMillis);
     }
 
     /**
-     * Records that the target of a lost attempt does not accept connections, that is, that it crashed. If targets of
-     * its failure domain that did not execute this request are unreachable too, the request did not cause the crash.
-     *
-     * @return whether the crash is attributed to the request
+     * Records whether the target of a lost attempt accepts connections some time after the loss. If it does not, it
+     * crashed; if targets of its failure domain that did not execute this request are unreachable too, the request did
+     * not cause the crash.
      */
-    boolean recordUnreachable(Attempt attempt, long nowMillis) {
+    void recordCrashCheck(Attempt attempt, boolean reachable, long nowMillis) {
         unchecked.remove(attempt.number());
-        crashHistory.recordUnreachable(fingerprint, attempt.target().id(), nowMillis);
-        boolean causedByRequest = !loadBalancer.isDomainFailing(
-                attempt.target().failureDomain(), crashHistory.unreachableTargets(fingerprint, nowMillis), nowMillis);
-        if (causedByRequest) {
-            KnownAtSend known = knownAtSend.getOrDefault(attempt.number(), KnownAtSend.NOTHING);
-            int crashedSince =
-                    (int) known.unchecked().stream().filter(crashed::contains).count();
-            crashed.add(attempt.number());
-            crashHistory.recordCrash(fingerprint, known.crashes() + crashedSince, nowMillis);
+        if (!reachable) {
+            boolean counted = countCrash(attempt, nowMillis);
+            decisions.record(counted ? "crash-counted" : "crash-with-domain", attempt, "unreachable", 0, nowMillis);
         }
-        return causedByRequest;
     }
 
     /** Records that a target has begun to answer the request. */
@@ -205,4 +196,19 @@
             port.scheduleTimer(withdrawalMillis);
         }
     }
+
+    /** Counts a crash, and returns whether it is attributed to the request. */
+    private boolean countCrash(Attempt attempt, long nowMillis) {
+        crashHistory.recordUnreachable(fingerprint, attempt.target().id(), nowMillis);
+        boolean causedByRequest = !loadBalancer.isDomainFailing(
+                attempt.target().failureDomain(), crashHistory.unreachableTargets(fingerprint, nowMillis), nowMillis);
+        if (causedByRequest) {
+            KnownAtSend known = knownAtSend.getOrDefault(attempt.number(), KnownAtSend.NOTHING);
+            int crashedSince =
+                    (int) known.unchecked().stream().filter(crashed::contains).count();
+            crashed.add(attempt.number());
+            crashHistory.recordCrash(fingerprint, known.crashes() + crashedSince, nowMillis);
+        }
+        return causedByRequest;
+    }
 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RetryTargets.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RetryTargets.java
@@ -150,22 +150,18 @@
         Optional<EntryTarget> holder = Optional.ofNullable(promptHolder)
                 .filter(loadBalancer::isRegistered)
                 .filter(constraint()::allowsVersionOf)
-                .filter(this::mayReceive)
+                .filter(engine -> loadBalancer.mayReceive(engine, nowMillis))
                 .filter(engine -> !loadBalancer.isDomainFailing(engine.failureDomain(), nowMillis));
         promptHolder = null;
         returnedToHolder |= holder.isPresent();
         return holder;
     }
 
-    private boolean mayReceive(EntryTarget target) {
-        return loadBalancer.permits().mayReceive(target.incarnation());
-    }
-
     /** A copy can be used only once. */
     private Optional<KvCacheCopy> takeUsableCopy(long nowMillis) {
         Optional<KvCacheCopy> copy = usableCopy
                 .filter(kept -> constraint().allows(kept.engine()))
-                .filter(kept -> mayReceive(kept.engine()))
+                .filter(kept -> loadBalancer.mayReceive(kept.engine(), nowMillis))
                 .filter(kept -> loadBalancer.isReachable(kept.engine(), nowMillis));
         usableCopy = Optional.empty();
         return copy;
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/StreamTargetChecks.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/StreamTargetChecks.java
@@ -29,7 +29,7 @@
             silence.recordProbe(nowMillis);
             port.probe(attempt);
         }
-        boolean reports = service.engine() && !permits.isLimited(attempt.target());
+        boolean reports = service.engine() && permits.acceptsCalls(attempt.target(), nowMillis);
         if (reports && silence.isReportDue(generating, nowMillis)) {
             silence.recordReportRequest(nowMillis);
             port.requestEngineReport(attempt);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import org.amaranthlock.coordination.availability.TargetAvailability;
 import org.amaranthlock.coordination.brittle.BrittleStatement;
 import org.amaranthlock.coordination.brittle.BrittleTargets;
 import org.amaranthlock.coordination.targetlimit.TargetPermits;
@@ -49,6 +50,7 @@
     private final LoadSheddingPolicy loadSheddingPolicy;
     private final TargetPermits permits;
     private final BrittleTargets brittleTargets;
+    private final TargetAvailability availability;
     private final Mechanisms mechanisms;
     private final TargetHealth health = new TargetHealth();
     private final Map<TargetId, InFlightLoad> inFlight = new HashMap<>();
@@ -68,11 +70,13 @@
             LoadSheddingPolicy loadSheddingPolicy,
             TargetPermits permits,
             BrittleTargets brittleTargets,
+            TargetAvailability availability,
             Mechanisms mechanisms) {
         this.localDomain = Objects.requireNonNull(localDomain, "local domain");
         this.placementPolicy = Objects.requireNonNull(placementPolicy, "placement policy");
         this.mechanisms = Objects.requireNonNull(mechanisms, "mechanisms");
         this.permits = Objects.requireNonNull(permits, "permits");
+        this.availability = Objects.requireNonNull(availability, "availability");
         this.brittleTargets = Objects.requireNonNull(brittleTargets, "brittle targets");
         this.loadSheddingPolicy = Objects.requireNonNull(loadSheddingPolicy, "load shedding policy");
     }
@@ -128,10 +132,40 @@
         return permits;
     }
 
+    /** Returns what the targets have said of their availability. */
+    public TargetAvailability availability() {
+        return availability;
+    }
+
+    /**
+     * Returns whether a target may be sent a request now: it neither rests nor leaves, and this host has a permit if the
+     * target limits its request rate.
+     */
+    public boolean mayReceive(EntryTarget target, long nowMillis) {
+        return availability.mayReceive(target.incarnation(), nowMillis) && permits.mayReceive(target.incarnation());
+    }
+
+    /** Returns whether a target gets calls of this host itself; each would count as a request of a client does. */
+    public boolean acceptsCalls(EntryTarget target, long nowMillis) {
+        return !permits.isLimited(target.incarnation())
+                && availability.restEndMillis(target.incarnation(), nowMillis).isEmpty();
+    }
+
+    /** Returns when the first target of a service takes requests again; empty unless all of them rest. */
+    public OptionalLong restEndMillis(ServiceName service, long nowMillis) {
+        List<OptionalLong> ends = table.targets(service).stream()
+                .filter(target -> !isDraining(target))
+                .map(target -> availability.restEndMillis(target.incarnation(), nowMillis))
+                .toList();
+        return ends.stream().allMatch(OptionalLong::isPresent)
+                ? ends.stream().mapToLong(OptionalLong::getAsLong).min()
+                : OptionalLong.empty();
+    }
+
     /** Returns the unlimited targets of a service that may hold the KV cache of earlier requests. */
     public List<EntryTarget> reachableTargets(ServiceName service, long nowMillis) {
         return table.targets(service).stream()
-                .filter(target -> !target.draining()
+                .filter(target -> takesRequests(target, nowMillis)
                         && !permits.isLimited(target.incarnation())
                         && health.isAvailable(target, nowMillis))
                 .toList();
@@ -158,7 +192,7 @@
      */
     public boolean isVersionGone(ServiceName service, SoftwareVersion version) {
         List<EntryTarget> serving = table.targets(service).stream()
-                .filter(target -> !target.draining())
+                .filter(target -> !isDraining(target))
                 .toList();
         return !serving.isEmpty()
                 && serving.stream().noneMatch(target -> target.version().equals(version));
@@ -172,7 +206,7 @@
             ServiceDefinition service, EntryTarget primary, long tokens, Set<TargetId> avoided, long nowMillis) {
         expireRemoteReports(nowMillis);
         List<EntryTarget> candidates = table.targets(primary.service()).stream()
-                .filter(target -> !target.draining()
+                .filter(target -> takesRequests(target, nowMillis)
                         && !avoided.contains(target.id())
                         && !permits.isLimited(target.incarnation())
                         && !target.failureDomain().equals(primary.failureDomain())
@@ -350,6 +384,15 @@
         return brittleTargets.hasRoom(target.id(), target.slots(), requests, nowMillis);
     }
 
+    /** A target that says in a response that it leaves takes as few new requests as one that is registered so. */
+    private boolean isDraining(EntryTarget target) {
+        return target.draining() || availability.isLeaving(target.incarnation());
+    }
+
+    private boolean takesRequests(EntryTarget target, long nowMillis) {
+        return !target.draining() && availability.mayReceive(target.incarnation(), nowMillis);
+    }
+
     private InFlightLoad allInFlight(TargetId target) {
         InFlightLoad local = inFlight.getOrDefault(target, InFlightLoad.NONE);
         return local.plus(remoteInFlight.getOrDefault(target, InFlightLoad.NONE));
@@ -366,7 +409,7 @@
     private List<EntryTarget> usableTargets(ServiceDefinition service, TargetConstraint constraint, long nowMillis) {
         expireRemoteReports(nowMillis);
         List<EntryTarget> usable = table.targets(service.name()).stream()
-                .filter(target -> !target.draining() && constraint.allows(target))
+                .filter(target -> takesRequests(target, nowMillis) && constraint.allows(target))
                 .filter(target -> hasConnectionLeft(service, target) && hasRoom(target, nowMillis))
                 .toList();
         List<EntryTarget> available = usable.stream()
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/EntryTargets.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/EntryTargets.java
@@ -1,6 +1,8 @@
 package org.amaranthlock.coordination.forwarding;
 
 import java.util.Optional;
+import org.amaranthlock.coordination.availability.AvailabilityListener;
+import org.amaranthlock.coordination.availability.TargetAvailability;
 import org.amaranthlock.coordination.brittle.BrittleListener;
 import org.amaranthlock.coordination.brittle.BrittleTargets;
 import org.amaranthlock.coordination.targetlimit.LimitListener;
@@ -35,6 +37,7 @@
                 new LoadSheddingPolicy(random),
                 permits,
                 new BrittleTargets(random, BrittleListener.none()),
+                new TargetAvailability(AvailabilityListener.none()),
                 Mechanisms.ALL);
     }
 
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/MechanismsTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/MechanismsTest.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.amaranthlock.coordination.availability.AvailabilityListener;
+import org.amaranthlock.coordination.availability.TargetAvailability;
 import org.amaranthlock.coordination.brittle.BrittleListener;
 import org.amaranthlock.coordination.brittle.BrittleReport;
 import org.amaranthlock.coordination.brittle.BrittleTargets;
@@ -150,6 +152,7 @@
                 new LoadSheddingPolicy(random),
                 EntryTargets.unlimitedPermits(),
                 new BrittleTargets(random, BrittleListener.none()),
+                new TargetAvailability(AvailabilityListener.none()),
                 mechanisms);
         loadBalancer.update(new TargetTable(List.of(first, second)));
         return loadBalancer;
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -417,6 +417,7 @@
                 new LoadSheddingPolicy(random),
                 permits,
                 new BrittleTargets(random, new BrittleLog(log, metrics)),
+                availability,
                 settings.mechanisms());
     }
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
@@ -129,6 +129,9 @@
     void updateTargets(TargetTable table) {
         targetsKnown = true;
         loadBalancer.update(table);
+        loadBalancer
+                .availability()
+                .update(table.targets().stream().map(EntryTarget::incarnation).toList(), clockMillis.getAsLong());
         recordVersions(table);
         calls.connections().closeConnectionsExcept(id -> table.target(id).isPresent());
         runIfConfigured();
@@ -252,7 +255,7 @@
     }
 
     /**
-     * Checks the targets to whose services this host seems to have no path. A limited target gets no request for it;
+     * Checks the targets to whose services this host seems to have no path. A target that is limited or rests gets no request for it;
      * that it accepts a connection has to suffice.
      */
     void checkPaths() {
@@ -260,10 +263,10 @@
         ListSampler.shuffle(random, unchecked);
         for (EntryTarget target : unchecked.subList(0, Math.min(unchecked.size(), MAX_PATH_CHECKS))) {
             Consumer<Boolean> result = reachable -> onPathChecked(target, reachable);
-            if (loadBalancer.permits().isLimited(target.incarnation())) {
-                calls.connections().probe(target, result);
-            } else {
+            if (loadBalancer.acceptsCalls(target, clockMillis.getAsLong())) {
                 calls.connections().checkResponds(target, result);
+            } else {
+                calls.connections().probe(target, result);
             }
         }
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/relay/RelayedExchange.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/relay/RelayedExchange.java
@@ -13,7 +13,7 @@
 /** Request that another host has passed on; its responses go back to that host. */
 final class RelayedExchange implements ClientExchange {
     /** Reasons of rejections that concern this host only; another one may serve the request. */
-    private static final Set<String> LOCAL_REASONS = Set.of("no-target", "not-sent");
+    private static final Set<String> LOCAL_REASONS = Set.of("no-target", "not-sent", "targets-rest");
 
     private static final int NOT_EXECUTED = 503;
 
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/RequestForwarderTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/RequestForwarderTest.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.amaranthlock.coordination.availability.AvailabilityListener;
+import org.amaranthlock.coordination.availability.TargetAvailability;
 import org.amaranthlock.coordination.brittle.BrittleListener;
 import org.amaranthlock.coordination.brittle.BrittleTargets;
 import org.amaranthlock.coordination.estimate.PrefillEstimates;
@@ -96,6 +98,7 @@
                                         () -> 0,
                                         random),
                                 new BrittleTargets(random, BrittleListener.none()),
+                                new TargetAvailability(AvailabilityListener.none()),
                                 Mechanisms.ALL),
                         new CrashHistory(),
                         new PromptPartGuard("host-1", PromptPartListener.none()),
