Soak: releases to another engine version and back, beside the other faults

The stand-in engines write what depends on their version, clients name the attempt that brought the first event, and each stream, also one that is not complete, must hold the events of one version.

--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetWorkerMain.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/FleetWorkerMain.java
@@ -40,6 +40,12 @@
             description = "Run an engine with the size and speed of the platform's specification sheets.")
     private boolean specifiedEngine;
 
+    @Option(
+            names = "--software-version",
+            defaultValue = FleetWorker.FIRST_VERSION,
+            description = "Version to register, on which the streams of an engine depend.")
+    private String softwareVersion;
+
     @Option(names = "--advertise", description = "Address to register, IP:PORT; defaults to the address listened on.")
     private String advertisedAddress;
 
@@ -57,6 +63,7 @@
     @Override
     public Integer call() throws Exception {
         FleetWorker worker = new FleetWorker(id, engineConfig(), 0);
+        worker.softwareVersion(softwareVersion);
         worker.start();
         register(worker);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(worker)));
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/LoadClient.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/LoadClient.java
@@ -17,6 +17,7 @@
     private static final int READ_TIMEOUT_MILLIS = 15_000;
 
     private final List<String> entryHosts;
+    private final List<String> versions;
     private final List<String> rejectedAttempts = new ArrayList<>();
     private int nextEntryHost;
 
@@ -29,6 +30,16 @@
      * @param firstEntryHost index of the entry host for the first attempt
      */
     public LoadClient(List<String> entryHosts, int firstEntryHost) {
+        this(entryHosts, firstEntryHost, List.of(FleetWorker.FIRST_VERSION));
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param versions software versions of the engines; a stream must come from one of them
+     */
+    public LoadClient(List<String> entryHosts, int firstEntryHost, List<String> versions) {
+        this.versions = versions;
         this.entryHosts = entryHosts;
         this.nextEntryHost = firstEntryHost;
     }
@@ -41,13 +52,16 @@
     /** Requests a stream and resumes it until it is complete. */
     public LoadOutcome stream(String id) {
         StringBuilder received = new StringBuilder();
+        String beginningAttempt = "";
         int attempts = 0;
         for (; attempts < MAX_ATTEMPTS; attempts++) {
             int lastEvent = received.toString().split("\n\n", -1).length - 2;
-            String resume = lastEvent < 0 ? "" : "Last-Event-Id: " + lastEvent + "\r\n";
+            String resume =
+                    lastEvent < 0 ? "" : "Last-Event-Id: " + lastEvent + "\r\nResumes: " + beginningAttempt + "\r\n";
             Response response = call("POST /draft/x", id + "-" + attempts, resume, id);
             if (response.status() == 200) {
                 int end = response.body().lastIndexOf("\n\n");
+                beginningAttempt = received.isEmpty() && end >= 0 ? id + "-" + attempts : beginningAttempt;
                 received.append(end < 0 ? "" : response.body().substring(0, end + 2));
                 if (response.complete()) {
                     break;
@@ -55,19 +69,27 @@
             }
             pause();
         }
-        StringBuilder expected = new StringBuilder();
-        for (int number = 0; number < FleetWorker.EVENTS_PER_STREAM; number++) {
-            expected.append(FleetWorker.streamEvent(number, id));
+        boolean complete = attempts < MAX_ATTEMPTS;
+        if (versions.stream().noneMatch(version -> isFromVersion(received, id, version, complete))) {
+            return LoadOutcome.WRONG;
         }
-        if (attempts == MAX_ATTEMPTS) {
+        if (!complete) {
             return LoadOutcome.LOST_STREAM;
         }
-        if (!received.toString().contentEquals(expected)) {
-            return LoadOutcome.WRONG;
-        }
         return attempts == 0 ? LoadOutcome.COMPLETE : LoadOutcome.RESUMED;
     }
 
+    /** Returns whether a stream, or what has arrived of it, holds the events of engines of one version only. */
+    private static boolean isFromVersion(CharSequence received, String id, String version, boolean complete) {
+        StringBuilder expected = new StringBuilder();
+        for (int number = 0; number < FleetWorker.EVENTS_PER_STREAM; number++) {
+            expected.append(FleetWorker.streamEvent(number, id, version));
+        }
+        return complete
+                ? expected.toString().contentEquals(received)
+                : expected.toString().startsWith(received.toString());
+    }
+
     /** Sends an order and retries it only if it is known not to have run. */
     public LoadOutcome order(String id) {
         for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/Fault.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/Fault.java
@@ -67,6 +67,32 @@
         });
     }
 
+    /**
+     * Creates a release of the other engine version, after a delay: some engines are replaced one after the other, and
+     * later restarts run it too. Half of the time the release is taken back.
+     */
+    static Fault release(Random random, SoakFleet fleet, long millis) {
+        List<SoakFleet.Member> engines = fleet.members().stream()
+                .filter(member -> member.role() == SoakFleet.Role.ENGINE)
+                .toList();
+        long delayMillis = random.nextLong(millis / 2);
+        int replaced = 1 + random.nextInt(engines.size());
+        boolean takenBack = random.nextBoolean();
+        String description =
+                "release to " + replaced + " engines after " + delayMillis + " ms" + (takenBack ? ", taken back" : "");
+        return new Fault(description, () -> {
+            Thread.sleep(delayMillis);
+            fleet.engineVersion(SoakFleet.ENGINE_VERSIONS.getLast());
+            for (SoakFleet.Member engine : engines.subList(0, replaced)) {
+                engine.restart(true, 0);
+            }
+            if (takenBack) {
+                fleet.engineVersion(SoakFleet.ENGINE_VERSIONS.getFirst());
+                engines.getFirst().restart(true, 0);
+            }
+        });
+    }
+
     /** Injects the fault; logs a failure, which occurs if the process is already down or the soak run has ended. */
     void inject() {
         try {
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/SoakFleet.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/SoakFleet.java
@@ -25,6 +25,9 @@
     /** API key that {@link org.amaranthlock.standin.fleet.LoadClient} sends. */
     private static final String ACCOUNT_KEY = "key-1";
 
+    /** Software versions of the engines, the first of which runs when the fleet starts. */
+    static final List<String> ENGINE_VERSIONS = List.of(FleetWorker.FIRST_VERSION, "v2");
+
     private static final Pattern LISTENING = Pattern.compile("^listening (\\S+)");
     private static final Pattern STARTED = Pattern.compile("event=started .*callers=(\\d+)");
     private static final Pattern TARGETS_LISTED = Pattern.compile("event=(targets-listed) ");
@@ -43,6 +46,7 @@
     private final ChildProcess store;
     private final StoreClient storeClient;
     private final OperatorConfiguration configuration;
+    private volatile String engineVersion = ENGINE_VERSIONS.getFirst();
     private volatile boolean closed;
 
     /** Role of a member of the fleet. */
@@ -151,7 +155,7 @@
                     "--store", store.awaitOutput(LISTENING),
                     "--advertise", proxy.address()));
             if (role == Role.ENGINE) {
-                arguments.add("--engine");
+                arguments.addAll(List.of("--engine", "--software-version", engineVersion));
             }
             process = ChildProcess.start(
                     workerId,
@@ -196,6 +200,11 @@
         }
     }
 
+    /** Sets the version that engines run from their next start on. */
+    void engineVersion(String version) {
+        engineVersion = version;
+    }
+
     List<Member> members() {
         return members;
     }
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/SoakRun.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/SoakRun.java
@@ -24,7 +24,7 @@
  *
  * <p>Checks the guarantees that clients and workers can observe: no worker executes more than the limit that it names
  * allows, no order runs twice, no order runs that was reported
- * as "not run", no response is wrong, and every lookup is served again once the faults are over.
+ * as "not run", no response is wrong or holds events of engines of two versions, and every lookup is served again once the faults are over.
  */
 final class SoakRun {
     private static final long MAX_FAULT_INTERVAL_MILLIS = 900;
@@ -38,6 +38,9 @@
     private final SoakFleet fleet;
     private final Random random;
 
+    /** Draws releases apart from the other faults, like the limits. */
+    private final Random releaseRandom;
+
     /** Draws limits apart from the other faults, which stay the same for a seed. */
     private final Random limitRandom;
 
@@ -48,6 +51,7 @@
         this.fleet = fleet;
         this.random = new Random(seed);
         this.limitRandom = new Random(~seed);
+        this.releaseRandom = new Random(-seed);
     }
 
     /** Returns the descriptions of the injected faults, in order. */
@@ -64,6 +68,9 @@
             Fault limit = Fault.requestLimit(limitRandom, fleet, TimeUnit.SECONDS.toMillis(seconds));
             faultDescriptions.add(limit.description());
             executor.submit(limit::inject);
+            Fault release = Fault.release(releaseRandom, fleet, TimeUnit.SECONDS.toMillis(seconds));
+            faultDescriptions.add(release.description());
+            executor.submit(release::inject);
             long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
             while (System.nanoTime() < endNanos) {
                 Thread.sleep(random.nextLong(MAX_FAULT_INTERVAL_MILLIS));
@@ -124,7 +131,7 @@
     }
 
     private LoadOutcome sendRequest(int number) {
-        LoadClient client = new LoadClient(fleet.entryAddresses(), number);
+        LoadClient client = new LoadClient(fleet.entryAddresses(), number, SoakFleet.ENGINE_VERSIONS);
         return switch (number % 4) {
             case 0 -> client.stream("s" + number);
             case 1 -> client.lookup("l" + number);
