A host trusts only what a peer tells of its build on their own connection

Cause: the level of a peer was taken from its load reports, which arrive on the connection that the peer opens; the last report of the process before arrived after this host's own connection to it had closed, and was believed of the process that followed.

The level now comes from the answer on the connection that this host opened, which an earlier build never gives. The soak can run an earlier build (--earlier-entry-classpath), in which two hosts of three run it at first, and counts unreadable messages as a violation in every run.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
@@ -63,7 +63,10 @@
     private final DecisionLog log;
     private final Map<String, Channel> connections = new HashMap<>();
 
-    /** {@link MessageLevel} by host, since the connection to it was opened. */
+    /**
+     * {@link MessageLevel} by host, as it has told on the connection that this host opened to it. What arrives on another
+     * connection may come from a process that has ended, and the host may run an earlier build since.
+     */
     private final Map<String, Integer> messageLevels = new HashMap<>();
 
     private final Set<Integer> loggedTypes = new HashSet<>();
@@ -300,13 +303,12 @@
         @Override
         void handle(Channel connection, EntryPeerMessage message) {
             if (message instanceof EntryPeerMessage.LoadReport report) {
-                updateMessageLevel(report.report().host(), report.messageLevel());
                 tellLevel(report);
             }
             listener.onMessage(message, reply);
         }
 
-        /** A host that has just started need not wait for the next load report of this one. */
+        /** A host is told what this one reads if it reads that itself. */
         private void tellLevel(EntryPeerMessage.LoadReport report) {
             if (!levelTold && report.messageLevel() > MessageLevel.FIRST) {
                 levelTold = true;
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/SoakFleet.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/SoakFleet.java
@@ -9,6 +9,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -40,8 +41,10 @@
     private final Path directory;
     private final List<String> jvmCommand;
     private final String entryClasspath;
+    private final Optional<String> earlierEntryClasspath;
     private final List<Member> members = new ArrayList<>();
     private final List<Path> workerOutputs = new CopyOnWriteArrayList<>();
+    private final List<Path> entryOutputs = new CopyOnWriteArrayList<>();
     private final FaultProxy storeProxy = new FaultProxy();
     private final ChildProcess store;
     private final StoreClient storeClient;
@@ -128,6 +131,11 @@
             }
         }
 
+        /** While a fleet is upgraded, two hosts run the earlier build, then one, then two again. */
+        private boolean startsEarlierBuild() {
+            return earlierEntryClasspath.isPresent() && (startCount + index) % 2 == 0;
+        }
+
         private void startProcess() throws IOException, InterruptedException {
             startCount++;
             if (role == Role.ENTRY) {
@@ -137,11 +145,12 @@
                         "entry-" + index,
                         directory,
                         command(
-                                entryClasspath,
+                                startsEarlierBuild() ? earlierEntryClasspath.orElseThrow() : entryClasspath,
                                 "org.amaranthlock.entry.cli.EntryMain",
                                 "serve",
                                 "--settings",
                                 settings.toString()));
+                entryOutputs.add(process.output());
                 String port = process.awaitOutput(STARTED);
                 process.awaitOutput(TARGETS_LISTED);
                 proxy.upstream("127.0.0.1:" + port);
@@ -171,10 +180,13 @@
      *
      * @param directory directory for settings and output files
      * @param entryClasspath class path of the entry daemon
+     * @param earlierEntryClasspath class path of an earlier build, which hosts run at every other start
      */
-    SoakFleet(Path directory, String entryClasspath) throws IOException, InterruptedException {
+    SoakFleet(Path directory, String entryClasspath, Optional<String> earlierEntryClasspath)
+            throws IOException, InterruptedException {
         this.directory = directory;
         this.entryClasspath = entryClasspath;
+        this.earlierEntryClasspath = earlierEntryClasspath;
         this.jvmCommand = List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx96m",
@@ -226,6 +238,22 @@
         configuration.write(configuration.nextVersion());
     }
 
+    /** Returns whether hosts of two builds run side by side. */
+    boolean mixesBuilds() {
+        return earlierEntryClasspath.isPresent();
+    }
+
+    /** Returns the number of messages between entry hosts that their receivers could not read. */
+    long unreadableMessages() throws IOException {
+        long count = 0;
+        for (Path output : entryOutputs) {
+            count += Files.readAllLines(output).stream()
+                    .filter(line -> line.contains("event=peer-frame-unreadable"))
+                    .count();
+        }
+        return count;
+    }
+
     /** Returns the outputs of all worker processes. */
     List<Path> workerOutputs() {
         return workerOutputs;
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/SoakMain.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/SoakMain.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import org.amaranthlock.standin.ProcessLogging;
 import picocli.CommandLine;
@@ -16,6 +17,11 @@
     @Option(names = "--entry-classpath", required = true, description = "Class path of the entry daemon.")
     private String entryClasspath;
 
+    @Option(
+            names = "--earlier-entry-classpath",
+            description = "Class path of an earlier build of the entry daemon; hosts run it and this one in turn.")
+    private Optional<String> earlierEntryClasspath = Optional.empty();
+
     @Option(names = "--first", defaultValue = "1", description = "First seed.")
     private long firstSeed;
 
@@ -51,7 +57,7 @@
         Path directory = Files.createTempDirectory("soak-" + seed + "-");
         List<String> violations;
         SoakRun run;
-        try (SoakFleet fleet = new SoakFleet(directory, entryClasspath)) {
+        try (SoakFleet fleet = new SoakFleet(directory, entryClasspath, earlierEntryClasspath)) {
             run = new SoakRun(fleet, seed);
             violations = run.run(seconds);
         }
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/SoakRun.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/SoakRun.java
@@ -68,9 +68,11 @@
             Fault limit = Fault.requestLimit(limitRandom, fleet, TimeUnit.SECONDS.toMillis(seconds));
             faultDescriptions.add(limit.description());
             executor.submit(limit::inject);
-            Fault release = Fault.release(releaseRandom, fleet, TimeUnit.SECONDS.toMillis(seconds));
-            faultDescriptions.add(release.description());
-            executor.submit(release::inject);
+            if (!fleet.mixesBuilds()) { // an earlier build may not keep the versions of streams apart
+                Fault release = Fault.release(releaseRandom, fleet, TimeUnit.SECONDS.toMillis(seconds));
+                faultDescriptions.add(release.description());
+                executor.submit(release::inject);
+            }
             long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
             while (System.nanoTime() < endNanos) {
                 Thread.sleep(random.nextLong(MAX_FAULT_INTERVAL_MILLIS));
@@ -91,6 +93,9 @@
             violations.add("wrong responses: " + outcomes.get(LoadOutcome.WRONG));
         }
         checkOrders(violations);
+        if (fleet.unreadableMessages() > 0) {
+            violations.add("messages that another host could not read: " + fleet.unreadableMessages());
+        }
         for (Path output : fleet.workerOutputs()) {
             violations.addAll(LimitCheck.violations(output));
         }
