A search for a stream's version ends when all asked hosts have answered

Cause: a search without an answer always lasted its timeout, for hosts that connect meanwhile.

It ends when all asked hosts have answered and 100 ms have passed, the time that a host which has just started takes to connect. Evidence: StreamVersionExchangeTest.searchForUnknownStreamEndsSoon with its bound at 160 ms; a host that is silent is waited for.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/StreamVersionExchange.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/StreamVersionExchange.java
@@ -39,6 +39,12 @@
     /** Time after which a search ends without an answer; a host that has just started may still be connecting. */
     private static final long SEARCH_TIMEOUT_MILLIS = 300;
 
+    /**
+     * Time for which a search goes on although no asked host knows the stream: a host that has just started takes it to
+     * connect to the others.
+     */
+    private static final long MIN_SEARCH_MILLIS = 100;
+
     /** Interval at which hosts are asked that have been connected since a search began. */
     private static final long SEARCH_INTERVAL_MILLIS = 50;
 
@@ -72,11 +78,19 @@
     private static final class Search {
         private final StreamKey stream;
         private final Consumer<Optional<SoftwareVersion>> result;
+        private final long startedAtMillis;
         private final Set<String> asked = new HashSet<>();
+        private int answers;
 
-        private Search(StreamKey stream, Consumer<Optional<SoftwareVersion>> result) {
+        private Search(StreamKey stream, Consumer<Optional<SoftwareVersion>> result, long startedAtMillis) {
             this.stream = stream;
             this.result = result;
+            this.startedAtMillis = startedAtMillis;
+        }
+
+        /** Returns whether all hosts that can be asked have answered that they do not know the stream. */
+        private boolean isExhausted(long nowMillis) {
+            return nowMillis - startedAtMillis >= MIN_SEARCH_MILLIS && answers > 0 && answers == asked.size();
         }
     }
 
@@ -111,7 +125,7 @@
     public void ask(StreamKey stream, Consumer<Optional<SoftwareVersion>> result) {
         controlLoop.execute(() -> {
             long id = ++lastQueryId;
-            searches.put(id, new Search(stream, result));
+            searches.put(id, new Search(stream, result, clockMillis.getAsLong()));
             askConnected(id);
             controlLoop.schedule(() -> complete(id, Optional.empty()), SEARCH_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         });
@@ -153,7 +167,12 @@
 
     /** Handles the answer of another host; called on the control loop. */
     public void onAnswered(EntryPeerMessage.StreamVersionAnswered answered) {
-        if (answered.version().isPresent()) {
+        Search search = searches.get(answered.id());
+        if (search == null) {
+            return; // another host has answered before
+        }
+        search.answers++;
+        if (answered.version().isPresent() || search.isExhausted(clockMillis.getAsLong())) {
             complete(answered.id(), answered.version());
         }
     }
@@ -208,7 +227,11 @@
                 peers.sendQuery(host, new EntryPeerMessage.StreamVersionQuery(id, search.stream));
             }
         }
-        controlLoop.schedule(() -> askConnected(id), SEARCH_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        if (search.isExhausted(clockMillis.getAsLong())) {
+            complete(id, Optional.empty());
+        } else {
+            controlLoop.schedule(() -> askConnected(id), SEARCH_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void complete(long id, Optional<SoftwareVersion> version) {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/StreamVersionExchangeTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/StreamVersionExchangeTest.java
@@ -35,6 +35,10 @@
     private static final int FIRST_EVENT_MILLIS = 200;
 
     private static final int SEARCH_MILLIS = 400;
+
+    /** Time after which a search has ended if all hosts have answered. */
+    private static final int ALL_ANSWERED_MILLIS = 160;
+
     private static final List<SoftwareVersion> VERSIONS = List.of(new SoftwareVersion("v1"), new SoftwareVersion("v2"));
 
     private final EmbeddedChannel channel = new EmbeddedChannel();
@@ -50,6 +54,7 @@
         private final StreamVersions versions = new StreamVersions();
         private final StreamVersionExchange exchange;
         private boolean alive = true;
+        private boolean silent;
 
         private Host(String name) {
             this.name = name;
@@ -153,6 +158,19 @@
         startHosts(9);
         List<Optional<SoftwareVersion>> results = new ArrayList<>();
         host(0).exchange.ask(StreamKey.of("unknown"), results::add);
+        advance(ALL_ANSWERED_MILLIS);
+        assertThat(results).containsExactly(Optional.empty());
+    }
+
+    // Guards against a host that gives up before a host has answered that is slow or being restarted.
+    @Test
+    void searchWaitsForHostsThatHaveNotAnswered() {
+        startHosts(9);
+        host(1).silent = true;
+        List<Optional<SoftwareVersion>> results = new ArrayList<>();
+        host(0).exchange.ask(StreamKey.of("unknown"), results::add);
+        advance(ALL_ANSWERED_MILLIS);
+        assertThat(results).isEmpty();
         advance(SEARCH_MILLIS);
         assertThat(results).containsExactly(Optional.empty());
     }
@@ -211,7 +229,7 @@
         channel.eventLoop()
                 .schedule(
                         () -> {
-                            if (receiver.alive) {
+                            if (receiver.alive && !receiver.silent) {
                                 action.run();
                             }
                         },
