Look up what targets said only if one has said something

The choice among targets built the identity of each target twice more than before, to ask whether it rests or leaves.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/availability/TargetAvailability.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/availability/TargetAvailability.java
@@ -73,6 +73,11 @@
         }
     }
 
+    /** Returns whether no target has said anything, as is usual; then no target need be looked up. */
+    public boolean isEmpty() {
+        return states.isEmpty();
+    }
+
     /** Returns whether a target has said that it leaves. */
     public boolean isLeaving(TargetIncarnation target) {
         State state = states.get(target);
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
@@ -142,7 +142,7 @@
      * target limits its request rate.
      */
     public boolean mayReceive(EntryTarget target, long nowMillis) {
-        return availability.mayReceive(target.incarnation(), nowMillis) && permits.mayReceive(target.incarnation());
+        return isAvailableByItsWord(target, nowMillis) && permits.mayReceive(target.incarnation());
     }
 
     /** Returns whether a target gets calls of this host itself; each would count as a request of a client does. */
@@ -386,11 +386,15 @@
 
     /** A target that says in a response that it leaves takes as few new requests as one that is registered so. */
     private boolean isDraining(EntryTarget target) {
-        return target.draining() || availability.isLeaving(target.incarnation());
+        return target.draining() || (!availability.isEmpty() && availability.isLeaving(target.incarnation()));
     }
 
     private boolean takesRequests(EntryTarget target, long nowMillis) {
-        return !target.draining() && availability.mayReceive(target.incarnation(), nowMillis);
+        return !target.draining() && isAvailableByItsWord(target, nowMillis);
+    }
+
+    private boolean isAvailableByItsWord(EntryTarget target, long nowMillis) {
+        return availability.isEmpty() || availability.mayReceive(target.incarnation(), nowMillis);
     }
 
     private InFlightLoad allInFlight(TargetId target) {
