A request that its client resumes is not shed, whatever its route

Cause: the exemption from shedding became a side effect of StreamResumption, which only covers streaming routes.

Ruled out: requests of streaming routes, which never reach the check.

Change: the exemption stands at the check again. Measured: ForwardedRequestResumeTest.requestThatIsResumedIsNotShedWhateverItsRoute fails before (nothing sent) and passes after.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -109,12 +109,14 @@
         if (handOver(nowMillis)) {
             return;
         }
-        if (resumption.isNeeded()) { // such a stream is not shed
+        if (resumption.isNeeded()) {
             resumption.start(nowMillis);
             scheduleTimer(nowMillis);
             return;
         }
-        OptionalLong retryAfter = loadBalancer.retryAfterMillis(service, attributes.tokens(), nowMillis);
+        OptionalLong retryAfter = attributes.lastEventId().isPresent()
+                ? OptionalLong.empty() // a request that the client resumes is not shed, whatever the kind of its route
+                : loadBalancer.retryAfterMillis(service, attributes.tokens(), nowMillis);
         if (retryAfter.isPresent()) {
             fail(Rejection.retryLater(retryAfter.getAsLong(), "overloaded"), nowMillis);
             return;
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestResumeTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestResumeTest.java
@@ -13,23 +13,22 @@
 class ForwardedRequestResumeTest extends AbstractForwardedRequestTest {
     @Test
     void startsAfterLastEventIdOfClient() {
-        ForwardedRequest request = create(
-                new RequestAttributes(
-                        "r",
-                        OptionalLong.empty(),
-                        Optional.of(12L),
-                        Optional.of("first"),
-                        0,
-                        Optional.empty(),
-                        List.of(),
-                        0),
-                RouteKind.STREAMING,
-                port);
+        ForwardedRequest request = create(resumedAttributes(), RouteKind.STREAMING, port);
         request.start(0);
         request.onStreamVersionAnswered(Optional.empty(), 30);
         assertThat(port.lastSent().lastEventId()).hasValue(12L);
     }
 
+    // Guards against clients that lose what they already received because the engines are full.
+    @Test
+    void requestThatIsResumedIsNotShedWhateverItsRoute() {
+        fillEngines();
+        start(RouteKind.IDEMPOTENT);
+        assertThat(port.rejections.getLast().reason()).isEqualTo("overloaded");
+        create(resumedAttributes(), RouteKind.IDEMPOTENT, port).start(0);
+        assertThat(port.sent).hasSize(1);
+    }
+
     // Load pattern: all hosts are killed and restart, and the clients resume their streams at once. Guards against
     // prompts that are prefilled again although an engine still holds them.
     @Test
@@ -123,4 +122,9 @@
     private static PromptHolders heldBy(EntryTarget engine) {
         return new PromptHolders(Optional.of(engine), Set.of(engine.version()), true);
     }
+
+    private static RequestAttributes resumedAttributes() {
+        return new RequestAttributes(
+                "r", OptionalLong.empty(), Optional.of(12L), Optional.of("first"), 0, Optional.empty(), List.of(), 0);
+    }
 }
