A client is not asked to come back for a version that is gone

Callers saw: a stream bound to a version that is not served any more got a 503 with Retry-After if it was noticed while a target was chosen (a relayed stream, or one whose last target left before the first attempt), and without it if it was noticed during the resumption. With a resting target the reason even became targets-rest. design.md says: at once, without Retry-After.

Cause: handleNoTarget took the rejection for targets that are busy now.

Ruled out: the path of StreamResumption, which is tested and says no Retry-After.

Change: version-gone is rejected on its own: 502 if a target may have run the request, else 503, never with Retry-After. Measured: ForwardedRequestVersionTest .clientIsNotAskedToComeBackForVersionThatIsGone fails before (Retry-After) and passes after.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -481,12 +481,13 @@
 
     /** Rejects the request or, if the client already receives the stream, schedules a search among all targets. */
     private void handleNoTarget(String cause, long nowMillis) {
-        boolean versionGone = retryTargets.isVersionGone();
-        if (!stream.opened() || versionGone) {
-            fail(
-                    permits.finalRejection(
-                            versionGone ? RetryTargets.VERSION_GONE : cause, attempts.executions() > 0, nowMillis),
-                    nowMillis);
+        boolean executed = attempts.executions() > 0;
+        if (retryTargets.isVersionGone()) {
+            fail(Rejection.of(executed ? 502 : 503, RetryTargets.VERSION_GONE), nowMillis);
+            return;
+        }
+        if (!stream.opened()) {
+            fail(permits.finalRejection(cause, executed, nowMillis), nowMillis);
             return;
         }
         retryTargets.forgetAvoided();
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestVersionTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestVersionTest.java
@@ -69,6 +69,16 @@
         assertThat(port.decisions.getLast().cause()).isEqualTo("version-gone");
     }
 
+    // Guards against a client that comes back, again and again, for a version that is not served any more.
+    @Test
+    void clientIsNotAskedToComeBackForVersionThatIsGone() {
+        registerVersions("v1");
+        ForwardedRequest request = create(requestAttributes(), RouteKind.STREAMING, port);
+        request.bindTo(V2);
+        request.start(0);
+        assertThat(port.rejections.getLast()).isEqualTo(Rejection.of(503, "version-gone"));
+    }
+
     // Guards against a stream that is given up although a target of its version is only out of reach for a moment.
     @Test
     void streamWaitsForTargetOfItsVersion() {
