A frame of a later format is ignored and keeps its connection

Callers would see: a host of a later build that sends one frame of another format lost the whole connection to this build, and with it load reports, permits and relays, at each frame again.

Cause: decode rejected every format but its own, and a frame that cannot be decoded closes its connection.

Ruled out: earlier formats stay rejected.

No play with a later build exists.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
@@ -39,7 +39,7 @@
         }
     }
 
-    /** Message of a newer build, which is ignored. */
+    /** Message of a newer build, of an unknown type or a later format, which is ignored. */
     record Unsupported(int type) implements EntryPeerMessage {}
 
     /**
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
@@ -26,10 +26,13 @@
  * Codec for {@link EntryPeerMessage} in MessagePack: format version, message type, then the fields in order.
  *
  * <p>Hosts of different builds run side by side while a fleet is upgraded. All builds since 5ad7ba2 work together: a
- * field is only ever appended to a message and has a default, and a new type of message has a {@link MessageLevel}.
+ * field is only ever appended to a message and has a default, a new type of message has a {@link MessageLevel}, and the
+ * format version stays the same.
  */
 final class EntryPeerMessageCodec {
+    /** Format of all builds since 5ad7ba2; another one means that the fields of older messages have changed. */
     private static final int FORMAT_VERSION = 7;
+
     private static final int LOAD_REPORT = 1;
     private static final int CONFIGURATION_QUERY = 2;
     private static final int TARGETS_QUERY = 3;
@@ -129,17 +132,23 @@
     }
 
     /**
-     * Decodes a frame.
+     * Decodes a frame. One of a later format counts as {@link EntryPeerMessage.Unsupported}, so that the connection stays
+     * open for the messages that both hosts know. Fields of an earlier format have another meaning, and its hosts can
+     * read nothing of this one.
      *
-     * @throws IllegalArgumentException if the frame is malformed or has another format version
+     * @throws IllegalArgumentException if the frame is malformed or has an earlier format
      */
     static EntryPeerMessage decode(byte[] frame) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(frame)) {
-            if (unpacker.unpackInt() != FORMAT_VERSION) {
-                throw new IllegalArgumentException(
-                        "unsupported message format version; this host expects " + FORMAT_VERSION);
+            int format = unpacker.unpackInt();
+            if (format < FORMAT_VERSION) {
+                throw new IllegalArgumentException("message format " + format + " is not supported; replace its sender"
+                        + " by a build with format " + FORMAT_VERSION);
             }
             int type = unpacker.unpackInt();
+            if (format > FORMAT_VERSION) {
+                return new EntryPeerMessage.Unsupported(type);
+            }
             return switch (type) {
                 case LOAD_REPORT -> new EntryPeerMessage.LoadReport(unpackLoadReport(unpacker), unpackLevel(unpacker));
                 case CONFIGURATION_QUERY ->
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/MessageLevel.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/MessageLevel.java
@@ -3,8 +3,10 @@
 /**
  * Levels of the messages between hosts, for hosts of different builds that run side by side.
  *
- * <p>A host names its level in its load reports. It gets messages that need a higher level from nobody. Within a level,
- * fields are only appended to a message: an older host ignores them, and a newer one uses a default if they are missing.
+ * <p>A host is told the level of another one by {@link EntryPeerMessage.MessageLevelTold}, on the connection that it
+ * opened itself, and sends it no messages of a higher level. The level in a load report only says whether its sender
+ * understands that answer. Within a level, fields are only appended to a message: an older host ignores them, and a
+ * newer one uses a default if they are missing.
  */
 final class MessageLevel {
     /** Level of hosts that name none. */
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/EntryPeerMessageCodecTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/EntryPeerMessageCodecTest.java
@@ -136,6 +136,13 @@
         assertThat(EntryPeerMessageCodec.decode(frame)).isEqualTo(new EntryPeerMessage.Unsupported(FUTURE_TYPE));
     }
 
+    // Guards against hosts that lose their connections while a fleet is upgraded to a build with another format.
+    @Test
+    void messageOfLaterFormatIsUnsupported() {
+        byte[] frame = {8, 1, 2, 3};
+        assertThat(EntryPeerMessageCodec.decode(frame)).isEqualTo(new EntryPeerMessage.Unsupported(1));
+    }
+
     @Test
     void decodesFramesOfFirstBuild() throws IOException {
         Map<String, byte[]> frames = framesOfFirstBuild();
