The first list of the hosts says when it fails

Operators saw nothing if the list that a host reads right after its start failed, so that streams of a killed host were rejected as version-unknown for 1.5 s without a reason in the log.

Cause: listEarly handled pages only and dropped every other reply. Ruled out: the regular list, which logs its failures and follows after 1.5 s. Change: peers-not-listed is logged for it as well. Measured: PeerDirectoryTest.firstListThatFailsIsLoggedAndTheRegularOneFollows fails before (no line) and passes after.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerDirectory.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerDirectory.java
@@ -88,10 +88,16 @@
         }
     }
 
-    /** Lists the hosts at once, since a host that has been killed needs what the others know. */
+    /**
+     * Lists the hosts at once, since a host that has been killed needs what the others know. The first page suffices for
+     * that, and a failure too, because the regular list follows.
+     */
     private void listEarly() {
         store.listStale(PeerRegistrationCodec.KIND, "", CALL_TIMEOUT_MILLIS, reply -> {
             metrics.recordStoreCall("peer-list", reply.getClass().getSimpleName());
+            if (!(reply instanceof StoreReply.Page)) {
+                log.write("peers-not-listed", "known", 0, "reply", reply);
+            }
             if (reply instanceof StoreReply.Page page && !published) {
                 Set<PeerRegistration> listed = new LinkedHashSet<>();
                 page.objects()
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerDirectoryTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerDirectoryTest.java
@@ -160,6 +160,20 @@
         assertThat(published).isEmpty();
     }
 
+    // Guards against a host that knows nobody after its start and does not say why.
+    @Test
+    void firstListThatFailsIsLoggedAndTheRegularOneFollows() {
+        store.pages.add(new StoreReply.Refused(503));
+        store.pages.add(page(Optional.empty(), "entry-2"));
+        directory.start("10.0.0.1:7000");
+        channel.runPendingTasks();
+        assertThat(early).isEmpty();
+        assertThat(lines.stream().filter(line -> line.startsWith("event=peers-not-listed known=0")))
+                .hasSize(1);
+        advance(1_500);
+        assertThat(published).containsExactly(Set.of(peer("entry-2")));
+    }
+
     private void startAndList() {
         store.pages.addFirst(page(Optional.empty()));
         directory.start("10.0.0.1:7000");
