--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardedRequest.java
@@ -12,7 +12,8 @@
  *
  * <p>A request that must not be executed twice is sent to a second target only if the first one stated that it did not
  * execute it, or if no byte was sent. A resumable event stream resumes on another target after the last event that the
- * client received, at the software version that began it. Events of attempts other than the current one are ignored. Not thread-safe.
+ * client received, at the software version that began it. Events of attempts other than the current one are ignored.
+ * Not thread-safe.
  */
 public final class ForwardedRequest {
     /** Delay before an interrupted stream for which no target or retry was available is tried again. */
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingDecision.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ForwardingDecision.java
@@ -8,7 +8,7 @@
  * Decision on a request and its cause, for the log.
  *
  * @param step action or observation: checking, sent, sent-to-copy, first-event, copied, not-copied, crash-counted,
- *     crash-with-domain, lost, not-sent, not-run; or the final one: answered, rejected, broken-off, caller-left
+ *     crash-with-domain, lost, not-sent, not-run, stream-version; or the final one: answered, rejected, broken-off, caller-left
  * @param attempt number of the attempt concerned; 0 for none
  * @param target target concerned
  * @param version version of the software of that target
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/PoisonDetector.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/PoisonDetector.java
@@ -172,9 +172,9 @@
     }
 
     /**
-     * Records whether the target of a lost attempt accepts connections some time after the loss. If it does not, it
-     * crashed; if targets of its failure domain that did not execute this request are unreachable too, the request did
-     * not cause the crash.
+     * Records whether the target of a lost attempt accepts connections some time after the loss. If it does, it did not
+     * crash. If it does not, it crashed; if targets of its failure domain that did not execute this request are
+     * unreachable too, the request did not cause the crash.
      */
     void recordCrashCheck(Attempt attempt, boolean reachable, long nowMillis) {
         unchecked.remove(attempt.number());
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestAvailabilityTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/ForwardedRequestAvailabilityTest.java
@@ -48,18 +48,21 @@
         assertThat(port.rejections.getLast().reason()).isEqualTo("no-target");
     }
 
-    // Guards against an attempt that was chosen before its target asked for a rest.
+    // Guards against an attempt that was chosen before its target asked for a rest, and waited for the check of it.
     @Test
     void restIsCheckedAgainAtTheTimeOfSending() {
         registerTargets(2);
-        ForwardedRequest request = start(RouteKind.STREAMING);
-        EntryTarget first = port.lastSent().target();
-        request.onAttemptLost(1, "closed", 10); // the next attempt would return to the same engine
-        request.onClientDisconnected(20);
+        crashHistory.recordCrash(requestAttributes().fingerprint(), 0, 0);
+        ForwardedRequest request = create(requestAttributes(), RouteKind.IDEMPOTENT, port);
+        request.start(10);
+        EntryTarget first = port.checked.getLast();
         rest(first.id().value(), 3_000);
-        ForwardedRequest next = start(RouteKind.STREAMING);
-        assertThat(port.lastSent().target()).isNotEqualTo(first);
-        next.onClientDisconnected(30);
+        request.onTargetChecked(first, true, 20);
+        assertThat(port.sent).isEmpty();
+        EntryTarget second = port.checked.getLast();
+        assertThat(second).isNotEqualTo(first);
+        request.onTargetChecked(second, true, 30);
+        assertThat(port.lastSent().target()).isEqualTo(second);
     }
 
     // Guards against copies, reports and lists that reach a target during its rest.
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
@@ -144,17 +144,6 @@
         runIfConfigured();
     }
 
-    private void recordVersions(TargetTable table) {
-        long unixMillis = unixClockMillis.getAsLong();
-        List<RegisteredTarget> targets = table.targets().stream()
-                .map(target -> new RegisteredTarget(
-                        target.service(),
-                        target.version(),
-                        target.startedAtMillis() == 0 ? 0 : unixMillis - target.startedAtMillis()))
-                .toList();
-        state.registeredVersions().update(targets, clockMillis.getAsLong());
-    }
-
     /** Applies the load report of another host. */
     void applyLoadReport(HostLoadReport report) {
         loadBalancer.updateRemote(report, clockMillis.getAsLong());
@@ -263,8 +252,8 @@
     }
 
     /**
-     * Checks the targets to whose services this host seems to have no path. A target that is limited or rests gets no request for it;
-     * that it accepts a connection has to suffice.
+     * Checks the targets to whose services this host seems to have no path. A target that is limited or rests gets no
+     * request for it; that it accepts a connection has to suffice.
      */
     void checkPaths() {
         List<EntryTarget> unchecked = new ArrayList<>(loadBalancer.targetsWithoutPath(clockMillis.getAsLong()));
@@ -300,6 +289,17 @@
         log.write("rejected", "id", requestId.isEmpty() ? "-" : requestId, "status", status, "cause", reason);
     }
 
+    private void recordVersions(TargetTable table) {
+        long unixMillis = unixClockMillis.getAsLong();
+        List<RegisteredTarget> targets = table.targets().stream()
+                .map(target -> new RegisteredTarget(
+                        target.service(),
+                        target.version(),
+                        target.startedAtMillis() == 0 ? 0 : unixMillis - target.startedAtMillis()))
+                .toList();
+        state.registeredVersions().update(targets, clockMillis.getAsLong());
+    }
+
     private void onPathChecked(EntryTarget target, boolean reachable) {
         long nowMillis = clockMillis.getAsLong();
         boolean wasCut = loadBalancer.isCut(target.service(), nowMillis);
