Placement allows for streams that other hosts have placed unseen

Cause: the choice is the minimum of a cost that is the same on all hosts.

Now a host chooses among as many of the best engines as make the mean of their costs, plus the share of the unseen streams that each of them gets, lowest. The number of unseen streams is estimated from the rate of prefills in the reports of the others and the age of these reports. With reports that arrive at once it is zero, and the choice is as before. A loan of a limit counts from the time at which its report was made, not from that of its arrival.

--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/BaselinePlacementPolicy.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/BaselinePlacementPolicy.java
@@ -34,7 +34,8 @@
     }
 
     @Override
-    public Optional<EntryTarget> chooseTarget(ServiceDefinition service, long tokens, List<CandidateLoad> candidates) {
+    public Optional<EntryTarget> chooseTarget(
+            ServiceDefinition service, long tokens, List<CandidateLoad> candidates, double unseenPlacements) {
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
@@ -51,7 +52,7 @@
 
     @Override
     public Optional<EntryTarget> chooseBackup(ServiceDefinition service, long tokens, List<CandidateLoad> candidates) {
-        return chooseTarget(service, tokens, candidates);
+        return chooseTarget(service, tokens, candidates, 0);
     }
 
     private EntryTarget leastReported(List<EntryTarget> targets) {
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/ForwardingBenchMain.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/ForwardingBenchMain.java
@@ -45,6 +45,12 @@
             description = "run only the placements whose title contains this text (default: all)")
     private String placementFilter = "";
 
+    @Option(
+            names = "--report-age",
+            defaultValue = "0",
+            description = "time for which other hosts hold a load report, in ms (default: ${DEFAULT-VALUE})")
+    private double reportAgeMillis;
+
     /** Runs the benchmark and exits. */
     public static void main(String[] args) {
         System.exit(new CommandLine(new ForwardingBenchMain()).execute(args));
@@ -83,7 +89,8 @@
     private List<MetricResult> metrics(ForwardingScenario scenario, ForwardingSimulation.PlacementFactory placement) {
         List<ForwardingResult> results = LongStream.rangeClosed(1, seeds)
                 .parallel()
-                .mapToObj(seed -> new ForwardingSimulation(scenario, placement, Mechanisms.ALL, seed).run())
+                .mapToObj(seed ->
+                        new ForwardingSimulation(scenario, placement, Mechanisms.ALL, seed).run(reportAgeMillis))
                 .toList();
         return List.of(
                 metric(
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/ForwardingSimulation.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/ForwardingSimulation.java
@@ -102,7 +102,16 @@
     }
 
     ForwardingResult run() {
-        hosts.forEach(host -> host.connectTo(hosts));
+        return run(0);
+    }
+
+    /**
+     * Runs the simulation.
+     *
+     * @param reportAgeMillis time for which hosts between two others hold a load report
+     */
+    ForwardingResult run(double reportAgeMillis) {
+        hosts.forEach(host -> host.connectTo(hosts, reportAgeMillis));
         scheduleArrival();
         scheduleReports();
         if (scenario.crashIntervalMillis() > 0) {
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedEntryHost.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/forwarding/SimulatedEntryHost.java
@@ -50,6 +50,7 @@
     private final List<SimulatedEntryHost> peers = new ArrayList<>();
     private boolean reportPending;
     private long loadReportsSent;
+    private double reportAgeMillis;
 
     SimulatedEntryHost(
             String name,
@@ -90,8 +91,13 @@
                 RandomSource.SPLIT_MIX_64.create(0));
     }
 
-    /** Starts to send load reports to the other hosts. */
-    void connectTo(List<SimulatedEntryHost> hosts) {
+    /**
+     * Starts to send load reports to the other hosts.
+     *
+     * @param reportAge time for which hosts between this one and the others hold a report, in milliseconds
+     */
+    void connectTo(List<SimulatedEntryHost> hosts, double reportAge) {
+        reportAgeMillis = reportAge;
         hosts.stream().filter(host -> host != this).forEach(peers::add);
         scheduleReportResend();
     }
@@ -134,18 +140,20 @@
         });
     }
 
-    private void receiveLoadReport(HostLoadReport report) {
-        loadBalancer.updateRemote(report, scheduler.nowMillis());
+    private void receiveLoadReport(HostLoadReport report, long madeAtMillis) {
+        loadBalancer.updateRemote(report, madeAtMillis, scheduler.nowMillis());
         retryUsage.updateRemote(report.host(), report.retries(), scheduler.nowMillis());
     }
 
     private void sendLoadReport() {
         HostLoadReport report = loadBalancer.loadReport(
                 name, service -> true, Map.of(), retryUsage.localRetries(scheduler.nowMillis()), scheduler.nowMillis());
+        long madeAtMillis = scheduler.nowMillis();
         for (SimulatedEntryHost peer : peers) {
             loadReportsSent++;
             scheduler.scheduleAfterMillis(
-                    ForwardingSimulation.delayMillis(domain, peer.domain), () -> peer.receiveLoadReport(report));
+                    reportAgeMillis + ForwardingSimulation.delayMillis(domain, peer.domain),
+                    () -> peer.receiveLoadReport(report, madeAtMillis));
         }
     }
 }
--- a/amaranthlock-bench/src/main/java/org/amaranthlock/bench/limit/LimitedTargetSimulation.java
+++ b/amaranthlock-bench/src/main/java/org/amaranthlock/bench/limit/LimitedTargetSimulation.java
@@ -197,11 +197,13 @@
             scheduler.scheduleAfterMillis(intervalMillis, () -> {
                 if (running && start == starts) {
                     LimitReport report = permits.report();
+                    long madeAtMillis = scheduler.nowMillis();
                     if (always || !report.equals(lastReport)) {
                         lastReport = report;
                         hosts.stream()
                                 .filter(host -> host != this)
-                                .forEach(host -> deliver(this, host, () -> host.permits.updateRemote(name, report)));
+                                .forEach(host -> deliver(
+                                        this, host, () -> host.permits.updateRemote(name, report, madeAtMillis)));
                     }
                     scheduleReport(start, intervalMillis, always);
                 }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/LeastDelayPlacement.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/LeastDelayPlacement.java
@@ -1,6 +1,6 @@
 package org.amaranthlock.coordination.forwarding;
 
-import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -13,6 +13,10 @@
  * <p>An engine prefills one prompt at a time and meanwhile delays the tokens of all its streams, while a generating
  * stream delays others little. When most engines of a failure domain fail, their streams move to the remaining engines
  * at once, and prompts that queue on one engine wait for seconds.
+ *
+ * <p>In a fleet whose reports take long for the rate of its streams, all hosts would choose the engine that was free
+ * last. A host then chooses among so many of the best engines that the streams of the others, spread over these, cost
+ * less than the worse engines do.
  */
 public final class LeastDelayPlacement implements PlacementPolicy {
     /** Cost of a request that is still to be prefilled, in generating streams. */
@@ -44,17 +48,24 @@
      */
     private static final double MAX_BACKUP_KV_CACHE_FRACTION = 0.85;
 
+    /** Difference up to which expected costs are equal but for rounding. */
+    private static final double EQUAL_COST = 1e-9;
+
     private final UniformRandomProvider random;
 
+    private record CostedTarget(EntryTarget target, double cost) {}
+
     /** Creates a policy that chooses among equal targets with {@code random}. */
     public LeastDelayPlacement(UniformRandomProvider random) {
         this.random = Objects.requireNonNull(random, "random");
     }
 
     @Override
-    public Optional<EntryTarget> chooseTarget(ServiceDefinition service, long tokens, List<CandidateLoad> candidates) {
-        return chooseCheapest(
-                candidates, load -> service.engine() ? engineCost(service, tokens, load) : plainCost(load));
+    public Optional<EntryTarget> chooseTarget(
+            ServiceDefinition service, long tokens, List<CandidateLoad> candidates, double unseenPlacements) {
+        return service.engine()
+                ? chooseAmongBest(candidates, load -> engineCost(service, tokens, load), unseenPlacements)
+                : chooseAmongBest(candidates, LeastDelayPlacement::plainCost, 0);
     }
 
     @Override
@@ -62,24 +73,36 @@
         List<CandidateLoad> withCapacity = candidates.stream()
                 .filter(load -> service.hasCapacity(load.inFlight(), tokens, MAX_BACKUP_KV_CACHE_FRACTION))
                 .toList();
-        return chooseCheapest(withCapacity, load -> engineCost(service, tokens, load));
+        return chooseAmongBest(withCapacity, load -> engineCost(service, tokens, load), 0);
     }
 
-    private Optional<EntryTarget> chooseCheapest(
-            List<CandidateLoad> candidates, ToDoubleFunction<CandidateLoad> costFunction) {
-        double lowestCost = Double.MAX_VALUE;
-        List<EntryTarget> cheapest = new ArrayList<>();
-        for (CandidateLoad candidate : candidates) {
-            double cost = costFunction.applyAsDouble(candidate);
-            if (cost < lowestCost) {
-                lowestCost = cost;
-                cheapest.clear();
-            }
-            if (cost == lowestCost) {
-                cheapest.add(candidate.target());
+    private Optional<EntryTarget> chooseAmongBest(
+            List<CandidateLoad> candidates, ToDoubleFunction<CandidateLoad> costFunction, double unseenPlacements) {
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        List<CostedTarget> byCost = candidates.stream()
+                .map(load -> new CostedTarget(load.target(), costFunction.applyAsDouble(load)))
+                .sorted(Comparator.comparingDouble(CostedTarget::cost))
+                .toList();
+        return Optional.of(
+                byCost.get(random.nextInt(bestCount(byCost, unseenPlacements))).target());
+    }
+
+    /** Returns among how many of the best targets a choice is expected to cost least, at least all that are equal. */
+    private static int bestCount(List<CostedTarget> byCost, double unseenPlacements) {
+        int bestCount = 0;
+        double lowestExpected = Double.MAX_VALUE;
+        double sum = 0;
+        for (int count = 1; count <= byCost.size(); count++) {
+            sum += byCost.get(count - 1).cost();
+            double expected = (sum + PREFILL_COST * unseenPlacements) / count;
+            if (expected <= lowestExpected + EQUAL_COST) {
+                lowestExpected = expected;
+                bestCount = count;
             }
         }
-        return cheapest.isEmpty() ? Optional.empty() : Optional.of(cheapest.get(random.nextInt(cheapest.size())));
+        return bestCount;
     }
 
     private static double engineCost(ServiceDefinition service, long tokens, CandidateLoad load) {
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/PlacementPolicy.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/PlacementPolicy.java
@@ -11,9 +11,12 @@
      * @param service service of the candidates
      * @param tokens KV cache size that the request is expected to need on an engine, in tokens
      * @param candidates available targets
+     * @param unseenPlacements expected number of streams that other hosts have placed and whose load is missing from the
+     *     candidates'
      * @return the chosen target; empty if there is no candidate
      */
-    Optional<EntryTarget> chooseTarget(ServiceDefinition service, long tokens, List<CandidateLoad> candidates);
+    Optional<EntryTarget> chooseTarget(
+            ServiceDefinition service, long tokens, List<CandidateLoad> candidates, double unseenPlacements);
 
     /**
      * Chooses the engine that keeps a KV cache backup.
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
@@ -59,6 +59,7 @@
     /** Sum over all {@link #remoteReports}; keeps the cost of a choice independent of the number of hosts. */
     private final Map<TargetId, InFlightLoad> remoteInFlight = new HashMap<>();
 
+    private final UnseenPlacements unseenPlacements = new UnseenPlacements();
     private TargetTable table = TargetTable.EMPTY;
 
     private record RemoteLoadReport(HostLoadReport report, long atMillis) {}
@@ -107,7 +108,7 @@
             permits.prefetch(service.name(), limitedTargets(service, constraint, nowMillis));
         }
         return placementPolicy
-                .chooseTarget(service, tokens, candidates)
+                .chooseTarget(service, tokens, candidates, unseenPlacements.expected(nowMillis))
                 .filter(target -> brittleTargets.admit(
                         target.id(),
                         target.slots(),
@@ -216,14 +217,28 @@
         return placementPolicy.chooseBackup(service, tokens, candidateLoads(candidates, nowMillis));
     }
 
-    /** Applies a report of another host. */
+    /** Applies a report that another host has just made. */
     public void updateRemote(HostLoadReport report, long nowMillis) {
-        permits.updateRemote(report.host(), report.limits());
-        brittleTargets.updateRemote(report.host(), report.brittle(), nowMillis);
-        RemoteLoadReport before = remoteReports.put(report.host(), new RemoteLoadReport(report, nowMillis));
+        updateRemote(report, nowMillis, nowMillis);
+    }
+
+    /**
+     * Applies a report of another host.
+     *
+     * @param madeAtMillis time at which the other host made the report
+     */
+    public void updateRemote(HostLoadReport report, long madeAtMillis, long nowMillis) {
+        permits.updateRemote(report.host(), report.limits(), madeAtMillis);
+        brittleTargets.updateRemote(report.host(), report.brittle(), madeAtMillis);
+        RemoteLoadReport before = remoteReports.put(report.host(), new RemoteLoadReport(report, madeAtMillis));
         if (before != null) {
             subtract(before.report());
         }
+        unseenPlacements.record(
+                before == null ? Map.of() : before.report().inFlight(),
+                report.inFlight(),
+                nowMillis - madeAtMillis,
+                nowMillis);
         report.inFlight().forEach((id, load) -> remoteInFlight.merge(id, load, InFlightLoad::plus));
         // A target that stays unreachable is reported repeatedly; only its first report excludes it. What a host cannot
         // reach that has no path to any target of the service says nothing about the target.
@@ -237,7 +252,7 @@
             boolean newlyUnreachable =
                     before == null || !before.report().unreachable().contains(id);
             if (newlyUnreachable) {
-                table.target(id).ifPresent(target -> health.recordRemoteUnreachable(target, nowMillis));
+                table.target(id).ifPresent(target -> health.recordRemoteUnreachable(target, madeAtMillis));
             }
         }
     }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/targetlimit/TargetPermits.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/targetlimit/TargetPermits.java
@@ -122,14 +122,18 @@
         return issuer.issue(request, clockMillis.getAsLong());
     }
 
-    /** Applies the report of another host. */
-    public void updateRemote(String host, LimitReport report) {
+    /**
+     * Applies the report of another host.
+     *
+     * @param madeAtMillis time at which the other host made the report, from which its loans count
+     */
+    public void updateRemote(String host, LimitReport report, long madeAtMillis) {
         limits.merge(host, report.limits());
         Set<ServiceName> lent = report.borrowers().entrySet().stream()
                 .filter(borrower -> borrower.getValue().equals(localHost))
                 .map(Map.Entry::getKey)
                 .collect(Collectors.toSet());
-        issuer.updateLoans(host, lent, clockMillis.getAsLong());
+        issuer.updateLoans(host, lent, madeAtMillis);
     }
 
     /** Returns the report of this host. */
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/LeastDelayPlacementTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/LeastDelayPlacementTest.java
@@ -20,7 +20,7 @@
     void prefersTwoGeneratingStreamsOverOnePrefill() {
         CandidateLoad prefilling = load("prefilling", 1, 0, false);
         CandidateLoad generating = load("generating", 0, 2, false);
-        assertThat(placement.chooseTarget(ENGINES, 0, List.of(prefilling, generating)))
+        assertThat(placement.chooseTarget(ENGINES, 0, List.of(prefilling, generating), 0))
                 .hasValue(generating.target());
     }
 
@@ -28,16 +28,16 @@
     void countsRequestsOfPlainTargetsEqually() {
         CandidateLoad one = load("one", 1, 0, false);
         CandidateLoad two = load("two", 0, 2, false);
-        assertThat(placement.chooseTarget(PLAIN, 0, List.of(one, two))).hasValue(one.target());
+        assertThat(placement.chooseTarget(PLAIN, 0, List.of(one, two), 0)).hasValue(one.target());
     }
 
     @Test
     void prefersSuspectEngineOverPrefillQueue() {
         CandidateLoad suspect = load("suspect", 0, 0, true);
-        assertThat(placement.chooseTarget(ENGINES, 0, List.of(suspect, load("queue", 3, 0, false))))
+        assertThat(placement.chooseTarget(ENGINES, 0, List.of(suspect, load("queue", 3, 0, false)), 0))
                 .hasValue(suspect.target());
         CandidateLoad generating = load("generating", 0, 3, false);
-        assertThat(placement.chooseTarget(ENGINES, 0, List.of(suspect, generating)))
+        assertThat(placement.chooseTarget(ENGINES, 0, List.of(suspect, generating), 0))
                 .hasValue(generating.target());
     }
 
@@ -48,8 +48,10 @@
         CandidateLoad full =
                 new CandidateLoad(EntryTargets.ready("full", "a"), new InFlightLoad(0, 1, 0, 46_000), false, false);
         CandidateLoad free = load("free", 1, 5, false);
-        assertThat(placement.chooseTarget(ENGINES, 5_000, List.of(full, free))).hasValue(free.target());
-        assertThat(placement.chooseTarget(ENGINES, 4_000, List.of(full, free))).hasValue(full.target());
+        assertThat(placement.chooseTarget(ENGINES, 5_000, List.of(full, free), 0))
+                .hasValue(free.target());
+        assertThat(placement.chooseTarget(ENGINES, 4_000, List.of(full, free), 0))
+                .hasValue(full.target());
     }
 
     // Guards against backups that, during a peak, occupy the KV cache that generating streams need.
@@ -63,7 +65,7 @@
 
     @Test
     void choosesNothingWithoutCandidates() {
-        assertThat(placement.chooseTarget(ENGINES, 0, List.of())).isEmpty();
+        assertThat(placement.chooseTarget(ENGINES, 0, List.of(), 0)).isEmpty();
     }
 
     private static CandidateLoad load(String id, int prefilling, int generating, boolean suspect) {
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/targetlimit/TargetPermitsTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/targetlimit/TargetPermitsTest.java
@@ -81,7 +81,7 @@
         nowMillis = JOINED_MILLIS;
         int own = grants(10_000);
         for (int i = 2; i <= 9; i++) {
-            permits.updateRemote("host-" + i, lendingTo("host-1"));
+            permits.updateRemote("host-" + i, lendingTo("host-1"), nowMillis);
         }
         int withAllShares = grants(1_500);
         assertThat(withAllShares).isGreaterThan(own);
