--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/ChildProcess.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/ChildProcess.java
@@ -1,16 +1,17 @@
-package org.amaranthlock.standin.soak;
+package org.amaranthlock.standin;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Process started by the soak test; signals go to its process id only. */
-final class ChildProcess {
+/** Process started by a test program; signals go to its process id only. */
+public final class ChildProcess {
     private static final long START_TIMEOUT_MILLIS = 20_000;
     private static final long POLL_INTERVAL_MILLIS = 20;
 
@@ -25,17 +26,30 @@
     }
 
     /** Starts a process that writes its output to a file of its own in {@code directory}. */
-    static ChildProcess start(String name, Path directory, List<String> command) throws IOException {
+    public static ChildProcess start(String name, Path directory, List<String> command) throws IOException {
+        return start(name, directory, command, Map.of());
+    }
+
+    /** Starts a process with variables added to its environment. */
+    public static ChildProcess start(String name, Path directory, List<String> command, Map<String, String> environment)
+            throws IOException {
         Path output = Files.createTempFile(directory, name + "-", ".log");
-        Process process = new ProcessBuilder(command)
-                .redirectErrorStream(true)
-                .redirectOutput(output.toFile())
-                .start();
-        return new ChildProcess(name, output, process);
+        ProcessBuilder builder =
+                new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output.toFile());
+        builder.environment().putAll(environment);
+        return new ChildProcess(name, output, builder.start());
+    }
+
+    /** Returns the processor time that the process has used, in milliseconds. */
+    public long processorMillis() {
+        return process.info()
+                .totalCpuDuration()
+                .orElseThrow(() -> new IllegalStateException(name + " has ended; see " + output))
+                .toMillis();
     }
 
     /** Returns the file with the output of the process. */
-    Path output() {
+    public Path output() {
         return output;
     }
 
@@ -44,7 +58,7 @@
      *
      * @throws IllegalStateException if the process ends or the start timeout expires before a line matches
      */
-    String awaitOutput(Pattern pattern) throws IOException, InterruptedException {
+    public String awaitOutput(Pattern pattern) throws IOException, InterruptedException {
         long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MILLIS);
         while (System.nanoTime() < deadlineNanos) {
             Optional<String> found = Files.readAllLines(output).stream()
@@ -65,7 +79,7 @@
     }
 
     /** Sends a signal, for example {@code STOP}; does nothing if the process has ended. */
-    void signal(String signal) throws IOException, InterruptedException {
+    public void signal(String signal) throws IOException, InterruptedException {
         if (process.isAlive()) {
             new ProcessBuilder("kill", "-s", signal, Long.toString(process.pid()))
                     .start()
@@ -74,12 +88,12 @@
     }
 
     /** Kills the process and waits until it has ended. */
-    void kill() {
+    public void kill() {
         process.destroyForcibly().onExit().join();
     }
 
     /** Waits for the process to exit and kills it if the timeout expires. */
-    void awaitExit(long timeoutMillis) throws InterruptedException {
+    public void awaitExit(long timeoutMillis) throws InterruptedException {
         if (!process.waitFor(timeoutMillis, TimeUnit.MILLISECONDS)) {
             kill();
         }
--- /dev/null
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/cost/package-info.java
@@ -0,0 +1,2 @@
+/** Measures what an entry host costs, with the real daemon as separate processes. */
+package org.amaranthlock.standin.cost;
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/SoakFleet.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/SoakFleet.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
+import org.amaranthlock.standin.ChildProcess;
 import org.amaranthlock.standin.fleet.FleetStoreMain;
 import org.amaranthlock.standin.fleet.FleetWorker;
 import org.amaranthlock.standin.fleet.FleetWorkerMain;
