--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/Mechanism.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/Mechanism.java
@@ -42,7 +42,10 @@
     RELAY("relay"),
 
     /** Requests with a part of their prompts under which a target crashed are sent one at a time, then rejected. */
-    PROMPT_PART_TRIALS("prompt-part-trials");
+    PROMPT_PART_TRIALS("prompt-part-trials"),
+
+    /** In a large fleet, load reports reach the other hosts through a few hosts of each failure domain. */
+    REPORT_RELAYS("report-relays");
 
     private final String key;
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -4,11 +4,9 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Objects;
 import java.util.Optional;
@@ -21,12 +19,13 @@
 import org.amaranthlock.coordination.forwarding.AdmissionPolicy;
 import org.amaranthlock.coordination.forwarding.CrashHistory;
 import org.amaranthlock.coordination.forwarding.ForwardingState;
-import org.amaranthlock.coordination.forwarding.HostLoadReport;
 import org.amaranthlock.coordination.forwarding.LeastDelayPlacement;
 import org.amaranthlock.coordination.forwarding.LoadSheddingPolicy;
+import org.amaranthlock.coordination.forwarding.Mechanism;
 import org.amaranthlock.coordination.forwarding.StoreReaderSelector;
 import org.amaranthlock.coordination.forwarding.SuspensionAwareClock;
 import org.amaranthlock.coordination.forwarding.TargetLoadBalancer;
+import org.amaranthlock.coordination.loadreport.ReportPlanner;
 import org.amaranthlock.coordination.promptpart.PromptPartGuard;
 import org.amaranthlock.coordination.streamversion.RegisteredVersions;
 import org.amaranthlock.coordination.streamversion.StreamVersions;
@@ -34,7 +33,10 @@
 import org.amaranthlock.coordination.targetlimit.TargetPermits;
 import org.amaranthlock.entry.control.ConfigurationPollTimes;
 import org.amaranthlock.entry.control.ConfigurationPoller;
+import org.amaranthlock.entry.control.LoadReportCollector;
+import org.amaranthlock.entry.control.LoadReportExchange;
 import org.amaranthlock.entry.control.PeerDirectory;
+import org.amaranthlock.entry.control.PeerLinks;
 import org.amaranthlock.entry.control.PeerMessageDispatcher;
 import org.amaranthlock.entry.control.PeerStoreClient;
 import org.amaranthlock.entry.control.PeerStoreReader;
@@ -51,14 +53,14 @@
 import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.entry.peer.PeerConnections;
+import org.amaranthlock.entry.peer.PeerListener;
 import org.amaranthlock.entry.relay.RelayClient;
 import org.amaranthlock.entry.relay.RelayServer;
 import org.amaranthlock.entry.settings.EntrySettings;
-import org.amaranthlock.entry.settings.EntrySettingsReader;
+import org.amaranthlock.entry.settings.SettingsFileWatcher;
 import org.amaranthlock.entry.target.PromptLocator;
 import org.amaranthlock.entry.target.ResponseMemory;
 import org.amaranthlock.entry.target.TargetConnectionPool;
-import org.amaranthlock.model.AmaranthlockException;
 import org.amaranthlock.platform.NettyPlatformStore;
 import org.amaranthlock.platform.PeerRegistration;
 import org.amaranthlock.platform.ReadinessCheck;
@@ -68,17 +70,6 @@
 
 /** Running entry daemon: creates its components, connects them and controls startup and shutdown. */
 public final class EntryProcess {
-    /**
-     * Time after the termination signal during which new connections are still accepted, because the load balancer
-     * stops sending them only after two failed readiness checks.
-     */
-    private static final long ACCEPT_WHILE_DRAINING_MILLIS = 2_600;
-
-    /**
-     * Time before the forced kill at which running streams are aborted, so that clients resume them at another host.
-     */
-    private static final long ABORT_MARGIN_MILLIS = 700;
-
     /**
      * Time after the start for which client connections wait for the configuration and the targets. Without them a
      * client would be rejected and use up its retry, but it does not wait long for its request to be read either.
@@ -91,10 +82,8 @@
      */
     private static final long MAX_VERDICT_WAIT_MILLIS = 1_500;
 
-    private static final long DRAIN_CHECK_INTERVAL_MILLIS = 100;
     private static final long PATH_CHECK_INTERVAL_MILLIS = 500;
     private static final long LIMIT_REPORT_INTERVAL_MILLIS = 500;
-    private static final long SETTINGS_CHECK_INTERVAL_MILLIS = 2_000;
 
     private volatile EntrySettings settings;
     private final EventLoopGroup controlGroup = new NioEventLoopGroup(1, new DefaultThreadFactory("control", true));
@@ -114,9 +103,12 @@
     private final ConfigurationPoller configurationPoller;
     private final TargetWatcher targetWatcher;
     private final PeerConnections peerConnections;
+    private final PeerLinks peerLinks;
+    private final PeerListener peerListener;
     private final PeerDirectory peerDirectory;
-    private volatile HostLoadReport loadReport;
-    private long drainingSinceMillis;
+    private final LoadReportExchange loadReportExchange;
+    private final LoadReportCollector loadReportCollector;
+    private final GracefulShutdown shutdown;
 
     /** Creates the components of a daemon; {@link #start} starts them. */
     public EntryProcess(EntrySettings settings) {
@@ -136,15 +128,16 @@
         SuspensionAwareClock ageClock =
                 new SuspensionAwareClock(EntryProcess::monotonicMillis, System::currentTimeMillis);
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create();
-        PermitQueryClient permitQueryClient =
-                new PermitQueryClient(controlLoop, trafficLoop, new FleetPeerQueries(), log, metrics);
+        this.peerConnections = new PeerConnections(controlLoop, settings.peerAddress(), log, metrics);
+        this.peerLinks = PeerLinks.toFleet(peerConnections);
+        PermitQueryClient permitQueryClient = new PermitQueryClient(controlLoop, trafficLoop, peerLinks, log, metrics);
         this.permits = createPermits(permitQueryClient, random);
         this.availability = new TargetAvailability(new AvailabilityLog(log, metrics));
         PromptPartGuard promptPartGuard =
                 new PromptPartGuard(settings.hostName(), new PromptPartLog(log, metrics, this::reportPromptParts));
         StreamVersions streamVersions = new StreamVersions();
         this.streamVersionExchange = createStreamVersionExchange(streamVersions, trafficLoop, controlLoop);
-        RelayClient relayClient = new RelayClient(controlLoop, trafficLoop, new FleetPeerQueries(), metrics);
+        RelayClient relayClient = new RelayClient(controlLoop, trafficLoop, peerLinks, metrics);
         this.requestForwarder =
                 createForwarder(trafficLoop, ageClock, random, relayClient, promptPartGuard, streamVersions);
         this.store = new NettyPlatformStore(controlLoop, settings.storeAddress());
@@ -153,42 +146,42 @@
         PeerStoreClient peerStoreClient = new PeerStoreClient(
                 controlLoop,
                 new StoreReaderSelector(settings.hostName()),
-                new DomainPeerQueries(),
+                PeerLinks.toDomain(peerConnections, settings.failureDomain()),
                 EntryProcess::monotonicMillis,
                 log,
                 metrics);
         this.configurationPoller = createConfigurationPoller(controlLoop, ageClock, peerStoreClient, peerStoreServer);
-        this.targetWatcher = new TargetWatcher(
-                store,
-                controlLoop,
+        this.targetWatcher = createTargetWatcher(trafficLoop, controlLoop, peerStoreClient, peerStoreServer);
+        this.loadReportExchange = createLoadReportExchange(controlLoop, ageClock, random);
+        this.loadReportCollector = new LoadReportCollector(
+                trafficLoop,
                 EntryProcess::monotonicMillis,
-                peerStoreClient,
-                peerStoreServer,
-                table -> trafficLoop.execute(() -> requestForwarder.updateTargets(table)),
-                settings.mechanisms(),
-                log,
-                metrics);
-        this.loadReport = HostLoadReport.empty(settings.hostName());
-        this.peerConnections = new PeerConnections(
-                controlLoop,
-                settings.peerAddress(),
-                () -> loadReport,
-                new PeerMessageDispatcher(
-                        peerStoreServer,
-                        peerStoreClient,
-                        permitQueryClient,
-                        (request, reply) -> trafficLoop.execute(() -> reply.accept(permits.issue(request))),
-                        streamVersionExchange,
-                        relayClient,
-                        new RelayServer(requestForwarder),
-                        trafficLoop,
-                        report -> trafficLoop.execute(() -> requestForwarder.applyLoadReport(report)),
-                        promptPartExchange::onReport,
-                        this::onConnectionChanged,
-                        configurationPoller::onVersionAnnounced),
-                log);
+                () -> requestForwarder.loadReport(settings.hostName()),
+                loadReportExchange::minIntervalMillis,
+                report -> controlLoop.execute(() -> loadReportExchange.publish(report)));
         this.peerDirectory = createPeerDirectory(controlLoop);
+        this.peerListener = new PeerMessageDispatcher(
+                peerStoreServer,
+                peerStoreClient,
+                permitQueryClient,
+                (request, reply) -> trafficLoop.execute(() -> reply.accept(permits.issue(request))),
+                streamVersionExchange,
+                relayClient,
+                new RelayServer(requestForwarder),
+                trafficLoop,
+                loadReportExchange,
+                promptPartExchange::onReport,
+                this::onConnectionChanged,
+                configurationPoller::onVersionAnnounced);
         this.clientServer = new ClientServer(trafficGroup, settings.clientAddress(), clientSocket, requestForwarder);
+        this.shutdown = new GracefulShutdown(
+                trafficLoop,
+                EntryProcess::monotonicMillis,
+                () -> settings.bounds().shutdownGraceMillis(),
+                requestForwarder,
+                clientServer,
+                terminated::countDown,
+                log);
         this.readinessServer = new StatusServer(trafficGroup, settings.readinessAddress(), this::readinessResponse);
         this.metricsServer = new StatusServer(
                 controlGroup, settings.metricsAddress(), path -> new StatusResponse(200, metrics.scrape()));
@@ -202,16 +195,17 @@
         trafficGroup.schedule(requestForwarder::endVerdictWait, MAX_VERDICT_WAIT_MILLIS, TimeUnit.MILLISECONDS);
         configurationPoller.start();
         targetWatcher.start();
-        InetSocketAddress peerAddress = peerConnections.start();
+        InetSocketAddress peerAddress = peerConnections.start(peerListener, loadReportExchange::greeting);
         peerDirectory.start(peerAddress.getAddress().getHostAddress() + ":" + peerAddress.getPort());
         trafficGroup.scheduleAtFixedRate(
                 requestForwarder::checkPaths,
                 PATH_CHECK_INTERVAL_MILLIS,
                 PATH_CHECK_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
+        loadReportExchange.start();
         // Shares of target limits change hands without any request.
         trafficGroup.scheduleAtFixedRate(
-                this::updateLoadReport,
+                loadReportCollector::onLoadChanged,
                 LIMIT_REPORT_INTERVAL_MILLIS,
                 LIMIT_REPORT_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -239,57 +233,18 @@
     }
 
     /**
-     * Reloads the settings file. The address of the store and the shutdown grace period take effect; the addresses on
-     * which this process listens and the other bounds stay as they were at startup.
+     * Reads the settings again when the file changes, and at each call of the returned action. The address of the store
+     * and the shutdown grace period take effect; the addresses on which this process listens and the other bounds stay as they were at startup.
      */
-    public void reload(Path file) {
-        controlGroup.next().execute(() -> {
-            try {
-                EntrySettings newSettings = EntrySettingsReader.read(file);
-                if (!newSettings.storeAddress().equals(settings.storeAddress())) {
-                    store.changeAddress(newSettings.storeAddress());
-                }
-                boolean unchanged = newSettings.equals(settings);
-                settings = newSettings;
-                log.write("reloaded", "changed", !unchanged, "store", newSettings.storeAddress());
-            } catch (AmaranthlockException e) {
-                log.write("reload-failed", "cause", e.getMessage());
-            }
-        });
-    }
-
-    /**
-     * Reloads the settings file whenever its modification time changes, because not every change is followed by a
-     * SIGHUP.
-     */
-    public void watchSettings(Path file) {
-        long[] knownMillis = {lastModifiedMillis(file)};
-        controlGroup
-                .next()
-                .scheduleAtFixedRate(
-                        () -> {
-                            long currentMillis = lastModifiedMillis(file);
-                            if (currentMillis != knownMillis[0]) {
-                                knownMillis[0] = currentMillis;
-                                reload(file);
-                            }
-                        },
-                        SETTINGS_CHECK_INTERVAL_MILLIS,
-                        SETTINGS_CHECK_INTERVAL_MILLIS,
-                        TimeUnit.MILLISECONDS);
+    public Runnable watchSettings(Path file) {
+        SettingsFileWatcher watcher = new SettingsFileWatcher(file, controlGroup.next(), this::apply, log);
+        watcher.start();
+        return watcher::reload;
     }
 
     /** Starts a graceful shutdown; running requests are aborted only when the grace period is nearly over. */
     public void drain() {
-        trafficGroup.next().execute(() -> {
-            if (requestForwarder.draining()) {
-                return;
-            }
-            log.write("draining", "active", requestForwarder.activeRequestCount());
-            requestForwarder.drain();
-            drainingSinceMillis = monotonicMillis();
-            trafficGroup.schedule(this::stopAccepting, ACCEPT_WHILE_DRAINING_MILLIS, TimeUnit.MILLISECONDS);
-        });
+        trafficGroup.next().execute(shutdown::start);
     }
 
     /** Stops at once and aborts all running requests. */
@@ -312,19 +267,51 @@
                 streamVersions,
                 trafficLoop,
                 controlLoop,
-                new FleetPeerQueries(),
+                peerLinks,
                 EntryProcess::monotonicMillis,
                 log);
     }
 
+    private TargetWatcher createTargetWatcher(
+            EventLoop trafficLoop, EventLoop controlLoop, PeerStoreReader peerReader, PeerStoreServer peerStoreServer) {
+        return new TargetWatcher(
+                store,
+                controlLoop,
+                EntryProcess::monotonicMillis,
+                peerReader,
+                peerStoreServer,
+                table -> trafficLoop.execute(() -> requestForwarder.updateTargets(table)),
+                settings.mechanisms(),
+                log,
+                metrics);
+    }
+
+    private LoadReportExchange createLoadReportExchange(
+            EventLoop controlLoop, SuspensionAwareClock ageClock, UniformRandomProvider random) {
+        return new LoadReportExchange(
+                settings.hostName(),
+                controlLoop,
+                peerLinks,
+                new ReportPlanner(
+                        settings.hostName(),
+                        settings.failureDomain(),
+                        settings.mechanisms().uses(Mechanism.REPORT_RELAYS)),
+                random.nextLong(),
+                ageClock::millis,
+                reports -> trafficGroup.next().execute(() -> requestForwarder.applyLoadReports(reports)),
+                host -> peerDirectory.onUnknownHost(host),
+                log);
+    }
+
     private PeerDirectory createPeerDirectory(EventLoop controlLoop) {
         return new PeerDirectory(
                 store,
                 controlLoop,
                 settings.hostName(),
                 settings.failureDomain(),
-                peerConnections::updatePeers,
+                this::connectPeers,
                 this::updatePeers,
+                RandomSource.SPLIT_MIX_64.create(),
                 log,
                 metrics);
     }
@@ -370,7 +357,7 @@
                 new OutboundCalls(connections, promptLocator, relayClient, streamVersionExchange),
                 log,
                 metrics,
-                this::updateLoadReport);
+                () -> loadReportCollector.onLoadChanged());
     }
 
     /** Announces a version of the configuration to the other hosts; called on the control thread. */
@@ -411,13 +398,7 @@
                 log,
                 metrics);
         return new PromptPartExchange(
-                guard,
-                trafficLoop,
-                controlLoop,
-                new FleetPeerQueries(),
-                verdicts,
-                EntryProcess::monotonicMillis,
-                random);
+                guard, trafficLoop, controlLoop, peerLinks, verdicts, EntryProcess::monotonicMillis, random);
     }
 
     private TargetLoadBalancer createLoadBalancer(UniformRandomProvider random) {
@@ -431,14 +412,20 @@
                 settings.mechanisms());
     }
 
+    private void connectPeers(Set<PeerRegistration> registeredPeers) {
+        peerConnections.updatePeers(registeredPeers);
+        loadReportExchange.onPeersChanged();
+    }
+
     /** Applies a change of the registered peers; called on the control thread. */
     private void updatePeers(Set<PeerRegistration> registeredPeers) {
-        peerConnections.updatePeers(registeredPeers);
+        connectPeers(registeredPeers);
         trafficGroup.next().execute(() -> requestForwarder.updateRegisteredHostCount(registeredPeers.size() + 1));
     }
 
     /** Applies a change of the connection to a peer; called on the control thread. */
     private void onConnectionChanged(String peer) {
+        loadReportExchange.onConnectionChanged(peer);
         Set<String> connected = peerConnections.connectedPeers();
         trafficGroup.next().execute(() -> permits.updateReachableHosts(connected));
         streamVersionExchange.onConnectionChanged(peer);
@@ -453,15 +440,6 @@
         trafficGroup.next().execute(promptPartExchange::reportChanges);
     }
 
-    /** Publishes the load of this host if it has changed; called on the traffic thread after each change. */
-    private void updateLoadReport() {
-        HostLoadReport newReport = requestForwarder.loadReport(settings.hostName());
-        if (!newReport.equals(loadReport)) {
-            loadReport = newReport;
-            controlGroup.next().execute(peerConnections::onLoadChanged);
-        }
-    }
-
     /** Starts the metrics server; requests are served even if another program occupies its port. */
     private void startMetrics() {
         try {
@@ -471,24 +449,13 @@
         }
     }
 
-    private void stopAccepting() {
-        clientServer.drain();
-        checkDrained();
-    }
-
-    private void checkDrained() {
-        long drainingMillis = monotonicMillis() - drainingSinceMillis;
-        if (requestForwarder.activeRequestCount() == 0 && clientServer.openConnectionCount() == 0) {
-            terminated.countDown();
-            return;
-        }
-        if (drainingMillis >= settings.bounds().shutdownGraceMillis() - ABORT_MARGIN_MILLIS) {
-            log.write("drain-timeout", "active", requestForwarder.activeRequestCount());
-            requestForwarder.abortAll();
-            trafficGroup.schedule(terminated::countDown, DRAIN_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-            return;
+    private void apply(EntrySettings newSettings) {
+        if (!newSettings.storeAddress().equals(settings.storeAddress())) {
+            store.changeAddress(newSettings.storeAddress());
         }
-        trafficGroup.schedule(this::checkDrained, DRAIN_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        boolean unchanged = newSettings.equals(settings);
+        settings = newSettings;
+        log.write("reloaded", "changed", !unchanged, "store", newSettings.storeAddress());
     }
 
     private StatusResponse readinessResponse(String path) {
@@ -500,46 +467,6 @@
         return new StatusResponse(isReady ? 200 : 503, text);
     }
 
-    private long lastModifiedMillis(Path file) {
-        try {
-            return Files.getLastModifiedTime(file).toMillis();
-        } catch (IOException e) {
-            log.write("settings-unreadable", "file", file, "cause", e.getMessage());
-            return -1;
-        }
-    }
-
-    /** Sends queries to the peers in the failure domain of this host. */
-    private final class DomainPeerQueries extends FleetPeerQueries {
-        @Override
-        public Set<String> connectedPeers() {
-            return peerConnections.connectedPeers(settings.failureDomain());
-        }
-    }
-
-    /** Sends queries to all peers. */
-    private class FleetPeerQueries implements StreamVersionExchange.Peers {
-        @Override
-        public Set<String> connectedPeers() {
-            return peerConnections.connectedPeers();
-        }
-
-        @Override
-        public Set<String> peersThatKeepStreamVersions() {
-            return peerConnections.peersThatKeepStreamVersions();
-        }
-
-        @Override
-        public boolean sendQuery(String peer, EntryPeerMessage query) {
-            return peerConnections.sendQuery(peer, query);
-        }
-
-        @Override
-        public void reset(String peer) {
-            peerConnections.reset(peer);
-        }
-    }
-
     private static long monotonicMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
@@ -32,6 +32,7 @@
 import org.amaranthlock.coordination.forwarding.ServiceDefinition;
 import org.amaranthlock.coordination.forwarding.TargetLoadBalancer;
 import org.amaranthlock.coordination.forwarding.TargetTable;
+import org.amaranthlock.coordination.loadreport.ObservedReport;
 import org.amaranthlock.coordination.streamversion.RegisteredVersions.RegisteredTarget;
 import org.amaranthlock.entry.front.ClientExchange;
 import org.amaranthlock.entry.front.ClientExchangeHandler;
@@ -144,11 +145,17 @@
         runIfConfigured();
     }
 
-    /** Applies the load report of another host. */
-    void applyLoadReport(HostLoadReport report) {
-        loadBalancer.updateRemote(report, clockMillis.getAsLong());
-        retryUsage.updateRemote(report.host(), report.retries(), clockMillis.getAsLong());
-        crashHistory.updateRemote(report.host(), report.crashes(), clockMillis.getAsLong());
+    /** Applies the load reports of other hosts, which describe the time at which they were made. */
+    void applyLoadReports(List<ObservedReport> reports) {
+        long ageMillis = ageClockMillis.getAsLong();
+        long nowMillis = clockMillis.getAsLong();
+        for (ObservedReport observed : reports) {
+            HostLoadReport report = observed.report();
+            long madeAtMillis = nowMillis - Math.max(0, ageMillis - observed.atMillis());
+            loadBalancer.updateRemote(report, madeAtMillis, nowMillis);
+            retryUsage.updateRemote(report.host(), report.retries(), madeAtMillis);
+            crashHistory.updateRemote(report.host(), report.crashes(), madeAtMillis);
+        }
         loadBalancer.permits().updateHostCount(fleetHostCount());
     }
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/EntryMain.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/EntryMain.java
@@ -107,9 +107,8 @@
             EntrySettings settings = EntrySettingsReader.read(path);
             EntryProcess process = new EntryProcess(settings, clientSocket);
             Signals.onTerminate(process::drain);
-            Signals.onHangUp(() -> process.reload(path));
+            Signals.onHangUp(process.watchSettings(path));
             process.start();
-            process.watchSettings(path);
             process.awaitTermination();
             return 0;
         }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerDirectory.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerDirectory.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.amaranthlock.entry.log.DecisionLog;
@@ -13,11 +14,18 @@
 import org.amaranthlock.platform.PeerRegistrationCodec;
 import org.amaranthlock.platform.PlatformStore;
 import org.amaranthlock.platform.StoreReply;
+import org.apache.commons.rng.UniformRandomProvider;
 
 /** Keeps this host registered in the store and periodically lists the other entry hosts registered there. */
 public final class PeerDirectory {
-    /** Interval between two lists; a stale list suffices, because load reports affect only the choice of engines. */
-    private static final long LIST_INTERVAL_MILLIS = 5_000;
+    /** Least interval between two lists; a stale list suffices, since a host that starts connects to the others. */
+    private static final long MIN_LIST_INTERVAL_MILLIS = 5_000;
+
+    /** Interval between two lists for each registered host, so that the calls of a fleet do not grow with its size. */
+    private static final long LIST_INTERVAL_MILLIS_PER_HOST = 250;
+
+    /** Longest delay of a list after an unknown host has reported; the hosts that heard of it do not list at once. */
+    private static final long UNKNOWN_HOST_DELAY_MILLIS = 1_500;
 
     private static final long FIRST_LIST_DELAY_MILLIS = 1_500;
     private static final long RETRY_DELAY_MILLIS = 1_000;
@@ -29,6 +37,7 @@
     private final FailureDomain failureDomain;
     private final Consumer<Set<PeerRegistration>> earlyListener;
     private final Consumer<Set<PeerRegistration>> listener;
+    private final UniformRandomProvider random;
     private final DecisionLog log;
     private final EntryMetrics metrics;
     private final Set<PeerRegistration> listing = new LinkedHashSet<>();
@@ -37,6 +46,9 @@
     private boolean listFailing;
     private PeerRegistration localRegistration;
 
+    /** Next list; null while one is under way. */
+    private ScheduledFuture<?> nextList;
+
     /**
      * Creates a directory whose calls run on {@code loop}.
      *
@@ -51,6 +63,7 @@
             FailureDomain failureDomain,
             Consumer<Set<PeerRegistration>> earlyListener,
             Consumer<Set<PeerRegistration>> listener,
+            UniformRandomProvider random,
             DecisionLog log,
             EntryMetrics metrics) {
         this.store = Objects.requireNonNull(store, "store");
@@ -59,6 +72,7 @@
         this.failureDomain = Objects.requireNonNull(failureDomain, "failure domain");
         this.earlyListener = Objects.requireNonNull(earlyListener, "early listener");
         this.listener = Objects.requireNonNull(listener, "listener");
+        this.random = Objects.requireNonNull(random, "random");
         this.log = Objects.requireNonNull(log, "log");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
     }
@@ -68,7 +82,24 @@
         localRegistration = new PeerRegistration(hostName, address, failureDomain);
         loop.execute(this::register);
         loop.execute(this::listEarly);
-        loop.schedule(this::list, FIRST_LIST_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        scheduleList(FIRST_LIST_DELAY_MILLIS);
+    }
+
+    /** Lists the hosts soon, because one reports that was not listed; called on the control loop. */
+    public void onUnknownHost(String host) {
+        if (nextList != null && nextList.getDelay(TimeUnit.MILLISECONDS) > UNKNOWN_HOST_DELAY_MILLIS) {
+            log.write("peer-unknown", "peer", host, "known", peers.size());
+            nextList.cancel(false);
+            scheduleList(random.nextLong(UNKNOWN_HOST_DELAY_MILLIS));
+        }
+    }
+
+    private void scheduleList(long delayMillis) {
+        nextList = loop.schedule(this::list, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void scheduleNextList() {
+        scheduleList(Math.max(MIN_LIST_INTERVAL_MILLIS, peers.size() * LIST_INTERVAL_MILLIS_PER_HOST));
     }
 
     private void register() {
@@ -114,6 +145,7 @@
     }
 
     private void list() {
+        nextList = null;
         listing.clear();
         requestPage("");
     }
@@ -129,7 +161,7 @@
                 log.write("peers-not-listed", "known", peers.size(), "reply", reply);
             }
             listFailing = true;
-            loop.schedule(this::list, LIST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+            scheduleList(MIN_LIST_INTERVAL_MILLIS);
             return;
         }
         page.objects().forEach(object -> PeerRegistrationCodec.decode(object).ifPresent(listing::add));
@@ -140,7 +172,7 @@
         listFailing = false;
         registerAgainIfMissing();
         publish();
-        loop.schedule(this::list, LIST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        scheduleNextList();
     }
 
     /**
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerLinks.java
@@ -0,0 +1,71 @@
+package org.amaranthlock.entry.control;
+
+import java.util.Collection;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.amaranthlock.coordination.loadreport.ReportPeer;
+import org.amaranthlock.entry.peer.EntryPeerMessage;
+import org.amaranthlock.entry.peer.PeerConnections;
+import org.amaranthlock.model.FailureDomain;
+
+/** The connections to the other hosts as the components of this one use them. All calls are on the control loop. */
+public final class PeerLinks implements StreamVersionExchange.Peers, LoadReportExchange.Links {
+    private final PeerConnections connections;
+    private final Optional<FailureDomain> onlyDomain;
+
+    private PeerLinks(PeerConnections connections, Optional<FailureDomain> onlyDomain) {
+        this.connections = Objects.requireNonNull(connections, "connections");
+        this.onlyDomain = onlyDomain;
+    }
+
+    /** Returns the connections to all hosts. */
+    public static PeerLinks toFleet(PeerConnections connections) {
+        return new PeerLinks(connections, Optional.empty());
+    }
+
+    /** Returns connections of which only those to the hosts of one failure domain are listed for queries. */
+    public static PeerLinks toDomain(PeerConnections connections, FailureDomain domain) {
+        return new PeerLinks(connections, Optional.of(domain));
+    }
+
+    @Override
+    public Set<String> connectedPeers() {
+        return onlyDomain.map(connections::connectedPeers).orElseGet(connections::connectedPeers);
+    }
+
+    @Override
+    public Set<String> peersThatKeepStreamVersions() {
+        return connections.peersThatKeepStreamVersions();
+    }
+
+    @Override
+    public Collection<ReportPeer> connected() {
+        return connections.reportPeers();
+    }
+
+    @Override
+    public Set<String> registered() {
+        return connections.registeredPeers();
+    }
+
+    @Override
+    public boolean sendQuery(String peer, EntryPeerMessage query) {
+        return connections.sendQuery(peer, query);
+    }
+
+    @Override
+    public int send(Collection<String> hosts, EntryPeerMessage message) {
+        return connections.send(hosts, message);
+    }
+
+    @Override
+    public void connect(String host) {
+        connections.connect(host);
+    }
+
+    @Override
+    public void reset(String peer) {
+        connections.reset(peer);
+    }
+}
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerMessageDispatcher.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerMessageDispatcher.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
-import org.amaranthlock.coordination.forwarding.HostLoadReport;
 import org.amaranthlock.coordination.promptpart.PromptPartReport;
 import org.amaranthlock.coordination.targetlimit.PermitDecision;
 import org.amaranthlock.coordination.targetlimit.PermitRequest;
@@ -23,7 +22,7 @@
     private final RelayClient relayClient;
     private final RelayServer relayServer;
     private final Executor trafficLoop;
-    private final Consumer<HostLoadReport> loadReportListener;
+    private final LoadReportExchange loadReportExchange;
     private final Consumer<PromptPartReport> promptPartListener;
     private final Consumer<String> connectionListener;
     private final LongConsumer versionListener;
@@ -39,7 +38,6 @@
      * Creates a dispatcher.
      *
      * @param trafficLoop runs the calls of {@code relayServer}
-     * @param loadReportListener receives the load reports of other hosts
      * @param promptPartListener receives the reports of other hosts on prompt parts
      * @param connectionListener receives the name of a host when a connection to it has been opened or closed, or when
      *     it has told which messages it reads
@@ -54,7 +52,7 @@
             RelayClient relayClient,
             RelayServer relayServer,
             Executor trafficLoop,
-            Consumer<HostLoadReport> loadReportListener,
+            LoadReportExchange loadReportExchange,
             Consumer<PromptPartReport> promptPartListener,
             Consumer<String> connectionListener,
             LongConsumer versionListener) {
@@ -69,13 +67,15 @@
         this.connectionListener = Objects.requireNonNull(connectionListener, "connection listener");
         this.versionListener = Objects.requireNonNull(versionListener, "version listener");
         this.promptPartListener = Objects.requireNonNull(promptPartListener, "prompt part listener");
-        this.loadReportListener = Objects.requireNonNull(loadReportListener, "load report listener");
+        this.loadReportExchange = Objects.requireNonNull(loadReportExchange, "load report exchange");
     }
 
     @Override
     public void onMessage(EntryPeerMessage message, Consumer<EntryPeerMessage> reply) {
         switch (message) {
-            case EntryPeerMessage.LoadReport loadReport -> loadReportListener.accept(loadReport.report());
+            case EntryPeerMessage.LoadReport loadReport -> loadReportExchange.onReport(loadReport);
+            case EntryPeerMessage.ReportBundle bundle -> loadReportExchange.onBundle(bundle);
+            case EntryPeerMessage.LinkCheck check -> reply.accept(new EntryPeerMessage.LinkChecked(check.id()));
             case EntryPeerMessage.PromptParts parts -> promptPartListener.accept(parts.report());
             case EntryPeerMessage.ConfigurationQuery query -> peerStoreServer.handleQuery(query, reply);
             case EntryPeerMessage.ConfigurationAnnounced announced -> versionListener.accept(announced.version());
@@ -108,6 +108,7 @@
             case EntryPeerMessage.StreamVersionAnswered answered -> streamVersionExchange.onAnswered(answered);
             case EntryPeerMessage.StreamsTold told -> streamVersionExchange.onTold(told);
             case EntryPeerMessage.RelayResponse relayed -> relayClient.onResponse(relayed);
+            case EntryPeerMessage.LinkChecked checked -> loadReportExchange.onChecked(checked);
             default -> peerStoreClient.onResponse(response);
         }
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/metrics/EntryMetrics.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/metrics/EntryMetrics.java
@@ -64,6 +64,16 @@
             .help("Responses in which targets ask for a rest or say that they leave, by kind.")
             .labelNames("change")
             .register(registry);
+    private final Counter peerMessages = Counter.builder()
+            .name("amaranthlock_peer_messages_total")
+            .help("Messages between hosts by direction and type.")
+            .labelNames("direction", "type")
+            .register(registry);
+    private final Counter peerBytes = Counter.builder()
+            .name("amaranthlock_peer_bytes_total")
+            .help("Bytes of messages between hosts, without framing, by direction and type.")
+            .labelNames("direction", "type")
+            .register(registry);
     private final Gauge configurationVersion = Gauge.builder()
             .name("amaranthlock_configuration_version")
             .help("Version of the configuration in force.")
@@ -115,6 +125,12 @@
         availabilityChanges.labelValues(change).inc();
     }
 
+    /** Counts a message from or to another host. */
+    public void recordPeerMessage(String direction, String type, int bytes) {
+        peerMessages.labelValues(direction, type).inc();
+        peerBytes.labelValues(direction, type).inc(bytes);
+    }
+
     /** Updates the version of the configuration in force. */
     public void updateConfigurationVersion(long version) {
         configurationVersion.set(version);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
@@ -7,6 +7,7 @@
 import org.amaranthlock.coordination.forwarding.HostLoadReport;
 import org.amaranthlock.coordination.forwarding.Rejection;
 import org.amaranthlock.coordination.forwarding.TargetResponse;
+import org.amaranthlock.coordination.loadreport.ReportVersion;
 import org.amaranthlock.coordination.promptpart.PromptPartReport;
 import org.amaranthlock.coordination.streamversion.StreamKey;
 import org.amaranthlock.coordination.targetlimit.PermitDecision;
@@ -26,16 +27,67 @@
      * Load report of the sending host.
      *
      * @param messageLevel {@link MessageLevel} of that host
+     * @param version version of the report; empty from a build that does not number its reports
+     * @param passOn whether the receiver passes the report on to the other hosts
      */
-    record LoadReport(HostLoadReport report, int messageLevel) implements EntryPeerMessage {
-        /** Checks that the report is present. */
+    record LoadReport(HostLoadReport report, int messageLevel, Optional<ReportVersion> version, boolean passOn)
+            implements EntryPeerMessage {
+        /** Checks that the report and the version are present. */
         public LoadReport {
             Objects.requireNonNull(report, "report");
+            Objects.requireNonNull(version, "version");
         }
 
         /** Creates a load report of this host. */
+        public LoadReport(HostLoadReport report, ReportVersion version, boolean passOn) {
+            this(report, MessageLevel.CURRENT, Optional.of(version), passOn);
+        }
+
+        /** Creates a load report of this host without a version. */
         LoadReport(HostLoadReport report) {
-            this(report, MessageLevel.CURRENT);
+            this(report, MessageLevel.CURRENT, Optional.empty(), false);
+        }
+    }
+
+    /**
+     * Load report that has come over other hosts.
+     *
+     * @param ageMillis time since its host made it, as far as the hosts that passed it on have measured it
+     */
+    record AgedReport(HostLoadReport report, ReportVersion version, long ageMillis) {
+        /** Checks that the report and the version are present. */
+        public AgedReport {
+            Objects.requireNonNull(report, "report");
+            Objects.requireNonNull(version, "version");
+        }
+    }
+
+    /**
+     * Load reports of other hosts; has no response.
+     *
+     * @param passOn whether the receiver passes them on to the hosts of its failure domain
+     */
+    record ReportBundle(List<AgedReport> reports, boolean passOn) implements EntryPeerMessage {
+        /** Copies the reports. */
+        public ReportBundle {
+            reports = List.copyOf(reports);
+        }
+
+        @Override
+        public int requiredLevel() {
+            return MessageLevel.REPORT_BUNDLES;
+        }
+    }
+
+    /**
+     * Checks that the connection carries messages, which a connection without traffic does not show.
+     *
+     * @param id id of the query, unique on its connection
+     */
+    record LinkCheck(long id) implements EntryPeerMessage {
+        @Override
+        public int requiredLevel() {
+            return MessageLevel.REPORT_BUNDLES;
         }
     }
 
@@ -298,6 +350,9 @@
         }
     }
 
+    /** Response to a {@link LinkCheck}. */
+    record LinkChecked(long id) implements Response {}
+
     /** States that the responding host cannot answer the query; the sender of the query has to read the store. */
     record NotKnown(long id) implements Response {}
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
@@ -4,17 +4,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import org.amaranthlock.coordination.brittle.BrittleReport;
-import org.amaranthlock.coordination.forwarding.HostLoadReport;
-import org.amaranthlock.coordination.forwarding.InFlightLoad;
 import org.amaranthlock.coordination.streamversion.StreamKey;
-import org.amaranthlock.model.ServiceName;
-import org.amaranthlock.model.TargetId;
 import org.amaranthlock.platform.StoreChange;
 import org.amaranthlock.platform.StoredObject;
 import org.msgpack.core.MessageBufferPacker;
@@ -57,6 +48,9 @@
     private static final int MESSAGE_LEVEL_TOLD = 22;
     private static final int STREAMS_QUERY = 23;
     private static final int STREAMS_TOLD = 24;
+    private static final int REPORT_BUNDLE = 25;
+    private static final int LINK_CHECK = 26;
+    private static final int LINK_CHECKED = 27;
     private static final int MAX_ENTRIES = 10_000;
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -66,57 +60,48 @@
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
             packer.packInt(FORMAT_VERSION);
             switch (message) {
-                case EntryPeerMessage.LoadReport loadReport -> {
-                    packLoadReport(packer, loadReport.report());
-                    packer.packInt(loadReport.messageLevel());
-                }
+                case EntryPeerMessage.LoadReport loadReport ->
+                    LoadReportCodec.packMessage(pack(packer, LOAD_REPORT), loadReport);
+                case EntryPeerMessage.ReportBundle bundle ->
+                    LoadReportCodec.packBundle(pack(packer, REPORT_BUNDLE), bundle);
+                case EntryPeerMessage.LinkCheck check -> pack(packer, LINK_CHECK, check.id());
+                case EntryPeerMessage.LinkChecked checked -> pack(packer, LINK_CHECKED, checked.id());
                 case EntryPeerMessage.ConfigurationQuery query ->
                     pack(packer, CONFIGURATION_QUERY, query.id(), query.revision());
-                case EntryPeerMessage.PromptParts parts -> {
-                    pack(packer, PROMPT_PARTS);
-                    PromptPartCodec.packReport(packer, parts.report());
-                }
+                case EntryPeerMessage.PromptParts parts ->
+                    PromptPartCodec.packReport(pack(packer, PROMPT_PARTS), parts.report());
                 case EntryPeerMessage.ConfigurationAnnounced announced ->
                     pack(packer, CONFIGURATION_ANNOUNCED, announced.version());
                 case EntryPeerMessage.TargetsQuery query -> pack(packer, TARGETS_QUERY, query.id(), query.revision());
                 case EntryPeerMessage.ConfigurationConfirmed confirmed ->
                     pack(packer, CONFIGURATION_CONFIRMED, confirmed.id(), confirmed.readAfterMillis());
                 case EntryPeerMessage.TargetsChanged changed -> packChanges(packer, changed);
-                case EntryPeerMessage.PermitQuery query -> {
-                    pack(packer, PERMIT_QUERY, query.id());
-                    TargetLimitCodec.packRequest(packer, query.request());
-                }
-                case EntryPeerMessage.PermitDecided decided -> {
-                    pack(packer, PERMIT_DECIDED, decided.id());
-                    TargetLimitCodec.packDecision(packer, decided.decision());
-                }
+                case EntryPeerMessage.PermitQuery query ->
+                    TargetLimitCodec.packRequest(pack(packer, PERMIT_QUERY, query.id()), query.request());
+                case EntryPeerMessage.PermitDecided decided ->
+                    TargetLimitCodec.packDecision(pack(packer, PERMIT_DECIDED, decided.id()), decided.decision());
                 case EntryPeerMessage.RelayRequest request -> {
                     pack(packer, RELAY_REQUEST, request.id(), request.configurationVersion(), request.executionsLeft());
                     RelayCodec.packRequest(packer, request.request());
                     StreamVersionCodec.packVersion(packer, request.streamVersion());
                 }
-                case EntryPeerMessage.StreamsBegun begun -> {
-                    pack(packer, STREAMS_BEGUN);
-                    StreamVersionCodec.packStreams(packer, begun.streams());
-                }
+                case EntryPeerMessage.StreamsBegun begun ->
+                    StreamVersionCodec.packStreams(pack(packer, STREAMS_BEGUN), begun.streams());
                 case EntryPeerMessage.StreamsQuery query -> {
                     pack(packer, STREAMS_QUERY, query.id());
                     packer.packString(query.host());
                 }
-                case EntryPeerMessage.StreamsTold told -> {
-                    pack(packer, STREAMS_TOLD, told.id());
-                    StreamVersionCodec.packStreams(packer, told.streams());
-                }
+                case EntryPeerMessage.StreamsTold told ->
+                    StreamVersionCodec.packStreams(pack(packer, STREAMS_TOLD, told.id()), told.streams());
                 case EntryPeerMessage.StreamVersionQuery query ->
                     pack(
                             packer,
                             STREAM_VERSION_QUERY,
                             query.id(),
                             query.stream().value());
-                case EntryPeerMessage.StreamVersionAnswered answered -> {
-                    pack(packer, STREAM_VERSION_ANSWERED, answered.id());
-                    StreamVersionCodec.packVersion(packer, answered.version());
-                }
+                case EntryPeerMessage.StreamVersionAnswered answered ->
+                    StreamVersionCodec.packVersion(
+                            pack(packer, STREAM_VERSION_ANSWERED, answered.id()), answered.version());
                 case EntryPeerMessage.RelayCancel cancel -> pack(packer, RELAY_CANCEL, cancel.id());
                 case EntryPeerMessage.RelayResponse response -> packRelayResponse(packer, response);
                 case EntryPeerMessage.MessageLevelTold told ->
@@ -150,7 +135,10 @@
                 return new EntryPeerMessage.Unsupported(type);
             }
             return switch (type) {
-                case LOAD_REPORT -> new EntryPeerMessage.LoadReport(unpackLoadReport(unpacker), unpackLevel(unpacker));
+                case LOAD_REPORT -> LoadReportCodec.unpackMessage(unpacker);
+                case REPORT_BUNDLE -> LoadReportCodec.unpackBundle(unpacker);
+                case LINK_CHECK -> new EntryPeerMessage.LinkCheck(unpacker.unpackLong());
+                case LINK_CHECKED -> new EntryPeerMessage.LinkChecked(unpacker.unpackLong());
                 case CONFIGURATION_QUERY ->
                     new EntryPeerMessage.ConfigurationQuery(unpacker.unpackLong(), unpacker.unpackLong());
                 case PROMPT_PARTS -> new EntryPeerMessage.PromptParts(PromptPartCodec.unpackReport(unpacker));
@@ -209,10 +197,8 @@
     private static void packRelayResponse(MessageBufferPacker packer, EntryPeerMessage.RelayResponse response)
             throws IOException {
         switch (response) {
-            case EntryPeerMessage.RelayAnswered answered -> {
-                pack(packer, RELAY_ANSWERED, answered.id());
-                RelayCodec.packResponse(packer, answered.response());
-            }
+            case EntryPeerMessage.RelayAnswered answered ->
+                RelayCodec.packResponse(pack(packer, RELAY_ANSWERED, answered.id()), answered.response());
             case EntryPeerMessage.RelayRejected rejected -> {
                 pack(packer, RELAY_REJECTED, rejected.id());
                 RelayCodec.packRejection(packer, rejected.rejection());
@@ -223,108 +209,19 @@
                 RelayCodec.packResponse(packer, opened.head());
                 StreamVersionCodec.packVersion(packer, opened.version());
             }
-            case EntryPeerMessage.RelayEvents events -> {
-                pack(packer, RELAY_EVENTS, events.id());
-                RelayCodec.packBytes(packer, events.events());
-            }
+            case EntryPeerMessage.RelayEvents events ->
+                RelayCodec.packBytes(pack(packer, RELAY_EVENTS, events.id()), events.events());
             case EntryPeerMessage.RelayStreamEnded ended -> pack(packer, RELAY_STREAM_ENDED, ended.id());
             case EntryPeerMessage.RelayAborted aborted -> pack(packer, RELAY_ABORTED, aborted.id());
         }
     }
 
-    private static void pack(MessageBufferPacker packer, int type, long... fields) throws IOException {
+    private static MessageBufferPacker pack(MessageBufferPacker packer, int type, long... fields) throws IOException {
         packer.packInt(type);
         for (long field : fields) {
             packer.packLong(field);
         }
-    }
-
-    /** Unpacks the level of a host; the first builds end the message before it. */
-    private static int unpackLevel(MessageUnpacker unpacker) throws IOException {
-        return unpacker.hasNext() ? unpacker.unpackInt() : MessageLevel.FIRST;
-    }
-
-    private static void packLoadReport(MessageBufferPacker packer, HostLoadReport report) throws IOException {
-        pack(packer, LOAD_REPORT);
-        packer.packString(report.host());
-        packer.packMapHeader(report.inFlight().size());
-        for (Map.Entry<TargetId, InFlightLoad> engine : report.inFlight().entrySet()) {
-            packer.packString(engine.getKey().value());
-            packer.packInt(engine.getValue().prefilling());
-            packer.packInt(engine.getValue().generating());
-            packer.packInt(engine.getValue().backups());
-            packer.packLong(engine.getValue().tokens());
-        }
-        packer.packArrayHeader(report.unreachable().size());
-        for (TargetId engine : report.unreachable()) {
-            packer.packString(engine.value());
-        }
-        packer.packMapHeader(report.crashes().size());
-        for (Map.Entry<Long, Integer> crash : report.crashes().entrySet()) {
-            packer.packLong(crash.getKey());
-            packer.packInt(crash.getValue());
-        }
-        packer.packInt(report.retries());
-        packer.packArrayHeader(report.cutServices().size());
-        for (ServiceName service : report.cutServices()) {
-            packer.packString(service.value());
-        }
-        packCounts(packer, report.brittle().tolerances());
-        packCounts(packer, report.brittle().rejections());
-        TargetLimitCodec.packReport(packer, report.limits());
-    }
-
-    private static HostLoadReport unpackLoadReport(MessageUnpacker unpacker) throws IOException {
-        String host = unpacker.unpackString();
-        Map<TargetId, InFlightLoad> inFlight = new HashMap<>();
-        for (int remaining = checkEntryCount(unpacker.unpackMapHeader()); remaining > 0; remaining--) {
-            TargetId id = new TargetId(unpacker.unpackString());
-            inFlight.put(id, unpackLoad(unpacker));
-        }
-        Set<TargetId> unreachable = new HashSet<>();
-        for (int remaining = checkEntryCount(unpacker.unpackArrayHeader()); remaining > 0; remaining--) {
-            unreachable.add(new TargetId(unpacker.unpackString()));
-        }
-        Map<Long, Integer> crashes = new HashMap<>();
-        for (int remaining = checkEntryCount(unpacker.unpackMapHeader()); remaining > 0; remaining--) {
-            crashes.put(unpacker.unpackLong(), unpacker.unpackInt());
-        }
-        int retries = unpacker.unpackInt();
-        Set<ServiceName> cutServices = new HashSet<>();
-        for (int remaining = checkEntryCount(unpacker.unpackArrayHeader()); remaining > 0; remaining--) {
-            cutServices.add(new ServiceName(unpacker.unpackString()));
-        }
-        BrittleReport brittle = new BrittleReport(unpackCounts(unpacker), unpackCounts(unpacker));
-        return new HostLoadReport(
-                host,
-                inFlight,
-                unreachable,
-                crashes,
-                retries,
-                cutServices,
-                brittle,
-                TargetLimitCodec.unpackReport(unpacker));
-    }
-
-    private static void packCounts(MessageBufferPacker packer, Map<TargetId, Integer> counts) throws IOException {
-        packer.packMapHeader(counts.size());
-        for (Map.Entry<TargetId, Integer> count : counts.entrySet()) {
-            packer.packString(count.getKey().value());
-            packer.packInt(count.getValue());
-        }
-    }
-
-    private static Map<TargetId, Integer> unpackCounts(MessageUnpacker unpacker) throws IOException {
-        Map<TargetId, Integer> counts = new HashMap<>();
-        for (int remaining = checkEntryCount(unpacker.unpackMapHeader()); remaining > 0; remaining--) {
-            counts.put(new TargetId(unpacker.unpackString()), unpacker.unpackInt());
-        }
-        return counts;
-    }
-
-    private static InFlightLoad unpackLoad(MessageUnpacker unpacker) throws IOException {
-        return new InFlightLoad(
-                unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackLong());
+        return packer;
     }
 
     private static void packChanges(MessageBufferPacker packer, EntryPeerMessage.TargetsChanged changed)
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/MessageLevel.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/MessageLevel.java
@@ -15,8 +15,11 @@
     /** Messages on the software versions of event streams. */
     static final int STREAM_VERSIONS = 1;
 
+    /** Load reports that hosts pass on, and checks of connections. */
+    static final int REPORT_BUNDLES = 2;
+
     /** Level of this build. */
-    static final int CURRENT = STREAM_VERSIONS;
+    static final int CURRENT = REPORT_BUNDLES;
 
     private MessageLevel() {}
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
@@ -19,8 +19,10 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -28,17 +30,17 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
-import org.amaranthlock.coordination.forwarding.HostLoadReport;
+import org.amaranthlock.coordination.loadreport.ReportPeer;
 import org.amaranthlock.entry.log.DecisionLog;
+import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.model.FailureDomain;
 import org.amaranthlock.platform.PeerRegistration;
 
 /**
  * Connections to the other entry hosts, which carry load reports, announcements and queries for data from the store.
  *
- * <p>Each host opens a connection to each other host; a response is sent on the connection of its query. A load report
- * contains the complete state of its sender, so the next report makes up for a lost one. A connection whose send buffer
- * does not drain is closed and opened again. All calls are on the control loop.
+ * <p>Each host opens a connection to each other host; a response is sent on the connection of its query. A connection
+ * whose send buffer does not drain is closed and opened again. All calls are on the control loop.
  */
 public final class PeerConnections {
     /** Longest frame; it holds the largest response of a target with its headers. */
@@ -50,17 +52,13 @@
     private static final int LENGTH_BYTES = 3;
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
-    /** Time within which load changes are combined into one report. */
-    private static final long COALESCE_DELAY_MILLIS = 5;
-
-    /** Interval at which the load report is sent even if nothing has changed. */
-    private static final long RESEND_INTERVAL_MILLIS = 1_500;
+    /** Interval at which closed connections are opened again and stuck ones closed. */
+    private static final long MAINTENANCE_INTERVAL_MILLIS = 1_500;
 
     private final EventLoop loop;
     private final InetSocketAddress address;
-    private final Supplier<HostLoadReport> loadReport;
-    private final PeerListener listener;
     private final DecisionLog log;
+    private final EntryMetrics metrics;
     private final Map<String, Channel> connections = new HashMap<>();
 
     /**
@@ -70,25 +68,29 @@
     private final Map<String, Integer> messageLevels = new HashMap<>();
 
     private final Set<Integer> loggedTypes = new HashSet<>();
+    private volatile PeerListener listener;
+    private volatile Supplier<EntryPeerMessage> greeting;
     private Set<PeerRegistration> peers = Set.of();
-    private boolean sendScheduled;
+    private Set<String> registeredNames = Set.of();
 
     /** Creates peer connections; {@link #start} binds {@code address}. */
-    public PeerConnections(
-            EventLoop loop,
-            InetSocketAddress address,
-            Supplier<HostLoadReport> loadReport,
-            PeerListener listener,
-            DecisionLog log) {
+    public PeerConnections(EventLoop loop, InetSocketAddress address, DecisionLog log, EntryMetrics metrics) {
         this.loop = Objects.requireNonNull(loop, "loop");
         this.address = Objects.requireNonNull(address, "address");
-        this.loadReport = Objects.requireNonNull(loadReport, "load report");
-        this.listener = Objects.requireNonNull(listener, "listener");
         this.log = Objects.requireNonNull(log, "log");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
     }
 
-    /** Starts accepting connections and sending load reports; returns the bound address. */
-    public InetSocketAddress start() {
+    /**
+     * Starts accepting connections and keeping those of this host open.
+     *
+     * @param newGreeting returns the first message on a connection that this host opens, from which the other host
+     *     learns what this one reads
+     * @return the bound address
+     */
+    public InetSocketAddress start(PeerListener newListener, Supplier<EntryPeerMessage> newGreeting) {
+        listener = Objects.requireNonNull(newListener, "listener");
+        greeting = Objects.requireNonNull(newGreeting, "greeting");
         Channel serverChannel = new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -104,16 +106,16 @@
                 .syncUninterruptibly()
                 .channel();
         loop.scheduleAtFixedRate(
-                this::sendLoadReport, RESEND_INTERVAL_MILLIS, RESEND_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                this::maintain, MAINTENANCE_INTERVAL_MILLIS, MAINTENANCE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         return (InetSocketAddress) serverChannel.localAddress();
     }
 
     /** Replaces the set of peers: closes connections to removed peers and connects to new ones. */
     public void updatePeers(Set<PeerRegistration> newPeers) {
         peers = Set.copyOf(newPeers);
-        Set<String> names = peers.stream().map(PeerRegistration::name).collect(Collectors.toSet());
+        registeredNames = peers.stream().map(PeerRegistration::name).collect(Collectors.toUnmodifiableSet());
         connections.entrySet().removeIf(connection -> {
-            boolean removed = !names.contains(connection.getKey());
+            boolean removed = !registeredNames.contains(connection.getKey());
             if (removed) {
                 connection.getValue().close();
             }
@@ -127,8 +129,7 @@
         return peers.stream()
                 .filter(peer -> peer.failureDomain().equals(domain))
                 .map(PeerRegistration::name)
-                .filter(name ->
-                        connections.containsKey(name) && connections.get(name).isActive())
+                .filter(this::isConnected)
                 .collect(Collectors.toSet());
     }
 
@@ -146,11 +147,10 @@
      * @return whether the host is connected and reads the message; if not, nothing is sent
      */
     public boolean sendQuery(String peer, EntryPeerMessage query) {
-        Channel connection = connections.get(peer);
-        if (connection == null || !connection.isActive() || query.requiredLevel() > messageLevel(peer)) {
+        if (!isConnected(peer) || query.requiredLevel() > messageLevel(peer)) {
             return false;
         }
-        write(connection, query);
+        write(connections.get(peer), query);
         return true;
     }
 
@@ -161,15 +161,52 @@
                 .collect(Collectors.toSet());
     }
 
+    /** Returns the connected hosts that are registered, all as responsive. */
+    public List<ReportPeer> reportPeers() {
+        return peers.stream()
+                .filter(peer -> isConnected(peer.name()))
+                .map(peer -> new ReportPeer(
+                        peer.name(),
+                        peer.failureDomain(),
+                        messageLevel(peer.name()) >= MessageLevel.REPORT_BUNDLES,
+                        true))
+                .toList();
+    }
+
+    /** Returns the names of the other registered hosts, connected or not. */
+    public Set<String> registeredPeers() {
+        return registeredNames;
+    }
+
     /** Sends a message, which all builds read, to all connected hosts. */
     public void broadcast(EntryPeerMessage message) {
+        send(connections.keySet(), message);
+    }
+
+    /** Sends a message to those of the hosts that are connected and read it; returns to how many. */
+    public int send(Collection<String> hosts, EntryPeerMessage message) {
+        if (hosts.isEmpty()) {
+            return 0;
+        }
+        int receivers = 0;
         byte[] frame = EntryPeerMessageCodec.encode(message);
-        connections.values().stream()
-                .filter(Channel::isActive)
-                .forEach(connection -> connection.writeAndFlush(Unpooled.wrappedBuffer(frame)));
+        for (String host : hosts) {
+            if (isConnected(host) && message.requiredLevel() <= messageLevel(host)) {
+                write(connections.get(host), message, frame);
+                receivers++;
+            }
+        }
+        return receivers;
+    }
+
+    /** Opens a connection to a registered host if there is none. */
+    public void connect(String host) {
+        if (!isConnected(host)) {
+            peers.stream().filter(peer -> peer.name().equals(host)).forEach(this::connect);
+        }
     }
 
-    /** Closes the connection to an unresponsive host; the next load report opens a new one. */
+    /** Closes the connection to an unresponsive host; a new one is opened after some time. */
     public void reset(String peer) {
         Channel connection = connections.get(peer);
         if (connection != null) {
@@ -177,12 +214,9 @@
         }
     }
 
-    /** Schedules a load report to the other hosts because the load has changed. */
-    public void onLoadChanged() {
-        if (!sendScheduled) {
-            sendScheduled = true;
-            loop.schedule(this::sendLoadReport, COALESCE_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-        }
+    private boolean isConnected(String peer) {
+        Channel connection = connections.get(peer);
+        return connection != null && connection.isActive();
     }
 
     private int messageLevel(String peer) {
@@ -203,22 +237,14 @@
         }
     }
 
-    private void sendLoadReport() {
-        sendScheduled = false;
-        if (peers.isEmpty()) {
-            return;
-        }
-        byte[] frame = EntryPeerMessageCodec.encode(new EntryPeerMessage.LoadReport(loadReport.get()));
+    private void maintain() {
         for (PeerRegistration peer : peers) {
             Channel connection = connections.get(peer.name());
-            if (connection == null || !connection.isOpen()) {
-                connect(peer);
-            } else if (!connection.isWritable()) {
+            if (connection != null && connection.isOpen() && !connection.isWritable()) {
                 log.write("peer-link-stuck", "peer", peer.name());
                 connection.close();
-            } else if (connection.isActive()) {
-                connection.writeAndFlush(Unpooled.wrappedBuffer(frame));
             }
+            connect(peer);
         }
     }
 
@@ -256,8 +282,13 @@
         return new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
     }
 
-    private static void write(Channel connection, EntryPeerMessage message) {
-        connection.writeAndFlush(Unpooled.wrappedBuffer(EntryPeerMessageCodec.encode(message)));
+    private void write(Channel connection, EntryPeerMessage message) {
+        write(connection, message, EntryPeerMessageCodec.encode(message));
+    }
+
+    private void write(Channel connection, EntryPeerMessage message, byte[] frame) {
+        metrics.recordPeerMessage("sent", message.getClass().getSimpleName(), frame.length);
+        connection.writeAndFlush(Unpooled.wrappedBuffer(frame));
     }
 
     /** Decodes frames; one of a newer build is ignored, and one that cannot be decoded closes its connection. */
@@ -267,7 +298,9 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
             try {
+                int bytes = frame.readableBytes();
                 EntryPeerMessage message = EntryPeerMessageCodec.decode(ByteBufUtil.getBytes(frame));
+                metrics.recordPeerMessage("received", message.getClass().getSimpleName(), bytes);
                 if (message instanceof EntryPeerMessage.Unsupported unsupported) {
                     logUnsupported(unsupported.type());
                 } else {
@@ -343,7 +376,7 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             // The peer learns from it what this host reads, and need not wait for the next one.
-            write(context.channel(), new EntryPeerMessage.LoadReport(loadReport.get()));
+            write(context.channel(), greeting.get());
             listener.onConnectionOpened(peer);
         }
 
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerDirectoryTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerDirectoryTest.java
@@ -22,6 +22,7 @@
 import org.amaranthlock.platform.PlatformStore;
 import org.amaranthlock.platform.StoreReply;
 import org.amaranthlock.platform.StoredObject;
+import org.apache.commons.rng.simple.RandomSource;
 import org.jboss.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -43,6 +44,7 @@
             DOMAIN,
             early::add,
             published::add,
+            RandomSource.SPLIT_MIX_64.create(1),
             new DecisionLog(Logger.getLogger(LOGGER), () -> 0),
             new EntryMetrics());
     private final Handler handler = new Handler() {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/PeerConnectionsTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/PeerConnectionsTest.java
@@ -17,6 +17,7 @@
 import java.util.function.Consumer;
 import org.amaranthlock.coordination.forwarding.HostLoadReport;
 import org.amaranthlock.entry.log.DecisionLog;
+import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.model.FailureDomain;
 import org.amaranthlock.platform.PeerRegistration;
 import org.jboss.logging.Logger;
@@ -69,10 +70,10 @@
         PeerConnections connections = new PeerConnections(
                 group.next(),
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                () -> HostLoadReport.empty("entry-1"),
-                new RecordingListener(),
-                new DecisionLog(Logger.getLogger("peer-connections-test"), () -> 0));
-        InetSocketAddress address = connections.start();
+                new DecisionLog(Logger.getLogger("peer-connections-test"), () -> 0),
+                new EntryMetrics());
+        InetSocketAddress address = connections.start(
+                new RecordingListener(), () -> new EntryPeerMessage.LoadReport(HostLoadReport.empty("entry-1")));
         try (ServerSocket peer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             PeerRegistration registration =
                     new PeerRegistration(PEER, "127.0.0.1:" + peer.getLocalPort(), new FailureDomain("a"));
