--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/EventStreamSplitterTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/EventStreamSplitterTest.java
@@ -53,6 +53,24 @@
         assertThat(thrown.reason()).isEqualTo("event without a number");
     }
 
+    // Guards against a sound stream that is cut because its engine shows with comments that it lives.
+    @Test
+    void commentsAreNoEventsAndGoAlongWithTheNextOne() {
+        assertThat(splitter.add(bytes(": still here\n\n"))).isEmpty();
+        assertThat(splitter.add(bytes(":\r\n\r\n"))).isEmpty();
+        List<StreamEvent> events = splitter.add(bytes("id: 1\ndata: a\n\n"));
+        assertThat(new String(events.getFirst().bytes(), StandardCharsets.US_ASCII))
+                .isEqualTo(": still here\n\n:\r\n\r\nid: 1\ndata: a\n\n");
+    }
+
+    @Test
+    void streamMayEndAfterAComment() {
+        splitter.add(bytes("id: 1\n\n: done\n\n"));
+        assertThat(splitter.atBoundary()).isTrue();
+        splitter.add(bytes(": and\nid: 2"));
+        assertThat(splitter.atBoundary()).isFalse();
+    }
+
     // Guards against an event that fills the memory of a host.
     @Test
     void rejectsEventThatNeverEnds() {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientConnectionHandler.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientConnectionHandler.java
@@ -134,6 +134,8 @@
         }
     }
 
+    void endUnread() {}
+
     void respond(TargetResponse targetResponse, boolean headOnly) {
         FullHttpResponse response = ClientResponses.fullResponse(targetResponse, headOnly);
         writeResponse(response);
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientConnectionHandlerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientConnectionHandlerTest.java
@@ -23,6 +23,7 @@
     private static final RequestLimits LIMITS = new RequestLimits(1_024, 100, 3_000, 15_000);
 
     private final RecordingExchangeHandler handler = new RecordingExchangeHandler();
+    private final ClientConnectionHandler connection = new ClientConnectionHandler(handler);
     private final EmbeddedChannel channel = channel();
 
     private static final class RecordingExchangeHandler implements ClientExchangeHandler {
@@ -161,6 +162,63 @@
         assertThat(channel.isOpen()).isFalse();
     }
 
+    // Guards against a planned stop that cuts a request whose first bytes have arrived.
+    @Test
+    void requestOfWhichAPartHasArrivedIsServedWhileDraining() {
+        send("GET /p/1 HTTP/1.1\r\nHost: h\r\n");
+        handler.draining = true;
+        connection.drain();
+        advance(500);
+        assertThat(channel.isOpen()).isTrue();
+        send("X-Request-Id: r1\r\n\r\n");
+        handler.exchanges.getFirst().respond(okResponse());
+        assertThat(received()).contains("HTTP/1.1 200 OK");
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    // Guards against a planned stop that cuts a request which lies unread in the socket.
+    @Test
+    void requestThatArrivesWithTheStopIsServed() {
+        handler.draining = true;
+        connection.drain();
+        send("GET /p/1 HTTP/1.1\r\n" + HEAD + "\r\n");
+        advance(500);
+        handler.exchanges.getFirst().respond(okResponse());
+        assertThat(received()).contains("HTTP/1.1 200 OK");
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    @Test
+    void idleConnectionIsClosedSoonWhileDraining() {
+        handler.draining = true;
+        connection.drain();
+        advance(500);
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    // Guards against a planned stop that cuts a request whose body its client still sends.
+    @Test
+    void requestThatIsNotReadInTimeIsRejectedAsNotRun() {
+        send("POST /p/1 HTTP/1.1\r\n" + HEAD + "Content-Length: 9\r\n\r\nabc");
+        handler.draining = true;
+        connection.drain();
+        connection.endUnread();
+        assertThat(received()).contains("HTTP/1.1 503");
+        assertThat(handler.requests).isEmpty();
+    }
+
+    // Guards against a client that sends a byte of its body now and then and never ends.
+    @Test
+    void bodyOfClientWithoutDeadlineMustArriveInTime() {
+        send("POST /p/1 HTTP/1.1\r\n" + HEAD + "Content-Length: 90\r\n\r\n");
+        for (int second = 0; second < 20; second++) {
+            send("a");
+            advance(1_000);
+        }
+        assertThat(received()).contains("HTTP/1.1 408");
+        assertThat(handler.requests).isEmpty();
+    }
+
     // Guards against an aborted stream that looks complete to the client.
     @Test
     void closesAbortedStreamWithoutLastChunk() {
@@ -174,7 +232,6 @@
     }
 
     private EmbeddedChannel channel() {
-        ClientConnectionHandler connection = new ClientConnectionHandler(handler);
         EmbeddedChannel created = new EmbeddedChannel();
         created.freezeTime();
         created.pipeline()
@@ -186,6 +243,11 @@
         return created;
     }
 
+    private void advance(long millis) {
+        channel.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        channel.runScheduledPendingTasks();
+    }
+
     private void send(String text) {
         channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
     }
