A comment in an event stream does not end the stream

Callers saw a sound stream go on at another engine, with its prompt read again, or broken off: an engine that sends comments to show that it lives, which server-sent events allow, was taken for one that sends an event without a number. The splitter ended an event at each blank line after a line with content. Now only a line with a field makes an event; comments go along, unchanged, with the event after them, are no progress of the stream, and may follow the last one.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/EventStreamSplitter.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/EventStreamSplitter.java
@@ -15,6 +15,7 @@
     public static final int MAX_EVENT_BYTES = 256 * 1024;
 
     private static final String ID_FIELD = "id:";
+    private static final char COMMENT_START = ':';
 
     /** Bytes of the event that is not complete yet. */
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
@@ -22,8 +23,11 @@
     /** Whether the current line has a character other than its line break. */
     private boolean lineHasContent;
 
-    /** Whether the current event has a line with content; blank lines before it do not end it. */
-    private boolean eventHasContent;
+    /** Whether the current line is a comment, by which an engine shows that it lives. */
+    private boolean lineIsComment;
+
+    /** Whether the current event has a line with a field; blank lines and comments before it do not end it. */
+    private boolean eventHasField;
 
     /**
      * Adds bytes and returns the events that they complete.
@@ -44,9 +48,9 @@
         return events;
     }
 
-    /** Returns whether all bytes added so far form whole events. */
+    /** Returns whether all bytes added so far form whole events, except for blank lines and comments after them. */
     public boolean atBoundary() {
-        return pending.size() == 0;
+        return !eventHasField;
     }
 
     /** Returns the number of bytes of the event that is not complete yet. */
@@ -54,16 +58,18 @@
         return pending.size();
     }
 
-    /** Records the next byte and returns whether it ends a blank line after a line with content. */
+    /** Records the next byte and returns whether it ends a blank line after a line with a field. */
     private boolean endsEvent(byte next) {
         if (next == '\n') {
             boolean blankLine = !lineHasContent;
             lineHasContent = false;
-            return blankLine && eventHasContent;
+            lineIsComment = false;
+            return blankLine && eventHasField;
         }
         if (next != '\r') {
+            lineIsComment |= !lineHasContent && next == COMMENT_START;
             lineHasContent = true;
-            eventHasContent = true;
+            eventHasField |= !lineIsComment;
         }
         return false;
     }
@@ -78,7 +84,7 @@
     private StreamEvent takeEvent() {
         byte[] event = pending.toByteArray();
         pending.reset();
-        eventHasContent = false;
+        eventHasField = false;
         return new StreamEvent(id(event), event);
     }
 
