A planned stop serves requests of which a part has arrived

Callers saw their connection closed without an answer during a planned stop: 2.6 s after SIGTERM each connection without a decoded request was closed at once, also if the first bytes of a request had arrived or lay unread in the socket, and requests half read at the end of the grace period were cut with the process. Now a connection is closed 100 ms later if nothing has arrived by then; one with part of a request is read, served and closed; what is not read when the grace period ends is rejected with 503, which is true, and Retry-After. All connections that wait to be accepted are accepted at once instead of 16 at a time. Ruled out: requests in progress, which were waited for before.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/GracefulShutdown.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/GracefulShutdown.java
@@ -80,6 +80,7 @@
         }
         if (clockMillis.getAsLong() - startedAtMillis >= graceMillis.getAsLong() - ABORT_MARGIN_MILLIS) {
             log.write("drain-timeout", "active", requestForwarder.activeRequestCount());
+            clientServer.endUnread();
             requestForwarder.abortAll();
             loop.schedule(onDrained, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
             return;
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/CdsTrainingRun.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/CdsTrainingRun.java
@@ -8,10 +8,12 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Callable;
+import org.amaranthlock.coordination.loadreport.ReportPlanner;
 import org.amaranthlock.entry.EntryProcess;
 import org.amaranthlock.entry.log.LogOutput;
-import org.amaranthlock.entry.settings.EntrySettings;
 import org.amaranthlock.entry.settings.EntrySettingsReader;
 import org.amaranthlock.model.AmaranthlockException;
 import org.amaranthlock.model.ErrorCode;
@@ -20,7 +22,7 @@
 import picocli.CommandLine.Command;
 
 /**
- * Starts the daemon and sends it a few requests over loopback, so that a class data sharing (CDS) archive contains the
+ * Starts a few daemons and sends them some requests over loopback, so that a class data sharing (CDS) archive contains the
  * classes that a serving process uses.
  */
 @Command(
@@ -32,14 +34,51 @@
     private static final int READINESS_CHECK_INTERVAL_MILLIS = 25;
     private static final int ROUNDS = 3;
 
+    /** Hosts that run, which connect to one another and exchange reports. */
+    private static final int HOSTS = 3;
+
+    /** Time in which the hosts list one another and exchange reports. */
+    private static final long EXCHANGE_MILLIS = 4_000;
+
     @Override
     public Integer call() throws IOException, InterruptedException {
         LogOutput.configure();
         EventLoopGroup loops = new NioEventLoopGroup(1);
-        InetSocketAddress store = new CdsTrainingServer().start(loops);
-        EntrySettings settings = EntrySettingsReader.parse("""
+        InetSocketAddress store = new CdsTrainingServer(ReportPlanner.MAX_DIRECT_HOSTS).start(loops);
+        List<EntryProcess> hosts = new ArrayList<>();
+        for (int i = 0; i < HOSTS; i++) {
+            EntryProcess host = new EntryProcess(EntrySettingsReader.parse(settings(i, store.getPort())));
+            Signals.onTerminate(host::drain);
+            Signals.onHangUp(host::drain);
+            host.start();
+            hosts.add(host);
+        }
+        for (EntryProcess host : hosts) {
+            awaitReady(host.readinessAddress().getPort());
+        }
+        Thread.sleep(EXCHANGE_MILLIS);
+        for (int round = 0; round < ROUNDS; round++) {
+            for (EntryProcess host : hosts) {
+                sendRequests(host.clientAddress().getPort());
+            }
+        }
+        hosts.forEach(EntryProcess::drain);
+        for (EntryProcess host : hosts) {
+            host.awaitTermination();
+        }
+        return 0;
+    }
+
+    private static void sendRequests(int port) throws IOException {
+        request(port, "POST", "/s/x", "abc");
+        request(port, "GET", "/p/x", "");
+        request(port, "GET", "/none", "");
+    }
+
+    private static String settings(int host, int storePort) {
+        return """
                 [host]
-                name = "rehearsal"
+                name = "rehearsal-%d"
                 failure-domain = "z"
                 [listen]
                 callers = "127.0.0.1:0"
@@ -52,20 +91,7 @@
                 configuration-ms = 2500
                 revocation-ms = 5000
                 grace-s = 8
-                """.formatted(store.getPort()));
-        EntryProcess process = new EntryProcess(settings);
-        process.start();
-        int clientPort = process.clientAddress().getPort();
-        int readinessPort = process.readinessAddress().getPort();
-        awaitReady(readinessPort);
-        for (int round = 0; round < ROUNDS; round++) {
-            request(clientPort, "POST", "/s/x", "abc");
-            request(clientPort, "GET", "/p/x", "");
-            request(clientPort, "GET", "/none", "");
-        }
-        process.drain();
-        process.awaitTermination();
-        return 0;
+                """.formatted(host, storePort);
     }
 
     private static void awaitReady(int port) throws IOException, InterruptedException {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientConnectionHandler.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientConnectionHandler.java
@@ -50,6 +50,12 @@
      */
     private static final long LINGER_MILLIS = 1_000;
 
+    /** Time in which a request is read that has arrived before its connection was to be closed. */
+    private static final long DRAIN_READ_MILLIS = 100;
+
+    /** Retry delay for the client of a request that is not read because the process ends; other hosts take it. */
+    private static final long DRAIN_RETRY_AFTER_MILLIS = 50;
+
     /** Bytes of a stream that its client has not read, from which on the stream is broken off. */
     private static final int MAX_UNSENT_BYTES = 1024 * 1024;
 
@@ -125,16 +131,34 @@
         }
     }
 
-    /** Closes the connection, at once if it is idle and otherwise after the current response. */
+    /**
+     * Closes the connection, if it is idle as soon as what has already arrived is read, and otherwise after the current
+     * response.
+     */
     void drain() {
-        if (exchange == null && incomingRequest == null) {
-            context.close();
+        if (isIdle()) {
+            schedule(DRAIN_READ_MILLIS, this::closeIfIdle);
         } else {
             closeAfterResponse = true;
         }
     }
 
-    void endUnread() {}
+    /** Rejects a request that is not received completely, because the process ends. */
+    void endUnread() {
+        if (!discarding && (incomingRequest != null || headerStarted)) {
+            rejectEarly(Rejection.retryLater(DRAIN_RETRY_AFTER_MILLIS, "draining"));
+        }
+    }
+
+    private boolean isIdle() {
+        return exchange == null && incomingRequest == null && !headerStarted;
+    }
+
+    private void closeIfIdle() {
+        if (isIdle()) {
+            context.close();
+        }
+    }
 
     void respond(TargetResponse targetResponse, boolean headOnly) {
         FullHttpResponse response = ClientResponses.fullResponse(targetResponse, headOnly);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientServer.java
@@ -1,6 +1,7 @@
 package org.amaranthlock.entry.front;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -15,6 +16,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.amaranthlock.model.AmaranthlockException;
 import org.amaranthlock.model.ErrorCode;
 
@@ -77,6 +79,10 @@
         serverChannel = new ServerBootstrap()
                 .group(loops)
                 .channelFactory(() -> new NioServerSocketChannel(socket))
+                // All that wait are accepted at once, so that few do when the server stops.
+                .option(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(ListeningSocket.BACKLOG))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -100,15 +106,24 @@
         return (InetSocketAddress) socket.socket().getLocalSocketAddress();
     }
 
-    /** Stops accepting connections, closes idle ones at once and the others after their current response. */
+    /** Stops accepting connections, closes idle ones and the others after their current response. */
     public void drain() {
         accept(); // connections that still wait get a response
         serverChannel.close();
+        forEachConnection(ClientConnectionHandler::drain);
+    }
+
+    /** Rejects the requests that have not been received completely. */
+    public void endUnread() {
+        forEachConnection(ClientConnectionHandler::endUnread);
+    }
+
+    private void forEachConnection(Consumer<ClientConnectionHandler> action) {
         for (Channel channel : connections) {
             channel.eventLoop().execute(() -> {
                 ClientConnectionHandler connection = channel.pipeline().get(ClientConnectionHandler.class);
                 if (connection != null) {
-                    connection.drain();
+                    action.accept(connection);
                 }
             });
         }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ListeningSocket.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ListeningSocket.java
@@ -13,7 +13,8 @@
  * library only.
  */
 public final class ListeningSocket {
-    private static final int BACKLOG = 1_024;
+    /** Connections that wait until they are accepted. */
+    static final int BACKLOG = 1_024;
 
     private ListeningSocket() {}
 
