A request body of a client without a deadline must arrive in time

A client that names no time left and sends a byte of its body now and then kept its connection and the memory of the body for ever: the header timeout ends with the header, and only the deadline bounded the body. Now such a body must arrive within the idle timeout of the configuration. ClientConnectionHandlerTest failed before.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientConnectionHandler.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientConnectionHandler.java
@@ -227,9 +227,11 @@
             context.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
-        ClientRequest head = ClientRequest.of(request, new byte[0]);
-        head.timeLeftMillis()
-                .ifPresent(millis -> schedule(millis, () -> rejectEarly(Rejection.of(408, "body-timeout"))));
+        // A client that names no deadline may send its body as long as it may keep a connection idle.
+        long bodyMillis = ClientRequest.of(request, new byte[0])
+                .timeLeftMillis()
+                .orElse(exchangeHandler.limits().idleTimeoutMillis());
+        schedule(bodyMillis, () -> rejectEarly(Rejection.of(408, "body-timeout")));
     }
 
     private void appendBody(HttpContent content) {
