A connection with bytes that belong to no request is not used again

Callers saw an order fail with 502, though it had run, or a lookup be repeated: a target had sent part of a second copy of an earlier response on the connection, or other bytes after it, and the connection was used again, so that the response to the next request could not be read. A copy was never taken for that response, since the request id is checked (LateCopyTest). Now bytes that arrive while no response is due make the connection not reusable, whether they follow the response in the same segment or come later. Without that line two tests of LateCopyTest fail.

ClientConnectionHandlerTest sent on after the connection was closed; it stops now, and checks the same.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
@@ -1,5 +1,6 @@
 package org.amaranthlock.entry.target;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -47,6 +48,7 @@
     private final Consumer<HttpTargetConnection> returnToPool;
     private final ResponseMemory memory;
     private final LongSupplier clockMillis;
+    private final ResponseDecoder decoder = new ResponseDecoder();
     private Channel channel;
     private TargetExchange exchange;
     private HttpMethod method = HttpMethod.GET;
@@ -69,13 +71,25 @@
         this.clockMillis = clockMillis;
     }
 
-    HttpResponseDecoder decoder() {
-        return new HttpResponseDecoder() {
-            @Override
-            protected boolean isContentAlwaysEmpty(HttpMessage message) {
-                return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
+    /** Decoder of the responses on this connection. */
+    private final class ResponseDecoder extends HttpResponseDecoder {
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
+        }
+
+        /** Bytes that arrive while no response is due belong to another one, and the rest of it may follow. */
+        @Override
+        protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> out) throws Exception {
+            if (isIdle() && bytes.isReadable()) {
+                notReusable = true;
             }
-        };
+            super.decode(context, bytes, out);
+        }
+    }
+
+    HttpResponseDecoder decoder() {
+        return decoder;
     }
 
     Channel channel() {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientConnectionHandlerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientConnectionHandlerTest.java
@@ -211,7 +211,7 @@
     @Test
     void bodyOfClientWithoutDeadlineMustArriveInTime() {
         send("POST /p/1 HTTP/1.1\r\n" + HEAD + "Content-Length: 90\r\n\r\n");
-        for (int second = 0; second < 20; second++) {
+        for (int second = 0; second < 20 && channel.isOpen(); second++) {
             send("a");
             advance(1_000);
         }
