A host that is short of processor time aborts earlier when it stops

The abort of what still runs came 700 ms before the end whatever the host: a timer, the last answers and the end of the process take longer where each step waits for the processor. Now the margin is at least four times the largest lateness of the timers of the shutdown, at most a sixth of the grace period; drain-timeout says how many connections are left.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/GracefulShutdown.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/GracefulShutdown.java
@@ -18,11 +18,6 @@
      */
     private static final long ACCEPT_WHILE_DRAINING_MILLIS = 2_600;
 
-    /**
-     * Time before the forced kill at which running streams are aborted, so that clients resume them at another host.
-     */
-    private static final long ABORT_MARGIN_MILLIS = 700;
-
     private static final long CHECK_INTERVAL_MILLIS = 100;
 
     private final EventLoop loop;
@@ -32,7 +27,9 @@
     private final ClientServer clientServer;
     private final Runnable onDrained;
     private final DecisionLog log;
+    private final AbortMargin abortMargin = new AbortMargin();
     private long startedAtMillis;
+    private long checkDueAtMillis;
 
     /**
      * Creates a shutdown.
@@ -65,7 +62,7 @@
         log.write("draining", "active", requestForwarder.activeRequestCount());
         requestForwarder.drain();
         startedAtMillis = clockMillis.getAsLong();
-        loop.schedule(this::stopAccepting, ACCEPT_WHILE_DRAINING_MILLIS, TimeUnit.MILLISECONDS);
+        schedule(this::stopAccepting, ACCEPT_WHILE_DRAINING_MILLIS);
     }
 
     private void stopAccepting() {
@@ -74,17 +71,32 @@
     }
 
     private void check() {
+        long nowMillis = clockMillis.getAsLong();
+        abortMargin.recordLateness(nowMillis - checkDueAtMillis);
         if (requestForwarder.activeRequestCount() == 0 && clientServer.openConnectionCount() == 0) {
             onDrained.run();
             return;
         }
-        if (clockMillis.getAsLong() - startedAtMillis >= graceMillis.getAsLong() - ABORT_MARGIN_MILLIS) {
-            log.write("drain-timeout", "active", requestForwarder.activeRequestCount());
+        long grace = graceMillis.getAsLong();
+        if (nowMillis - startedAtMillis >= grace - abortMargin.millis(grace)) {
+            log.write(
+                    "drain-timeout",
+                    "active",
+                    requestForwarder.activeRequestCount(),
+                    "connections",
+                    clientServer.openConnectionCount(),
+                    "after_ms",
+                    nowMillis - startedAtMillis);
             clientServer.endUnread();
             requestForwarder.abortAll();
             loop.schedule(onDrained, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        loop.schedule(this::check, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        schedule(this::check, CHECK_INTERVAL_MILLIS);
+    }
+
+    private void schedule(Runnable action, long delayMillis) {
+        checkDueAtMillis = clockMillis.getAsLong() + delayMillis;
+        loop.schedule(action, delayMillis, TimeUnit.MILLISECONDS);
     }
 }
