--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/cost/HostCostRun.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/cost/HostCostRun.java
@@ -31,7 +31,6 @@
     private final int idleSeconds;
     private final int requests;
     private final Map<String, Double> figures = new LinkedHashMap<>();
-    private double idleMillisPerSecond;
 
     /** Action whose cost is measured. */
     private interface Action {
@@ -94,8 +93,7 @@
         long before = processorMillis();
         Thread.sleep(idleSeconds * 1_000L);
         double hostSeconds = hostCount() * (double) idleSeconds;
-        idleMillisPerSecond = (processorMillis() - before) / hostSeconds;
-        figures.put("processor ms of an idle second", idleMillisPerSecond);
+        figures.put("processor ms of an idle second", (processorMillis() - before) / hostSeconds);
         figures.put("calls to the store of an idle second", (fleet.store().callCount() - calls) / hostSeconds);
         figures.put("messages sent in an idle second", (counters(SENT) - sent) / hostSeconds);
         figures.put("messages received in an idle second", (counters(RECEIVED) - received) / hostSeconds);
@@ -113,7 +111,14 @@
         Thread.sleep(APPLY_MILLIS);
         double seconds = (System.nanoTime() - startedAt) / 1e9;
         double perHost = (processorMillis() - before) / (double) hostCount();
-        return (perHost - seconds * idleMillisPerSecond) / count;
+        return (perHost - seconds * idleMillisPerSecond()) / count;
+    }
+
+    /** Returns what an idle host takes now, which falls for some time after the start. */
+    private double idleMillisPerSecond() throws InterruptedException {
+        long before = processorMillis();
+        Thread.sleep(APPLY_MILLIS);
+        return (processorMillis() - before) * MILLIS_PER_SECOND / APPLY_MILLIS / hostCount();
     }
 
     private void lookup(int number) {
@@ -145,7 +150,7 @@
         double others = processorMillis() - restarted.processorMillis() - before;
         figures.put(
                 "processor ms of the restart of another host",
-                others / Math.max(1, hostCount() - 1) - seconds * idleMillisPerSecond);
+                others / Math.max(1, hostCount() - 1) - seconds * idleMillisPerSecond());
     }
 
     private List<String> clientAddresses() {
