Hosts call a store that fails less and less often

While the store was away each of 95 hosts read the configuration and listed the targets some four times a second each, 36 and 40 times in ten seconds. Now the delay doubles with each failed call, up to 0.9 s for the configuration and 1 s for the targets; the first one is as before, so the time within which a change is in force is unchanged (ConfigurationDelayTest). The return of the store is noticed within a second. Ruled out: the list of hosts, which calls every 5 s and less.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
@@ -35,6 +35,7 @@
     private final EventLoop loop;
     private final LongSupplier ageClockMillis;
     private final ConfigurationPollTimes times;
+    private final RetryBackoff backoff;
     private final PeerStoreReader peerReader;
     private final PeerStoreServer peerStoreServer;
     private final ConfigurationListener listener;
@@ -84,6 +85,7 @@
         this.loop = Objects.requireNonNull(loop, "loop");
         this.ageClockMillis = Objects.requireNonNull(ageClockMillis, "age clock");
         this.times = Objects.requireNonNull(times, "times");
+        this.backoff = new RetryBackoff(times.retryDelayMillis(), times.intervalMillis());
         this.peerReader = Objects.requireNonNull(peerReader, "peer reader");
         this.peerStoreServer = Objects.requireNonNull(peerStoreServer, "peer store server");
         this.listener = Objects.requireNonNull(listener, "listener");
@@ -185,9 +187,10 @@
         }
         if (!usable) {
             peerStoreServer.onConfigurationUnavailable();
-            schedule(this::read, times.retryDelayMillis());
+            schedule(this::read, backoff.nextDelayMillis());
             return;
         }
+        backoff.reset();
         peerStoreServer.onConfigurationRead(knownRevision, sentAt);
         if (announcedWhileReading && knownConfiguration.version() < announcedVersion) {
             read();
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/TargetWatcher.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/TargetWatcher.java
@@ -28,6 +28,7 @@
 
     private static final long CALL_TIMEOUT_MILLIS = 800;
     private static final long RETRY_DELAY_MILLIS = 250;
+    private static final long MAX_RETRY_DELAY_MILLIS = 1_000;
 
     /** Delay after a change, so that one call returns several changes in quick succession. */
     private static final long COALESCE_DELAY_MILLIS = 250;
@@ -47,6 +48,7 @@
     private final DecisionLog log;
     private final EntryMetrics metrics;
     private final TargetRegistry registry;
+    private final RetryBackoff backoff = new RetryBackoff(RETRY_DELAY_MILLIS, MAX_RETRY_DELAY_MILLIS);
     private final Map<EntryTarget, Long> listing = new LinkedHashMap<>();
     private long listRevision;
     private long failingSinceMillis = -1;
@@ -92,7 +94,7 @@
         metrics.recordStoreCall("target-list", reply.getClass().getSimpleName());
         if (!(reply instanceof StoreReply.Page page)) {
             recordFailure("list", reply);
-            loop.schedule(this::list, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(this::list, backoff.nextDelayMillis(), TimeUnit.MILLISECONDS);
             return;
         }
         // The watch starts at the revision of the first page, so that no change made during the list is missed.
@@ -145,7 +147,7 @@
                         default -> {
                             peerStoreServer.onWatchStopped();
                             recordFailure("watch", reply);
-                            loop.schedule(this::list, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+                            loop.schedule(this::list, backoff.nextDelayMillis(), TimeUnit.MILLISECONDS);
                         }
                     }
                 });
@@ -199,6 +201,7 @@
 
     /** Records a successful call and returns whether it ends an outage of at least {@link #OUTAGE_THRESHOLD_MILLIS}. */
     private boolean recordSuccess() {
+        backoff.reset();
         if (failingSinceMillis < 0) {
             return false;
         }
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationDelayTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationDelayTest.java
@@ -69,6 +69,23 @@
         assertWithMessage("applied").that(host.inForceAtMillis(2)).isLessThan(Long.MAX_VALUE);
     }
 
+    // Load pattern: the store rejects all calls for seconds, and each host of a fleet repeats its read. Guards against
+    // calls that cost more than the outage, and against a host that notices the return of the store late.
+    @Test
+    void hostReadsRejectingStoreSeldomAndNoticesItsReturn() {
+        ConfigurationFleet fleet = new ConfigurationFleet();
+        fleet.write(1, 10);
+        Host host = fleet.addHost("entry-1", "a", 4_000);
+        fleet.advance(2_000);
+        host.rejectedByStore(true);
+        int before = host.reads();
+        fleet.advance(10_000);
+        assertWithMessage("reads in 10 s").that(host.reads() - before).isAtMost(14);
+        host.rejectedByStore(false);
+        fleet.advance(1_000);
+        assertWithMessage("confirmed at").that(host.confirmedAtMillis()).isAtLeast(fleet.nowMillis() - 1_000);
+    }
+
     // Guards against followers whose configuration seems an interval older than it is: they reject requests earlier.
     @Test
     void followerKnowsWhenItsConfigurationWasConfirmed() {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
@@ -82,6 +82,7 @@
         private boolean silent;
         private boolean killed;
         private boolean cutFromStore;
+        private boolean rejectedByStore;
         private int reads;
 
         private Host(String name, String domain, long applyMillis) {
@@ -144,6 +145,11 @@
             cutFromStore = true;
         }
 
+        /** Sets whether the store rejects the calls at once. */
+        void rejectedByStore(boolean rejected) {
+            rejectedByStore = rejected;
+        }
+
         private void announce(long version) {
             hosts.values().stream()
                     .filter(other -> other != this)
@@ -201,6 +207,10 @@
                     return;
                 }
                 reads++;
+                if (rejectedByStore) {
+                    schedule(2 * ONE_WAY_MILLIS, () -> result.accept(new StoreReply.Unanswered("busy")));
+                    return;
+                }
                 if (cutFromStore) {
                     schedule(timeoutMillis, () -> result.accept(new StoreReply.Unanswered("no response")));
                     return;
