--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/Mechanism.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/Mechanism.java
@@ -45,7 +45,10 @@
     PROMPT_PART_TRIALS("prompt-part-trials"),
 
     /** In a large fleet, load reports reach the other hosts through a few hosts of each failure domain. */
-    REPORT_RELAYS("report-relays");
+    REPORT_RELAYS("report-relays"),
+
+    /** Placement allows for streams that other hosts have placed and not reported yet. */
+    UNSEEN_PLACEMENTS("unseen-placements");
 
     private final String key;
 
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetLoadBalancer.java
@@ -108,7 +108,7 @@
             permits.prefetch(service.name(), limitedTargets(service, constraint, nowMillis));
         }
         return placementPolicy
-                .chooseTarget(service, tokens, candidates, unseenPlacements.expected(nowMillis))
+                .chooseTarget(service, tokens, candidates, expectedUnseenPlacements(nowMillis))
                 .filter(target -> brittleTargets.admit(
                         target.id(),
                         target.slots(),
@@ -118,6 +118,10 @@
                         nowMillis));
     }
 
+    private double expectedUnseenPlacements(long nowMillis) {
+        return mechanisms.uses(Mechanism.UNSEEN_PLACEMENTS) ? unseenPlacements.expected(nowMillis) : 0;
+    }
+
     /** Returns the targets that could be chosen if this host had a permit for them, least loaded first. */
     public List<TargetId> limitedTargets(ServiceDefinition service, TargetConstraint constraint, long nowMillis) {
         return usableTargets(service, constraint, nowMillis).stream()
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
@@ -31,6 +31,7 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.amaranthlock.coordination.loadreport.ReportPeer;
+import org.amaranthlock.coordination.loadreport.ReportPlanner;
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.model.FailureDomain;
@@ -53,7 +54,10 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
     /** Interval at which closed connections are opened again and stuck ones closed. */
-    private static final long MAINTENANCE_INTERVAL_MILLIS = 1_500;
+    private static final long MAINTENANCE_INTERVAL_MILLIS = 500;
+
+    /** The same in a fleet that is large enough for many hosts to be down at a time. */
+    private static final long LARGE_FLEET_MAINTENANCE_INTERVAL_MILLIS = 1_500;
 
     private final EventLoop loop;
     private final InetSocketAddress address;
@@ -105,8 +109,7 @@
                 .bind(address)
                 .syncUninterruptibly()
                 .channel();
-        loop.scheduleAtFixedRate(
-                this::maintain, MAINTENANCE_INTERVAL_MILLIS, MAINTENANCE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        scheduleMaintenance();
         return (InetSocketAddress) serverChannel.localAddress();
     }
 
@@ -237,7 +240,14 @@
         }
     }
 
+    private void scheduleMaintenance() {
+        boolean largeFleet = peers.size() >= ReportPlanner.MAX_DIRECT_HOSTS;
+        long delayMillis = largeFleet ? LARGE_FLEET_MAINTENANCE_INTERVAL_MILLIS : MAINTENANCE_INTERVAL_MILLIS;
+        loop.schedule(this::maintain, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
     private void maintain() {
+        scheduleMaintenance();
         for (PeerRegistration peer : peers) {
             Channel connection = connections.get(peer.name());
             if (connection != null && connection.isOpen() && !connection.isWritable()) {
