A request whose client has left is not handled

Now the host reads on until nothing is left before it handles a request, and drops it if its connection is closed by then. Cost: one more read a request.

handlesPipelinedRequestsInOrder runs the pending task before it checks the second request; it checks the same.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientConnectionHandler.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientConnectionHandler.java
@@ -248,8 +248,14 @@
         boolean headOnly = HttpMethod.HEAD.equals(incomingRequest.method());
         incomingRequest = null;
         body = null;
-        exchange = new ConnectionExchange(this, request.requestId(), headOnly);
-        exchangeHandler.handle(request, exchange);
+        ConnectionExchange opened = new ConnectionExchange(this, request.requestId(), headOnly);
+        exchange = opened;
+        // Not at once: a client that has given up meanwhile has closed the connection, which is read after its request.
+        context.executor().execute(() -> {
+            if (exchange == opened && context.channel().isActive()) {
+                exchangeHandler.handle(request, opened);
+            }
+        });
     }
 
     /** Rejects a request that is not received completely, discards the rest of it and closes the connection. */
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientServer.java
@@ -27,6 +27,9 @@
  * accepts connections as soon as the address is bound, and they wait in its queue until {@link #accept} is called.
  */
 public final class ClientServer {
+    /** Reads from one connection before those of others. */
+    private static final int MAX_READS = 16;
+
     private final EventLoopGroup loops;
     private final InetSocketAddress address;
     private final Optional<ServerSocketChannel> boundSocket;
@@ -84,6 +87,12 @@
                         ChannelOption.RCVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(ListeningSocket.BACKLOG))
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // Reads on until nothing is left, so that the close of a client is seen together with its request.
+                .childOption(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator()
+                                .respectMaybeMoreData(false)
+                                .maxMessagesPerRead(MAX_READS))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientConnectionHandlerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientConnectionHandlerTest.java
@@ -142,6 +142,7 @@
         send("GET /p/1 HTTP/1.1\r\n" + HEAD + "\r\nGET /p/2 HTTP/1.1\r\n" + HEAD + "\r\n");
         assertThat(handler.requests).hasSize(1);
         handler.exchanges.getFirst().respond(okResponse());
+        channel.runPendingTasks();
         assertThat(handler.requests.get(1).path()).isEqualTo("/p/2");
     }
 
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientServerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientServerTest.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.amaranthlock.coordination.forwarding.Rejection;
 import org.amaranthlock.coordination.forwarding.RequestLimits;
 import org.amaranthlock.platform.ClientRequest;
@@ -20,13 +21,17 @@
 
 class ClientServerTest {
     private static final int RESPONSE_TIMEOUT_MILLIS = 10_000;
+    private static final int CLIENTS = 50;
 
     private final EventLoopGroup loops = new NioEventLoopGroup(1);
 
     /** Rejects each request with a status that no other code sends. */
     private static final class RejectingHandler implements ClientExchangeHandler {
+        private final AtomicInteger requests = new AtomicInteger();
+
         @Override
         public void handle(ClientRequest request, ClientExchange exchange) {
+            requests.incrementAndGet();
             exchange.reject(Rejection.of(418, "test"));
         }
 
@@ -70,6 +75,29 @@
         }
     }
 
+    // Load pattern: many hosts restart at once, and clients that were accepted by the system only have given up before
+    // the
+    // server reads their requests. Guards against work for clients that have left.
+    @Test
+    void requestOfClientThatHasLeftIsNotHandled() throws IOException, InterruptedException {
+        ServerSocketChannel bound = ListeningSocket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        InetSocketAddress address = (InetSocketAddress) bound.getLocalAddress();
+        for (int i = 0; i < CLIENTS; i++) {
+            try (Socket client = connect(address)) {
+                client.getOutputStream().write(request());
+            }
+        }
+        RejectingHandler handler = new RejectingHandler();
+        ClientServer server = new ClientServer(loops, address, Optional.of(bound), handler);
+        server.start();
+        server.accept();
+        try (Socket client = connect(address)) {
+            client.getOutputStream().write(request());
+            assertThat(readResponse(client)).startsWith("HTTP/1.1 418");
+        }
+        assertThat(handler.requests.get()).isEqualTo(1);
+    }
+
     @Test
     void bindsConfiguredAddressIfAnotherOneWasBoundBefore() throws IOException {
         ServerSocketChannel other = ListeningSocket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
