A host that others report and this one does not know is listed soon

Found when the change was read again. The list was read early only after a report that came directly, so a host to which the new one cannot connect counted one too few. Now a report that others pass on does the same. At most one early list in five seconds, since a stale list may not have the host yet, or the store may be away; such a bound was missing. LoadReportExchangeTest.unknownHostIsNoticedWhenOthersPassOnItsReport failed before; PeerDirectoryTest.unknownHostLeadsToOneListInFiveSeconds replays the repeated reports.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -234,7 +234,8 @@
 
     /**
      * Reads the settings again when the file changes, and at each call of the returned action. The address of the store
-     * and the shutdown grace period take effect; the addresses on which this process listens and the other bounds stay as they were at startup.
+     * and the shutdown grace period take effect; the addresses on which this process listens and the other bounds stay as
+     * they were at startup.
      */
     public Runnable watchSettings(Path file) {
         SettingsFileWatcher watcher = new SettingsFileWatcher(file, controlGroup.next(), this::apply, log);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/LoadReportExchange.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/LoadReportExchange.java
@@ -204,6 +204,7 @@
     /** Handles reports that another host has passed on. */
     public void onBundle(EntryPeerMessage.ReportBundle bundle) {
         long nowMillis = clockMillis.getAsLong();
+        Set<String> registered = links.registered();
         List<ObservedReport> newer = new ArrayList<>();
         for (EntryPeerMessage.AgedReport aged : bundle.reports()) {
             ObservedReport report =
@@ -211,6 +212,9 @@
             if (report.host().equals(hostName)) {
                 continue;
             }
+            if (!registered.contains(report.host())) {
+                unknownHostListener.accept(report.host());
+            }
             if (newest.record(report)) {
                 newer.add(report);
             }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerDirectory.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerDirectory.java
@@ -44,6 +44,7 @@
     private Set<PeerRegistration> peers = Set.of();
     private boolean published;
     private boolean listFailing;
+    private boolean listedEarly;
     private PeerRegistration localRegistration;
 
     /** Next list; null while one is under way. */
@@ -85,10 +86,15 @@
         scheduleList(FIRST_LIST_DELAY_MILLIS);
     }
 
-    /** Lists the hosts soon, because one reports that was not listed; called on the control loop. */
+    /**
+     * Lists the hosts soon, because one reports that was not listed, but not again within {@link
+     * #MIN_LIST_INTERVAL_MILLIS}: the list may be stale. Called on the control loop.
+     */
     public void onUnknownHost(String host) {
-        if (nextList != null && nextList.getDelay(TimeUnit.MILLISECONDS) > UNKNOWN_HOST_DELAY_MILLIS) {
+        if (!listedEarly && nextList != null && nextList.getDelay(TimeUnit.MILLISECONDS) > UNKNOWN_HOST_DELAY_MILLIS) {
             log.write("peer-unknown", "peer", host, "known", peers.size());
+            listedEarly = true;
+            loop.schedule(() -> listedEarly = false, MIN_LIST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
             nextList.cancel(false);
             scheduleList(random.nextLong(UNKNOWN_HOST_DELAY_MILLIS));
         }
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/LoadReportExchangeTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/LoadReportExchangeTest.java
@@ -284,6 +284,17 @@
         assertThat(host(0).unknownHosts).containsExactly("stranger");
     }
 
+    // Guards against shares of limits that are too large, because a host that cannot connect to this one is not
+    // counted.
+    @Test
+    void unknownHostIsNoticedWhenOthersPassOnItsReport() {
+        start(3);
+        EntryPeerMessage.AgedReport aged =
+                new EntryPeerMessage.AgedReport(report("stranger", 1), new ReportVersion(9, 1), 0);
+        host(0).exchange.onBundle(new EntryPeerMessage.ReportBundle(List.of(aged), false));
+        assertThat(host(0).unknownHosts).containsExactly("stranger");
+    }
+
     private double idleMessagesPerHostAndSecond(int hostCount) {
         hosts.values().forEach(host -> host.alive = false);
         hosts.clear();
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerDirectoryTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerDirectoryTest.java
@@ -152,6 +152,22 @@
         assertThat(store.writes).isEqualTo(2);
     }
 
+    // Load pattern: an unknown host reports several times a second while the list, which may be stale, does not have
+    // it.
+    @Test
+    void unknownHostLeadsToOneListInFiveSeconds() {
+        for (int i = 0; i < 8; i++) {
+            store.pages.add(page(Optional.empty(), "entry-1", "entry-2"));
+        }
+        startAndList();
+        int before = store.pages.size();
+        for (int i = 0; i < 24; i++) {
+            directory.onUnknownHost("entry-3");
+            advance(200);
+        }
+        assertThat(before - store.pages.size()).isEqualTo(1);
+    }
+
     // Guards against a host that was killed and cannot ask the others, for more than a second, what it has lost.
     @Test
     void hostsThatAreRegisteredAtTheStartAreKnownAtOnce() {
