--- a/review/standins/Main.java
+++ b/review/standins/Main.java
@@ -48,6 +48,7 @@
     private static Case create(String name) {
         return switch (name) {
             case "drill" -> new DrillCase();
+            case "revoke" -> new RevokeAfterDrillCase();
             case "smuggle" -> new SmuggleCase();
             default -> throw new CannotRunException("there is no case " + name);
         };
