--- a/review/standins/DrillCase.java
+++ b/review/standins/DrillCase.java
@@ -1,9 +1,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The store comes back from a copy some seconds old; afterwards a worker reports that it leaves.
@@ -12,19 +9,13 @@
  * the worker. Two hosts of one zone run; the second one learns of workers through the first.
  */
 final class DrillCase implements Case {
-    private static final long DRAIN_MILLIS = 2_500;
-
     /** Time for which the calm store and hosts run before the worker leaves; {@code stable_ms} is 4 s. */
     private static final long STABLE_MILLIS = 5_000;
 
     /** Time for which the store is away. */
     private static final long AWAY_MILLIS = 200;
 
-    /** How long the leaving worker serves on after its report, in milliseconds: drain_ms and a little longer. */
-    private static final long SERVES_ON_MILLIS = 3_400;
-
     private static final int VERSIONS = 5;
-    private static final int ORDERS = 9;
 
     @Override
     public boolean ruleBroken(Path folder, boolean trouble) throws Exception {
@@ -69,7 +60,7 @@
                 if (!first.isReady() || !second.isReady()) {
                     throw new CannotRunException("a host is not ready");
                 }
-                return leave(store, workers.get(1), second);
+                return Leaving.ruleBroken(store, workers.get(1), second);
             } finally {
                 for (Worker worker : workers) {
                     worker.close();
@@ -77,31 +68,4 @@
             }
         }
     }
-
-    private static boolean leave(Store store, Worker leaving, Host host) throws Exception {
-        long acknowledgedAt = leaving.reportDraining();
-        Log.write("worker " + leaving.id + " reports draining, acked at revision " + store.revision());
-        Clock.sleepUntil(acknowledgedAt + DRAIN_MILLIS + 500);
-        CountDownLatch answered = new CountDownLatch(ORDERS);
-        long firstSentAt = Clock.millis();
-        List<Integer> statuses = Collections.synchronizedList(new ArrayList<>());
-        for (int i = 0; i < ORDERS; i++) {
-            String id = "o-late-" + i;
-            Thread.ofPlatform().daemon().start(() -> {
-                statuses.add(Client.order(host.front, id, "key-a"));
-                answered.countDown();
-            });
-        }
-        Clock.sleepUntil(acknowledgedAt + SERVES_ON_MILLIS);
-        leaving.close();
-        Log.write("worker " + leaving.id + " exits " + (Clock.millis() - acknowledgedAt) + " ms after the acknowledgement");
-        answered.await(8, TimeUnit.SECONDS);
-        long late = Worker.RUNS.stream()
-                .filter(run -> run.worker().equals(leaving.id) && run.id().startsWith("o-late"))
-                .count();
-        store.remove("servers", leaving.id);
-        Log.write("first late order sent " + (firstSentAt - acknowledgedAt) + " ms after the acknowledgement; late orders at "
-                + leaving.id + ": " + late + "; statuses " + statuses);
-        return late > 0;
-    }
 }
--- a/review/standins/Main.java
+++ b/review/standins/Main.java
@@ -47,6 +47,7 @@
 
     private static Case create(String name) {
         return switch (name) {
+            case "cut" -> new CutReaderCase();
             case "drill" -> new DrillCase();
             case "revoke" -> new RevokeAfterDrillCase();
             case "smuggle" -> new SmuggleCase();
