Review: an entry of another writer ends the watch of workers

Cause: an address without an IP makes the decoder throw inside the callback of a store's answer, and TargetWatcher goes on only from there. A deep list or a long number makes the whole list unreadable.

--- a/review/standins/Host.java
+++ b/review/standins/Host.java
@@ -1,5 +1,6 @@
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -7,9 +8,14 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** Entry host: a process of the project, started by the command of the deploy file. */
 final class Host implements AutoCloseable {
+    private static final int FIRST_PORT = 20_000;
+    private static final int LAST_PORT = 32_000;
+    private static final int PORT_ATTEMPTS = 100;
+
     final String name;
     final String front;
     final String ready;
@@ -65,10 +71,17 @@
         this.process = builder.redirectErrorStream(true).redirectOutput(new File(output.toString())).start();
     }
 
+    /** Returns a free port below those that the system gives to outgoing connections. */
     private static int freePort(String ip) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
-            return socket.getLocalPort();
+        for (int attempt = 0; attempt < PORT_ATTEMPTS; attempt++) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(ip))) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // In use; another one is tried.
+            }
         }
+        throw new CannotRunException("no free port");
     }
 
     long pid() {
@@ -103,12 +116,21 @@
         long until = Clock.millis() + 20_000;
         while (!isReady()) {
             if (Clock.millis() > until) {
-                throw new CannotRunException("host " + name + " did not become ready");
+                throw new CannotRunException("host " + name + " did not become ready; running: " + alive() + lastOutput());
             }
             Thread.sleep(100);
         }
     }
 
+    private String lastOutput() {
+        try {
+            List<String> lines = Files.readAllLines(output);
+            return ", last output: " + lines.subList(Math.max(0, lines.size() - 3), lines.size());
+        } catch (IOException e) {
+            return ", no output: " + e.getMessage();
+        }
+    }
+
     @Override
     public void close() {
         process.destroyForcibly();
--- a/review/standins/Main.java
+++ b/review/standins/Main.java
@@ -48,7 +48,7 @@
     private static Case create(String name) {
         return switch (name) {
             case "cut" -> new CutReaderCase();
-            case "drill" -> new DrillCase();
+            case "entry" -> new ForeignEntryCase();
             case "revoke" -> new RevokeAfterDrillCase();
             case "smuggle" -> new SmuggleCase();
             default -> throw new CannotRunException("there is no case " + name);
