Review: a second answer to a copy call gives a stream foreign memory

Cause: calls to engines carry no id on kept channels, so that a late second answer is taken for the answer to the next call, for another stream.

--- a/review/standins/Config.java
+++ b/review/standins/Config.java
@@ -5,8 +5,30 @@
 
 /** Configuration of the operator: an order route and a lookup route of one service, and one tenant. */
 final class Config {
+    /** Service of model workers. */
+    static final String ENGINES = "engines";
+
     private Config() {}
 
+    /** Returns a configuration with two tenants, and a route of resumable streams to a service of model workers besides. */
+    static JsonNode withStreams(long version, List<String> keys, List<String> otherKeys) {
+        ObjectNode root = (ObjectNode) of(version, keys, 5_000);
+        ObjectNode tenant = root.withArray("tenants").addObject();
+        tenant.put("name", "other").put("priority", 1);
+        ArrayNode apiKeys = tenant.putArray("api_keys");
+        otherKeys.forEach(apiKeys::add);
+        ObjectNode route = root.withArray("routes").addObject();
+        route.put("name", "r-draft").put("host", "shop.example").put("path_prefix", "/draft/").put("kind", "streaming");
+        route.put("timeout_ms", 25_000).put("goal_ms", 4_500).put("gap_aim_ms", 700).put("priority", 1);
+        route.put("service", ENGINES).put("max_attempts", 5).put("public", false).put("sticky", true);
+        route.put("resumable", true);
+        ObjectNode service = root.withArray("services").addObject();
+        service.put("name", ENGINES).put("health_path", "/health").put("max_conns", 360).put("protocol", "h1");
+        service.put("tls", false);
+        service.putObject("engine").put("kv_capacity", 55_000).put("backups", true).put("moves", true);
+        return root;
+    }
+
     static JsonNode of(long version, List<String> keys, int timeoutMillis) {
         ObjectNode root = Store.JSON.createObjectNode();
         root.put("version", version);
--- a/review/standins/Main.java
+++ b/review/standins/Main.java
@@ -47,6 +47,7 @@
 
     private static Case create(String name) {
         return switch (name) {
+            case "copy" -> new ForeignCopyCase();
             case "cut" -> new CutReaderCase();
             case "entry" -> new ForeignEntryCase();
             case "revoke" -> new RevokeAfterDrillCase();
