Compare configurations by content, not by revision alone

Cause: the store gives the revisions of lost versions out again. A host took an object with the revision that it knew for the object that it knew, and hosts confirmed revisions to one another in the same way, so that the version which took the key away was never applied.

Change: a host compares the content as well; a query to another host carries a hash of the content, appended to the message (builds before this one ignore it and are answered by revision). Two contents with one version number replace each other too.

Why it works: equal content is the newest configuration whatever its revision, and other content is always decoded and applied by its version.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/CachedConfiguration.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/CachedConfiguration.java
@@ -17,18 +17,16 @@
      *
      * @param fetched configuration that the call returned
      * @param sentAtMillis time at which the call was sent
-     * @return whether a newer version was applied
+     * @return whether another configuration was applied: a newer one, or one that took the version of a lost one
      */
     public boolean confirm(EntryConfiguration fetched, long sentAtMillis) {
         if (current != null && fetched.version() < current.version()) {
             return false;
         }
-        boolean newer = current == null || fetched.version() > current.version();
-        if (newer) {
-            current = fetched;
-        }
+        boolean replaced = current != fetched;
+        current = fetched;
         confirmedAtMillis = Math.max(confirmedAtMillis, sentAtMillis);
-        return newer;
+        return replaced;
     }
 
     /** Returns the newest known configuration; empty if none is known. */
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
@@ -13,6 +13,7 @@
 import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.platform.ConfigurationDecoder;
+import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.PlatformStore;
 import org.amaranthlock.platform.StoreReply;
 import org.amaranthlock.platform.StoredObject;
@@ -47,9 +48,9 @@
     private final LongConsumer announcer;
     private final DecisionLog log;
     private final EntryMetrics metrics;
-    private long knownRevision = -1;
     private EntryConfiguration knownConfiguration;
     private StoredObject knownObject;
+    private ObjectVersion knownVersion;
     private long confirmedAtMillis;
     private boolean lastReadUsable = true;
     private int queriesSinceRead;
@@ -200,7 +201,7 @@
     private void confirmAgain() {
         int current = ++step;
         long sentAt = ageClockMillis.getAsLong();
-        boolean querySent = peerReader.confirmConfiguration(knownRevision, readAfter -> {
+        boolean querySent = peerReader.confirmConfiguration(knownVersion, readAfter -> {
             if (current == step) {
                 onPeerReply(readAfter, sentAt);
             }
@@ -209,7 +210,7 @@
             peerStoreServer.onConfigurationUnavailable();
             scheduleReadAtAge(times.maxUnconfirmedMillis());
         } else {
-            peerStoreServer.onConfigurationReadPlanned(knownRevision);
+            peerStoreServer.onConfigurationReadPlanned(knownVersion);
             scheduleReadAtAge(times.intervalMillis());
         }
     }
@@ -282,7 +283,7 @@
         queriesSinceRead = 0;
         readRepeated = false;
         backoff.reset();
-        peerStoreServer.onConfigurationRead(knownRevision, sentAt);
+        peerStoreServer.onConfigurationRead(knownVersion, sentAt);
         if (announcedWhileReading && knownConfiguration.version() < announcedVersion) {
             read();
         } else {
@@ -301,11 +302,11 @@
         long sentAt = ageClockMillis.getAsLong();
         boolean repeatsRead = !readRepeated && peerReader.isSuccessor();
         readRepeated |= repeatsRead;
-        boolean querySent = knownRevision >= 0
+        boolean querySent = knownConfiguration != null
                 && !repeatsRead
                 && knownConfiguration.version() >= announcedVersion
                 && queriesSinceRead < MAX_QUERIES_PER_READ
-                && peerReader.confirmConfiguration(knownRevision, readAfter -> {
+                && peerReader.confirmConfiguration(knownVersion, readAfter -> {
                     if (current == step && readAfter.isPresent()) {
                         onPeerReply(readAfter, sentAt);
                     }
@@ -332,8 +333,7 @@
      * than the known one.
      */
     private boolean confirm(StoredObject object, long sentAt) {
-        // The revisions of a store that came back from an older copy start again, so a lower one may be new.
-        if ((knownConfiguration == null || object.revision() != knownRevision) && !apply(object)) {
+        if (!isKnown(object) && !apply(object)) {
             return false;
         }
         confirmedAtMillis = sentAt;
@@ -341,6 +341,16 @@
         return true;
     }
 
+    /**
+     * Returns whether an object is the known one. A store that came back from an older copy gives out its revisions
+     * again, so a lower one may be new, and an equal one may stand for another content.
+     */
+    private boolean isKnown(StoredObject object) {
+        return knownObject != null
+                && object.revision() == knownObject.revision()
+                && object.spec().equals(knownObject.spec());
+    }
+
     private boolean apply(StoredObject object) {
         EntryConfiguration decoded;
         try {
@@ -358,7 +368,7 @@
                 && decoded.version() > announcedVersion;
         knownConfiguration = decoded;
         knownObject = object;
-        knownRevision = object.revision();
+        knownVersion = ObjectVersion.of(object);
         if (announce) {
             announcer.accept(decoded.version());
         }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreClient.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreClient.java
@@ -16,6 +16,7 @@
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
+import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreReply;
 
 /** {@link PeerStoreReader} that sends queries over the peer connections. All calls are on the control loop. */
@@ -57,11 +58,11 @@
     }
 
     @Override
-    public boolean confirmConfiguration(long revision, Consumer<OptionalLong> result) {
+    public boolean confirmConfiguration(ObjectVersion version, Consumer<OptionalLong> result) {
         long id = ++lastQueryId;
         return sendQuery(
                 id,
-                new EntryPeerMessage.ConfigurationQuery(id, revision),
+                new EntryPeerMessage.ConfigurationQuery(id, version),
                 CONFIGURATION_TIMEOUT_MILLIS,
                 response -> result.accept(
                         response instanceof EntryPeerMessage.ConfigurationConfirmed confirmed
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreReader.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreReader.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
+import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreReply;
 
 /** Reads from the store through a peer of the same failure domain, or region if the store is in another one. */
@@ -11,12 +12,12 @@
     /**
      * Asks a peer whether a configuration is still the newest.
      *
-     * @param revision store revision of the configuration
+     * @param version version of the object of the configuration
      * @param result receives the shortest possible time from sending the query to sending the call that confirms it, in
      *     milliseconds, which is negative if the call was sent first; empty if the peer cannot confirm the configuration
      * @return whether a query was sent to a peer; if not, {@code result} is not called
      */
-    boolean confirmConfiguration(long revision, Consumer<OptionalLong> result);
+    boolean confirmConfiguration(ObjectVersion version, Consumer<OptionalLong> result);
 
     /** Returns whether this host is the one of its failure domain to read the store if the queried peer cannot. */
     boolean isSuccessor();
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreServer.java
@@ -5,12 +5,14 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.entry.peer.EntryPeerMessage.ConfigurationQuery;
 import org.amaranthlock.entry.peer.EntryPeerMessage.TargetsQuery;
+import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreChange;
 
 /**
@@ -30,7 +32,10 @@
     private final List<PendingConfigurationQuery> pendingConfigurationQueries = new ArrayList<>();
     private final List<PendingTargetsQuery> pendingTargetsQueries = new ArrayList<>();
     private final Deque<RetainedChange> retainedChanges = new ArrayDeque<>();
-    private long configurationRevision = -1;
+
+    /** Version of the configuration that queries can wait for; empty while this host does not read it from the store. */
+    private Optional<ObjectVersion> configurationVersion = Optional.empty();
+
     private boolean watchingTargets;
     private long oldestRetainedRevision;
     private long targetsRevision;
@@ -57,7 +62,8 @@
 
     /** Handles a query about the configuration. */
     public void handleQuery(ConfigurationQuery query, Consumer<EntryPeerMessage> reply) {
-        if (query.revision() != configurationRevision || pendingConfigurationQueries.size() >= MAX_PENDING_QUERIES) {
+        boolean known = configurationVersion.filter(query.version()::matches).isPresent();
+        if (!known || pendingConfigurationQueries.size() >= MAX_PENDING_QUERIES) {
             reply.accept(new EntryPeerMessage.NotKnown(query.id()));
         } else {
             pendingConfigurationQueries.add(new PendingConfigurationQuery(query, ageClockMillis.getAsLong(), reply));
@@ -78,16 +84,16 @@
     }
 
     /**
-     * Records that a read by this host, sent at {@code sentAtMillis}, returned this revision of the configuration, and
+     * Records that a read by this host, sent at {@code sentAtMillis}, returned this version of the configuration, and
      * responds to all pending queries about it.
      */
-    public void onConfigurationRead(long revision, long sentAtMillis) {
-        configurationRevision = revision;
+    public void onConfigurationRead(ObjectVersion version, long sentAtMillis) {
+        configurationVersion = Optional.of(version);
         List<PendingConfigurationQuery> pending = List.copyOf(pendingConfigurationQueries);
         pendingConfigurationQueries.clear();
         for (PendingConfigurationQuery pendingQuery : pending) {
             long id = pendingQuery.query().id();
-            boolean newest = pendingQuery.query().revision() == revision;
+            boolean newest = pendingQuery.query().version().matches(version);
             long readAfterMillis = sentAtMillis - pendingQuery.receivedAtMillis();
             pendingQuery
                     .reply()
@@ -98,9 +104,9 @@
         }
     }
 
-    /** Records that this host is about to read the configuration itself; queries about this revision wait for it. */
-    public void onConfigurationReadPlanned(long revision) {
-        configurationRevision = revision;
+    /** Records that this host is about to read the configuration itself; queries about this version wait for it. */
+    public void onConfigurationReadPlanned(ObjectVersion version) {
+        configurationVersion = Optional.of(version);
     }
 
     /**
@@ -108,7 +114,7 @@
      * all queries about it.
      */
     public void onConfigurationUnavailable() {
-        configurationRevision = -1;
+        configurationVersion = Optional.empty();
         onConfigurationReadFailed();
     }
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
@@ -20,6 +20,7 @@
 import org.amaranthlock.model.SoftwareVersion;
 import org.amaranthlock.model.TargetId;
 import org.amaranthlock.platform.ClientRequest;
+import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreChange;
 import org.amaranthlock.platform.StoredObject;
 
@@ -154,9 +155,14 @@
      * Asks whether a configuration is still the newest; the receiver confirms it after its next read of the store.
      *
      * @param id id of the query, unique on its connection
-     * @param revision store revision of the configuration that the sender knows
+     * @param version version of the stored object that the sender knows
      */
-    record ConfigurationQuery(long id, long revision) implements EntryPeerMessage {}
+    record ConfigurationQuery(long id, ObjectVersion version) implements EntryPeerMessage {
+        /** Checks that the version is present. */
+        public ConfigurationQuery {
+            Objects.requireNonNull(version, "version");
+        }
+    }
 
     /** Reports prompt parts that may crash targets; has no response. */
     record PromptParts(PromptPartReport report) implements EntryPeerMessage {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
@@ -5,7 +5,9 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import org.amaranthlock.coordination.streamversion.StreamKey;
+import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreChange;
 import org.amaranthlock.platform.StoredObject;
 import org.msgpack.core.MessageBufferPacker;
@@ -76,8 +78,7 @@
                     LoadReportCodec.packBundle(pack(packer, REPORT_BUNDLE), bundle);
                 case EntryPeerMessage.LinkCheck check -> pack(packer, LINK_CHECK, check.id());
                 case EntryPeerMessage.LinkChecked checked -> pack(packer, LINK_CHECKED, checked.id());
-                case EntryPeerMessage.ConfigurationQuery query ->
-                    pack(packer, CONFIGURATION_QUERY, query.id(), query.revision());
+                case EntryPeerMessage.ConfigurationQuery query -> packConfigurationQuery(packer, query);
                 case EntryPeerMessage.PromptParts parts ->
                     PromptPartCodec.packReport(pack(packer, PROMPT_PARTS), parts.report());
                 case EntryPeerMessage.ConfigurationAnnounced announced ->
@@ -154,8 +155,7 @@
                 case REPORT_BUNDLE -> LoadReportCodec.unpackBundle(unpacker);
                 case LINK_CHECK -> new EntryPeerMessage.LinkCheck(unpacker.unpackLong());
                 case LINK_CHECKED -> new EntryPeerMessage.LinkChecked(unpacker.unpackLong());
-                case CONFIGURATION_QUERY ->
-                    new EntryPeerMessage.ConfigurationQuery(unpacker.unpackLong(), unpacker.unpackLong());
+                case CONFIGURATION_QUERY -> unpackConfigurationQuery(unpacker);
                 case PROMPT_PARTS -> new EntryPeerMessage.PromptParts(PromptPartCodec.unpackReport(unpacker));
                 case CONFIGURATION_ANNOUNCED -> new EntryPeerMessage.ConfigurationAnnounced(unpacker.unpackLong());
                 case TARGETS_QUERY -> new EntryPeerMessage.TargetsQuery(unpacker.unpackLong(), unpacker.unpackLong());
@@ -208,6 +208,23 @@
         }
     }
 
+    private static void packConfigurationQuery(MessageBufferPacker packer, EntryPeerMessage.ConfigurationQuery query)
+            throws IOException {
+        pack(packer, CONFIGURATION_QUERY, query.id(), query.version().revision());
+        if (query.version().contentHash().isPresent()) {
+            packer.packLong(query.version().contentHash().getAsLong());
+        }
+    }
+
+    /** Unpacks a query; hosts of builds that compare revisions only end it before the hash. */
+    private static EntryPeerMessage.ConfigurationQuery unpackConfigurationQuery(MessageUnpacker unpacker)
+            throws IOException {
+        long id = unpacker.unpackLong();
+        long revision = unpacker.unpackLong();
+        OptionalLong contentHash = unpacker.hasNext() ? OptionalLong.of(unpacker.unpackLong()) : OptionalLong.empty();
+        return new EntryPeerMessage.ConfigurationQuery(id, new ObjectVersion(revision, contentHash));
+    }
+
     private static void packStreamVersionQuery(MessageBufferPacker packer, EntryPeerMessage.StreamVersionQuery query)
             throws IOException {
         pack(packer, STREAM_VERSION_QUERY, query.id(), query.stream().value());
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationDelayTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationDelayTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.util.List;
 import java.util.function.Consumer;
 import org.amaranthlock.entry.control.ConfigurationFleet.Host;
 import org.junit.jupiter.api.Test;
@@ -104,6 +105,43 @@
         assertWithMessage("applied").that(host.inForceAtMillis(2)).isLessThan(Long.MAX_VALUE);
     }
 
+    // Guards against a configuration that is never applied, and a withdrawn key that is accepted for good, because the
+    // store came back from an older copy and gave the revision of a lost version to a new one.
+    @Test
+    void newerVersionWithTheRevisionOfALostOneIsAppliedInTime() {
+        for (long changeAt = 0; changeAt < 2_000; changeAt += STEP_MILLIS) {
+            ConfigurationFleet fleet = new ConfigurationFleet();
+            fleet.write(1, 10);
+            Host reader = fleet.addHost("entry-1", "a", 2_500);
+            Host follower = fleet.addHost("entry-2", "a", 2_500);
+            fleet.advance(2_000);
+            fleet.write(2, 11);
+            fleet.advance(2_500 + changeAt);
+            fleet.write(3, 11);
+            long acknowledgedAt = fleet.nowMillis();
+            fleet.advance(2_500);
+            for (Host host : List.of(reader, follower)) {
+                assertWithMessage("milliseconds until the change %s ms later is in force", changeAt)
+                        .that(host.inForceAtMillis(3) - acknowledgedAt)
+                        .isAtMost((long) (2_500 * USABLE_SHARE));
+            }
+        }
+    }
+
+    // As above, when only the follower missed the change: what it knows has the revision that the reader has read.
+    @Test
+    void readerDoesNotConfirmAnotherVersionWithTheSameRevision() {
+        ConfigurationFleet fleet = new ConfigurationFleet();
+        fleet.write(2, 11);
+        Host follower = fleet.addHost("entry-2", "a", 2_500);
+        fleet.advance(2_000);
+        fleet.write(3, 11);
+        Host reader = fleet.addHost("entry-1", "a", 2_500);
+        fleet.advance(2_500);
+        assertWithMessage("reader").that(reader.inForceAtMillis(3)).isLessThan(Long.MAX_VALUE);
+        assertWithMessage("follower").that(follower.inForceAtMillis(3)).isLessThan(Long.MAX_VALUE);
+    }
+
     // Load pattern: the store rejects all calls for seconds, and each host of a fleet repeats its read. Guards against
     // calls that cost more than the outage, and against a host that notices the return of the store late.
     @Test
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerStoreServerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerStoreServerTest.java
@@ -5,7 +5,9 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
+import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreChange;
 import org.amaranthlock.platform.StoredObject;
 import org.junit.jupiter.api.Test;
@@ -17,43 +19,43 @@
 
     @Test
     void confirmsConfigurationWithNextReadAndReportsWhenItWasSent() {
-        server.onConfigurationRead(7, 0);
+        server.onConfigurationRead(version(7), 0);
         nowMillis[0] = 20;
-        server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, 7), replies::add);
+        server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, version(7)), replies::add);
         assertThat(replies).isEmpty();
         nowMillis[0] = 940;
-        server.onConfigurationRead(7, 900);
+        server.onConfigurationRead(version(7), 900);
         assertThat(replies).containsExactly(new EntryPeerMessage.ConfigurationConfirmed(1, 880));
     }
 
     // Guards against a confirmation that counts as newer than its read, which was under way when the query arrived.
     @Test
     void reportsReadThatWasSentBeforeQueryArrived() {
-        server.onConfigurationRead(7, 0);
+        server.onConfigurationRead(version(7), 0);
         nowMillis[0] = 905;
-        server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, 7), replies::add);
+        server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, version(7)), replies::add);
         nowMillis[0] = 940;
-        server.onConfigurationRead(7, 900);
+        server.onConfigurationRead(version(7), 900);
         assertThat(replies).containsExactly(new EntryPeerMessage.ConfigurationConfirmed(1, -5));
     }
 
     // Guards against an outdated configuration that stays in force because a peer with a newer one confirms it.
     @Test
     void doesNotConfirmOutdatedConfiguration() {
-        server.onConfigurationRead(7, 0);
-        server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, 6), replies::add);
-        server.handleQuery(new EntryPeerMessage.ConfigurationQuery(2, 7), replies::add);
-        server.onConfigurationRead(8, 900);
+        server.onConfigurationRead(version(7), 0);
+        server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, version(6)), replies::add);
+        server.handleQuery(new EntryPeerMessage.ConfigurationQuery(2, version(7)), replies::add);
+        server.onConfigurationRead(version(8), 900);
         assertThat(replies).containsExactly(new EntryPeerMessage.NotKnown(1), new EntryPeerMessage.NotKnown(2));
     }
 
     // Guards against hosts that wait for a peer that cannot reach the store.
     @Test
     void repliesNotKnownAtOnceWhenLocalReadFails() {
-        server.onConfigurationRead(7, 0);
-        server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, 7), replies::add);
+        server.onConfigurationRead(version(7), 0);
+        server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, version(7)), replies::add);
         server.onConfigurationUnavailable();
-        server.handleQuery(new EntryPeerMessage.ConfigurationQuery(2, 7), replies::add);
+        server.handleQuery(new EntryPeerMessage.ConfigurationQuery(2, version(7)), replies::add);
         assertThat(replies).containsExactly(new EntryPeerMessage.NotKnown(1), new EntryPeerMessage.NotKnown(2));
     }
 
@@ -103,6 +105,33 @@
         assertThat(replies).containsExactly(new EntryPeerMessage.NotKnown(1));
     }
 
+    // Guards against a withdrawn key that is accepted for good: a store that came back from an older copy gave the
+    // revision of a lost configuration to another one.
+    @Test
+    void doesNotConfirmOtherContentWithTheSameRevision() {
+        server.onConfigurationRead(new ObjectVersion(7, OptionalLong.of(100)), 0);
+        server.handleQuery(
+                new EntryPeerMessage.ConfigurationQuery(1, new ObjectVersion(7, OptionalLong.of(200))), replies::add);
+        server.handleQuery(
+                new EntryPeerMessage.ConfigurationQuery(2, new ObjectVersion(7, OptionalLong.of(100))), replies::add);
+        server.onConfigurationRead(new ObjectVersion(7, OptionalLong.of(300)), 900);
+        assertThat(replies).containsExactly(new EntryPeerMessage.NotKnown(1), new EntryPeerMessage.NotKnown(2));
+    }
+
+    // Hosts of an earlier build name no content, and are answered by the revision.
+    @Test
+    void confirmsRevisionToHostOfEarlierBuild() {
+        server.onConfigurationRead(new ObjectVersion(7, OptionalLong.of(100)), 0);
+        server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, version(7)), replies::add);
+        server.onConfigurationRead(new ObjectVersion(7, OptionalLong.of(100)), 900);
+        assertThat(replies).containsExactly(new EntryPeerMessage.ConfigurationConfirmed(1, 900));
+    }
+
+    /** Returns a version as hosts of an earlier build name it. */
+    private static ObjectVersion version(long revision) {
+        return new ObjectVersion(revision, OptionalLong.empty());
+    }
+
     private static StoreChange change(String name, long revision) {
         return new StoreChange(new StoredObject(name, revision, JsonNodeFactory.instance.objectNode()), false);
     }
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
@@ -14,6 +14,7 @@
 import org.amaranthlock.coordination.forwarding.TargetTable;
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.metrics.EntryMetrics;
+import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.PlatformStore;
 import org.amaranthlock.platform.StoreReply;
 import org.jboss.logging.Logger;
@@ -79,7 +80,7 @@
         }
 
         @Override
-        public boolean confirmConfiguration(long revision, Consumer<OptionalLong> result) {
+        public boolean confirmConfiguration(ObjectVersion version, Consumer<OptionalLong> result) {
             return false;
         }
 
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/EntryPeerMessageCodecTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/EntryPeerMessageCodecTest.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
@@ -56,6 +57,7 @@
 import org.amaranthlock.model.SoftwareVersion;
 import org.amaranthlock.model.TargetId;
 import org.amaranthlock.platform.ClientRequest;
+import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreChange;
 import org.amaranthlock.platform.StoredObject;
 import org.junit.jupiter.api.Test;
@@ -87,7 +89,8 @@
                 new StoredObject("e1", 12, JsonNodeFactory.instance.objectNode().put("state", "ready"));
         List<EntryPeerMessage> messages = List.of(
                 new EntryPeerMessage.LoadReport(report),
-                new EntryPeerMessage.ConfigurationQuery(1, 20),
+                new EntryPeerMessage.ConfigurationQuery(1, new ObjectVersion(20, OptionalLong.empty())),
+                new EntryPeerMessage.ConfigurationQuery(1, ObjectVersion.of(object)),
                 new EntryPeerMessage.TargetsQuery(2, 21),
                 new EntryPeerMessage.ConfigurationConfirmed(1, 340),
                 new EntryPeerMessage.TargetsChanged(2, 22, List.of(new StoreChange(object, true))),
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/PeerMessageSamples.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/PeerMessageSamples.java
@@ -27,6 +27,7 @@
 import org.amaranthlock.model.ServiceName;
 import org.amaranthlock.model.TargetId;
 import org.amaranthlock.platform.ClientRequest;
+import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreChange;
 import org.amaranthlock.platform.StoredObject;
 
@@ -65,7 +66,9 @@
                 Set.of());
         Map<String, EntryPeerMessage> samples = new LinkedHashMap<>();
         samples.put("load-report", new EntryPeerMessage.LoadReport(report));
-        samples.put("configuration-query", new EntryPeerMessage.ConfigurationQuery(1, 20));
+        samples.put(
+                "configuration-query",
+                new EntryPeerMessage.ConfigurationQuery(1, new ObjectVersion(20, OptionalLong.empty())));
         samples.put("prompt-parts", new EntryPeerMessage.PromptParts(parts));
         samples.put("configuration-announced", new EntryPeerMessage.ConfigurationAnnounced(9));
         samples.put("targets-query", new EntryPeerMessage.TargetsQuery(2, 21));
