Decode each registration by itself, and never end the watch of targets

While an entry that was nested deeply or had a long number stayed, hosts did not start.

Cause: the next call of the watch is only sent from the handler of the one before, which an exception left; and a whole response was parsed as one text.

Why it works: no byte of an entry takes effect outside of its own decoding.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/TargetWatcher.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/TargetWatcher.java
@@ -1,5 +1,6 @@
 package org.amaranthlock.entry.control;
 
+import com.fasterxml.jackson.databind.node.MissingNode;
 import io.netty.channel.EventLoop;
 import java.util.Collection;
 import java.util.Iterator;
@@ -18,7 +19,6 @@
 import org.amaranthlock.coordination.forwarding.TargetTable;
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.metrics.EntryMetrics;
-import org.amaranthlock.model.TargetId;
 import org.amaranthlock.platform.PlatformStore;
 import org.amaranthlock.platform.StoreChange;
 import org.amaranthlock.platform.StoreReply;
@@ -130,10 +130,17 @@
     }
 
     private void addListed(StoredObject object) {
-        registrations.put(object.name(), object);
+        registrations.put(object.name(), withoutUnusableContent(object));
         TargetRegistrationDecoder.decode(object).ifPresent(target -> listing.put(target, object.revision()));
     }
 
+    /** Drops what another writer has stored, which may be long, and would be sent to each host that starts. */
+    private static StoredObject withoutUnusableContent(StoredObject object) {
+        return TargetRegistrationDecoder.decode(object).isPresent()
+                ? object
+                : new StoredObject(object.name(), object.revision(), MissingNode.getInstance());
+    }
+
     private void list() {
         listing.clear();
         registrations.clear();
@@ -143,14 +150,18 @@
     }
 
     private void requestPage(String after) {
-        store.list(TargetRegistrationDecoder.KIND, after, CALL_TIMEOUT_MILLIS, this::onListReply);
+        store.list(
+                TargetRegistrationDecoder.KIND,
+                after,
+                CALL_TIMEOUT_MILLIS,
+                relistingOnFault("list", this::onListReply));
     }
 
     private void onListReply(StoreReply reply) {
         metrics.recordStoreCall("target-list", reply.getClass().getSimpleName());
         if (!(reply instanceof StoreReply.Page page)) {
             recordFailure("list", reply);
-            loop.schedule(this::list, backoff.nextDelayMillis(), TimeUnit.MILLISECONDS);
+            listLater();
             return;
         }
         // The watch starts at the revision of the first page, so that no change made during the list is missed.
@@ -177,7 +188,7 @@
 
     /** Waits for changes; a peer that has just taken over the watch may not know the revision at the first query. */
     private void awaitChanges(long revision, Iterator<Long> delays) {
-        boolean querySent = peerReader.fetchTargetChanges(revision, changes -> {
+        boolean querySent = peerReader.fetchTargetChanges(revision, relistingOnFault("peer", changes -> {
             if (changes.isPresent()) {
                 applyChanges(changes.get());
                 awaitChanges(changes.get().revision());
@@ -186,7 +197,7 @@
             } else {
                 watch(revision);
             }
-        });
+        }));
         if (querySent) {
             peerStoreServer.onWatchStopped();
         } else {
@@ -197,22 +208,47 @@
     private void watch(long revision) {
         peerStoreServer.onWatchStarted(revision);
         store.watch(
-                TargetRegistrationDecoder.KIND, revision, WATCH_MILLIS, WATCH_MILLIS + CALL_TIMEOUT_MILLIS, reply -> {
-                    metrics.recordStoreCall("target-watch", reply.getClass().getSimpleName());
-                    switch (reply) {
-                        case StoreReply.Changes changes -> {
-                            applyChanges(changes);
-                            peerStoreServer.onTargetsChanged(changes.changes(), changes.revision());
-                            long pause = changes.changes().isEmpty() ? 0 : COALESCE_DELAY_MILLIS;
-                            loop.schedule(() -> awaitChanges(changes.revision()), pause, TimeUnit.MILLISECONDS);
-                        }
-                        default -> {
-                            peerStoreServer.onWatchStopped();
-                            recordFailure("watch", reply);
-                            loop.schedule(this::list, backoff.nextDelayMillis(), TimeUnit.MILLISECONDS);
-                        }
-                    }
-                });
+                TargetRegistrationDecoder.KIND,
+                revision,
+                WATCH_MILLIS,
+                WATCH_MILLIS + CALL_TIMEOUT_MILLIS,
+                relistingOnFault("watch", this::onWatchReply));
+    }
+
+    private void onWatchReply(StoreReply reply) {
+        metrics.recordStoreCall("target-watch", reply.getClass().getSimpleName());
+        switch (reply) {
+            case StoreReply.Changes changes -> {
+                applyChanges(changes);
+                peerStoreServer.onTargetsChanged(changes.changes(), changes.revision());
+                long pause = changes.changes().isEmpty() ? 0 : COALESCE_DELAY_MILLIS;
+                loop.schedule(() -> awaitChanges(changes.revision()), pause, TimeUnit.MILLISECONDS);
+            }
+            default -> {
+                recordFailure("watch", reply);
+                listLater();
+            }
+        }
+    }
+
+    /**
+     * Returns a handler that lists the targets anew if {@code handler} fails. The next call is only sent from such a
+     * handler, so that an exception would end the watch for good.
+     */
+    private <T> Consumer<T> relistingOnFault(String call, Consumer<T> handler) {
+        return result -> {
+            try {
+                handler.accept(result);
+            } catch (RuntimeException e) {
+                log.write("target-entries-fault", "call", call, "cause", e);
+                listLater();
+            }
+        };
+    }
+
+    private void listLater() {
+        peerStoreServer.onWatchStopped();
+        loop.schedule(this::list, backoff.nextDelayMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void applyChanges(StoreReply.Changes changes) {
@@ -228,13 +264,14 @@
         StoredObject object = change.object();
         StoredObject registered = registrations.get(object.name());
         if (registered == null || registered.revision() <= object.revision()) {
-            registrations.compute(object.name(), (_, _) -> change.removed() ? null : object);
+            registrations.compute(object.name(), (_, _) -> change.removed() ? null : withoutUnusableContent(object));
         }
         Optional<EntryTarget> target = change.removed() ? Optional.empty() : TargetRegistrationDecoder.decode(object);
         if (target.isPresent()) {
             registry.applyChange(target.get(), object.revision(), now);
         } else {
-            registry.applyRemoval(new TargetId(object.name()), object.revision(), now);
+            TargetRegistrationDecoder.targetId(object)
+                    .ifPresent(id -> registry.applyRemoval(id, object.revision(), now));
         }
         log.write(
                 "target-changed",
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
@@ -1,6 +1,9 @@
 package org.amaranthlock.entry.peer;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
@@ -323,7 +326,17 @@
     }
 
     static StoredObject unpackObject(MessageUnpacker unpacker) throws IOException {
-        return new StoredObject(unpacker.unpackString(), unpacker.unpackLong(), JSON.readTree(unpacker.unpackString()));
+        return new StoredObject(unpacker.unpackString(), unpacker.unpackLong(), unpackContent(unpacker));
+    }
+
+    /** Unpacks the content of an object; one that cannot be decoded is missing, as if this host had read it itself. */
+    private static JsonNode unpackContent(MessageUnpacker unpacker) throws IOException {
+        String content = unpacker.unpackString();
+        try {
+            return JSON.readTree(content);
+        } catch (JsonProcessingException e) {
+            return MissingNode.getInstance(); // decoders of objects report what is missing
+        }
     }
 
     static int checkEntryCount(int entries) {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
@@ -28,13 +28,14 @@
     private final Store store = new Store();
     private final List<TargetTable> published = new ArrayList<>();
     private long nowMillis;
+    private RuntimeException listenerFault;
     private final TargetWatcher watcher = new TargetWatcher(
             store,
             channel.eventLoop(),
             () -> nowMillis,
             new NoPeers(),
             new PeerStoreServer(() -> nowMillis),
-            published::add,
+            this::publish,
             Mechanisms.ALL,
             new DecisionLog(Logger.getLogger("target-watcher-test"), () -> nowMillis),
             new EntryMetrics());
@@ -102,6 +103,27 @@
         assertThat(published).hasSize(1);
     }
 
+    // Guards against a fault in what follows a change, after which no further call is sent.
+    @Test
+    void faultOfAListenerDoesNotEndTheWatch() {
+        channel.freezeTime();
+        store.rejects = false;
+        listenerFault = new IllegalStateException("fault of the test");
+        watcher.start();
+        advance(1_000);
+        assertThat(published).isEmpty();
+        listenerFault = null;
+        advance(2_000);
+        assertThat(published).hasSize(1);
+    }
+
+    private void publish(TargetTable table) {
+        if (listenerFault != null) {
+            throw listenerFault;
+        }
+        published.add(table);
+    }
+
     private void advance(long millis) {
         for (long step = 0; step < millis; step += STEP_MILLIS) {
             nowMillis += STEP_MILLIS;
