Do not wait for a host whose link to the store is silent

Cause: those hosts learn of workers from the cut one and waited until its watch timed out (4.8 s), though its reads of the configuration had failed long before.

Change: an unanswered read makes the host's watch suspect; it tells the others at once that it knows nothing, and repeats the watch on another connection when the store responds again. The others ask the next host of the domain, which watches in its place; hosts that find the store silent themselves go on asking.

Why it works: the frequent read of the configuration is the check of the link, and one other host of the domain replaces the reader within two seconds.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -168,9 +168,9 @@
         this.promptPartExchange = createPromptPartExchange(promptPartGuard, trafficLoop, controlLoop, random);
         PeerStoreServer peerStoreServer = new PeerStoreServer(ageClock::millis);
         PeerStoreClient peerStoreClient = createPeerStoreClient(controlLoop);
+        this.targetWatcher = createTargetWatcher(trafficLoop, controlLoop, peerStoreClient, peerStoreServer);
         this.configurationPoller = createConfigurationPoller(controlLoop, ageClock, peerStoreClient, peerStoreServer);
         this.configurationFetchServer = new ConfigurationFetchServer(configurationPoller, ageClock::millis);
-        this.targetWatcher = createTargetWatcher(trafficLoop, controlLoop, peerStoreClient, peerStoreServer);
         this.startStateServer = new StartStateServer(
                 controlLoop, configurationPoller, targetWatcher, peerStoreServer, promptPartExchange, ageClock::millis);
         this.startFromPeers = createStartFromPeers(controlLoop, ageClock);
@@ -441,6 +441,7 @@
                 ConfigurationPollTimes.within(settings.bounds().maxConfigurationAgeMillis()),
                 peerReader,
                 peerStoreServer,
+                targetWatcher,
                 (configuration, sentAt) -> {
                     startStateServer.onPartKnown();
                     configurationFetchServer.onConfigurationKnown();
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
@@ -44,6 +44,7 @@
     private final RetryBackoff backoff;
     private final PeerStoreReader peerReader;
     private final PeerStoreServer peerStoreServer;
+    private final StoreLinkListener linkListener;
     private final ConfigurationListener listener;
     private final LongConsumer announcer;
     private final DecisionLog log;
@@ -88,6 +89,7 @@
             ConfigurationPollTimes times,
             PeerStoreReader peerReader,
             PeerStoreServer peerStoreServer,
+            StoreLinkListener linkListener,
             ConfigurationListener listener,
             LongConsumer announcer,
             DecisionLog log,
@@ -99,6 +101,7 @@
         this.backoff = new RetryBackoff(times.retryDelayMillis(), times.intervalMillis());
         this.peerReader = Objects.requireNonNull(peerReader, "peer reader");
         this.peerStoreServer = Objects.requireNonNull(peerStoreServer, "peer store server");
+        this.linkListener = Objects.requireNonNull(linkListener, "link listener");
         this.listener = Objects.requireNonNull(listener, "listener");
         this.announcer = Objects.requireNonNull(announcer, "announcer");
         this.log = Objects.requireNonNull(log, "log");
@@ -275,6 +278,11 @@
         metrics.recordStoreCall("configuration", reply.getClass().getSimpleName());
         boolean usable = reply instanceof StoreReply.Found found && confirm(found.object(), sentAt);
         recordUsable(usable, describe(reply));
+        if (reply instanceof StoreReply.Unanswered) {
+            linkListener.onStoreSilent();
+        } else {
+            linkListener.onStoreResponded();
+        }
         if (!usable) {
             peerStoreServer.onConfigurationReadFailed();
             schedule(this::queryOrRead, backoff.nextDelayMillis());
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreClient.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreClient.java
@@ -3,11 +3,13 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -101,11 +103,25 @@
 
     @Override
     public boolean fetchTargetChanges(long revision, Consumer<Optional<StoreReply.Changes>> result) {
+        return fetchTargetChanges(selectReader(), revision, result);
+    }
+
+    @Override
+    public boolean fetchTargetChangesFromSuccessor(long revision, Consumer<Optional<StoreReply.Changes>> result) {
+        Set<String> successors = new HashSet<>(peerQueries.connectedPeers());
+        selectReader().ifPresent(successors::remove);
+        return fetchTargetChanges(readerSelector.select(successors, clockMillis.getAsLong()), revision, result);
+    }
+
+    private boolean fetchTargetChanges(
+            Optional<String> reader, long revision, Consumer<Optional<StoreReply.Changes>> result) {
         long id = ++lastQueryId;
         return sendQuery(
+                reader,
                 id,
                 new EntryPeerMessage.TargetsQuery(id, revision),
                 TARGETS_TIMEOUT_MILLIS,
+                this::onTimeout,
                 response -> result.accept(
                         response instanceof EntryPeerMessage.TargetsChanged changed
                                 ? Optional.of(new StoreReply.Changes(changed.changes(), changed.revision()))
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreReader.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreReader.java
@@ -43,4 +43,11 @@
      * @return whether a query was sent to a peer; if not, {@code result} is not called
      */
     boolean fetchTargetChanges(long revision, Consumer<Optional<StoreReply.Changes>> result);
+
+    /**
+     * Asks the peer that reads the store if the first one cannot, in the same way as {@link #fetchTargetChanges}.
+     *
+     * @return whether a query was sent to a peer; if not, {@code result} is not called
+     */
+    boolean fetchTargetChangesFromSuccessor(long revision, Consumer<Optional<StoreReply.Changes>> result);
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/TargetWatcher.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/TargetWatcher.java
@@ -26,7 +26,7 @@
 import org.amaranthlock.platform.TargetRegistrationDecoder;
 
 /** Lists the targets and then watches for changes, in the store or through a peer that watches the store. */
-public final class TargetWatcher {
+public final class TargetWatcher implements StoreLinkListener {
     /** Time for which the store waits for a change; a dead connection is detected only after it has elapsed. */
     private static final long WATCH_MILLIS = 4_000;
 
@@ -47,6 +47,12 @@
      */
     private static final List<Long> TAKEOVER_DELAYS_MILLIS = List.of(100L, RETRY_DELAY_MILLIS + 150);
 
+    /** Time for the successor of a peer that cannot read the store to begin its own watch, in milliseconds. */
+    private static final long SUCCESSOR_DELAY_MILLIS = 100;
+
+    /** Time after an unanswered call for which a host that has peers leaves the store to them, in milliseconds. */
+    private static final long SILENCE_MILLIS = 4_000;
+
     /** Delay after a change, so that one call returns several changes in quick succession. */
     private static final long COALESCE_DELAY_MILLIS = 250;
 
@@ -56,6 +62,8 @@
      */
     private static final long OUTAGE_THRESHOLD_MILLIS = 1_000;
 
+    private static final long NEVER_MILLIS = Long.MIN_VALUE / 2; // half, so that an age does not overflow
+
     private final PlatformStore store;
     private final EventLoop loop;
     private final LongSupplier clockMillis;
@@ -72,6 +80,19 @@
     private final Map<String, StoredObject> registrations = new TreeMap<>();
 
     private long listRevision;
+
+    /** Revision of the waiting watch; negative if none is waiting. */
+    private long watchedRevision = -1;
+
+    /** Number of the current watch; the result of an earlier one is ignored. */
+    private long watchNumber;
+
+    /** Whether another call got no response while the current watch was waiting. */
+    private boolean watchSuspect;
+
+    /** Time of the last call that got no response and was followed by none that got one. */
+    private long silentAtMillis = NEVER_MILLIS;
+
     private long failingSinceMillis = -1;
     private boolean started;
 
@@ -195,7 +216,7 @@
             } else if (delays.hasNext()) {
                 loop.schedule(() -> awaitChanges(revision, delays), delays.next(), TimeUnit.MILLISECONDS);
             } else {
-                watch(revision);
+                awaitChangesOfSuccessor(revision, true);
             }
         }));
         if (querySent) {
@@ -205,14 +226,81 @@
         }
     }
 
+    /**
+     * Waits for changes that the successor of the reader knows, so that one host of the domain watches in place of a
+     * reader whose link to the store is cut; one that does not watch yet is asked once more.
+     */
+    private void awaitChangesOfSuccessor(long revision, boolean again) {
+        boolean querySent =
+                peerReader.fetchTargetChangesFromSuccessor(revision, relistingOnFault("successor", changes -> {
+                    if (changes.isPresent()) {
+                        applyChanges(changes.get());
+                        awaitChanges(changes.get().revision());
+                    } else if (again) {
+                        loop.schedule(
+                                () -> awaitChangesOfSuccessor(revision, false),
+                                SUCCESSOR_DELAY_MILLIS,
+                                TimeUnit.MILLISECONDS);
+                    } else {
+                        watchUnlessSilent(revision);
+                    }
+                }));
+        if (!querySent) {
+            watch(revision);
+        }
+    }
+
+    /**
+     * Watches in place of peers that know no changes, unless the store is silent for this host too: while it is away,
+     * each host of a fleet would otherwise watch, and list the targets afterwards.
+     */
+    private void watchUnlessSilent(long revision) {
+        if (clockMillis.getAsLong() - silentAtMillis < SILENCE_MILLIS) {
+            loop.schedule(() -> awaitChanges(revision), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            watch(revision);
+        }
+    }
+
     private void watch(long revision) {
         peerStoreServer.onWatchStarted(revision);
+        watchedRevision = revision;
+        watchSuspect = false;
+        long number = ++watchNumber;
         store.watch(
                 TargetRegistrationDecoder.KIND,
                 revision,
                 WATCH_MILLIS,
                 WATCH_MILLIS + CALL_TIMEOUT_MILLIS,
-                relistingOnFault("watch", this::onWatchReply));
+                relistingOnFault("watch", reply -> {
+                    if (number == watchNumber) {
+                        watchedRevision = -1;
+                        onWatchReply(reply);
+                    }
+                }));
+    }
+
+    /**
+     * Handles a call to the store that got no response. The connection of the waiting watch may have gone silent as well,
+     * so that other hosts must not rely on it.
+     */
+    @Override
+    public void onStoreSilent() {
+        silentAtMillis = clockMillis.getAsLong();
+        if (watchedRevision >= 0) {
+            watchSuspect = true;
+            peerStoreServer.onWatchStopped();
+        }
+    }
+
+    /** Handles a response of the store; a watch that has become suspect is sent again, on another connection. */
+    @Override
+    public void onStoreResponded() {
+        silentAtMillis = NEVER_MILLIS;
+        if (watchedRevision >= 0 && watchSuspect) {
+            log.write("target-watch-repeated", "revision", watchedRevision);
+            watch(watchedRevision);
+        }
     }
 
     private void onWatchReply(StoreReply reply) {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
@@ -141,6 +141,7 @@
                     ConfigurationPollTimes.within(applyMillis),
                     client,
                     server,
+                    StoreLinkListener.none(),
                     (configuration, sentAtMillis) -> {
                         inForceAtMillis.putIfAbsent(configuration.version(), nowMillis);
                         confirmedAtMillis = Math.max(confirmedAtMillis, sentAtMillis);
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/SimulatedStore.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/SimulatedStore.java
@@ -71,6 +71,12 @@
         objects(kind).put(name, new StoredObject(name, olderRevision, spec));
     }
 
+    /** Has all waiting watches get no response; further calls are answered. */
+    void silenceWatches() {
+        watches.forEach(watch -> watch.done = true);
+        watches.clear();
+    }
+
     /** Sets whether calls get no response. */
     void away(boolean newAway) {
         away = newAway;
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/StartFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/StartFleet.java
@@ -102,6 +102,12 @@
         }
     }
 
+    /** Has all connections to the store that are open go silent; new ones work. */
+    void silenceStoreConnections() {
+        store.silenceWatches();
+        hosts.values().forEach(host -> host.losesNextCall = true);
+    }
+
     long nowMillis() {
         return nowMillis;
     }
@@ -143,6 +149,7 @@
         private final Set<String> connecting = new LinkedHashSet<>();
         private boolean suspended;
         private boolean cutFromStore;
+        private boolean losesNextCall;
         private boolean killed;
         private boolean earlierBuild;
         private boolean verdictsKnown;
@@ -154,7 +161,7 @@
         private Host(String name, String domain) {
             this.name = name;
             this.domain = domain;
-            var storeClient = store.clientOf(this::whenRunning, () -> cutFromStore);
+            var storeClient = store.clientOf(this::whenRunning, () -> cutFromStore || losesCall());
             this.client = new PeerStoreClient(
                     channel.eventLoop(),
                     new StoreReaderSelector(name),
@@ -162,32 +169,33 @@
                     () -> nowMillis,
                     log,
                     metrics);
-            this.poller = new ConfigurationPoller(
+            this.watcher = new TargetWatcher(
                     storeClient,
                     channel.eventLoop(),
                     () -> nowMillis,
-                    ConfigurationPollTimes.within(APPLY_MILLIS),
                     client,
                     server,
-                    (configuration, sentAtMillis) -> {
-                        version = configuration.version();
-                        confirmedAtMillis = Math.max(confirmedAtMillis, sentAtMillis);
+                    table -> {
+                        targets = table;
                         checkReady();
                     },
-                    this::announce,
+                    Mechanisms.ALL,
                     log,
                     metrics);
-            this.watcher = new TargetWatcher(
+            this.poller = new ConfigurationPoller(
                     storeClient,
                     channel.eventLoop(),
                     () -> nowMillis,
+                    ConfigurationPollTimes.within(APPLY_MILLIS),
                     client,
                     server,
-                    table -> {
-                        targets = table;
+                    watcher,
+                    (configuration, sentAtMillis) -> {
+                        version = configuration.version();
+                        confirmedAtMillis = Math.max(confirmedAtMillis, sentAtMillis);
                         checkReady();
                     },
-                    Mechanisms.ALL,
+                    this::announce,
                     log,
                     metrics);
             this.verdicts = new PromptPartVerdicts(
@@ -278,6 +286,13 @@
             cutFromStore = true;
         }
 
+        /** Returns whether the next call or response is lost, because it uses a connection that has gone silent. */
+        private boolean losesCall() {
+            boolean lost = losesNextCall;
+            losesNextCall = false;
+            return lost;
+        }
+
         /** The host ends, and its connections are closed. */
         void kill() {
             killed = true;
--- /dev/null
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetDelayTest.java
@@ -0,0 +1,68 @@
+package org.amaranthlock.entry.control;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import org.amaranthlock.entry.control.StartFleet.Host;
+import org.junit.jupiter.api.Test;
+
+/** Adds up the time from the report of a leaving target until hosts send it nothing more, in virtual time. */
+class TargetDelayTest {
+    /** Time after the report within which no request may be sent to the target any more, in milliseconds. */
+    private static final long DRAIN_MILLIS = 2_500;
+
+    private static final int HOSTS = 4;
+    private static final int STEP_MILLIS = 130;
+
+    /** Range of the times from the fault to the report; longer than a watch and all delays after it. */
+    private static final int RANGE_MILLIS = 6_000;
+
+    // Guards against hosts that wait for the changes of a host whose link to the store is cut without a reset.
+    @Test
+    void leavingTargetIsKnownInTimeWhileTheReaderIsCutFromTheStore() {
+        assertKnownInTime((_, reader) -> reader.cutFromStore(), 1);
+    }
+
+    // Guards against hosts that wait for a silent host longer than a target serves on.
+    @Test
+    void leavingTargetIsKnownInTimeWhileTheReaderIsSuspended() {
+        assertKnownInTime((_, reader) -> reader.suspend(), 1);
+    }
+
+    @Test
+    void leavingTargetIsKnownInTimeWhenTheReaderIsKilled() {
+        assertKnownInTime((_, reader) -> reader.kill(), 1);
+    }
+
+    // Guards against a watch that is awaited for seconds on a connection that has gone silent while new ones work.
+    @Test
+    void leavingTargetIsKnownInTimeWhenOpenConnectionsToTheStoreGoSilent() {
+        assertKnownInTime((fleet, _) -> fleet.silenceStoreConnections(), 0);
+    }
+
+    /** Checks all hosts from {@code firstHost} on; those before it have the fault. */
+    private static void assertKnownInTime(BiConsumer<StartFleet, Host> fault, int firstHost) {
+        for (int reportedAfter = 0; reportedAfter < RANGE_MILLIS; reportedAfter += STEP_MILLIS) {
+            StartFleet fleet = new StartFleet(1, true);
+            List<Host> hosts = new ArrayList<>();
+            for (int number = 0; number < HOSTS; number++) {
+                hosts.add(fleet.start(number));
+            }
+            // The offset of the watch differs from run to run.
+            fleet.advance(8_000 + 3L * reportedAfter);
+            fault.accept(fleet, hosts.getFirst());
+            fleet.advance(reportedAfter);
+            fleet.putTarget("engine-1", "draining");
+            fleet.advance(DRAIN_MILLIS);
+            for (Host host : hosts.subList(firstHost, HOSTS)) {
+                assertWithMessage(
+                                "%s sends requests to a target that reported %s ms after the fault",
+                                host.name, reportedAfter)
+                        .that(host.uses("engine-1"))
+                        .isFalse();
+            }
+        }
+    }
+}
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
@@ -85,6 +85,11 @@
             return false;
         }
 
+        @Override
+        public boolean fetchTargetChangesFromSuccessor(long revision, Consumer<Optional<StoreReply.Changes>> result) {
+            return false;
+        }
+
         @Override
         public boolean fetchTargetChanges(long revision, Consumer<Optional<StoreReply.Changes>> result) {
             return false;
