Give positions in the store the era that they belong to

Cause: a position was a revision alone, and revisions of the lost history were compared with those of the new one: in queries between hosts, watches, pages of a list, states sent to hosts that start, and entries that expired meanwhile.

Change: StorePosition holds the store's Store-Era beside the revision, also in messages between hosts (appended; a host of an earlier build names none). What comes from another history makes a host list anew at once.

Why it works: no revision is compared across histories any more.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetRegistry.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetRegistry.java
@@ -108,6 +108,8 @@
     private void removeOrMarkMissing(TargetId id, long nowMillis) {
         if (nowMillis - storeRecoveredAtMillis < REREGISTRATION_GRACE_MILLIS) {
             missingEntries.put(id, storeRecoveredAtMillis);
+            // Any later change counts: the revisions of a store that came back from an older copy are lower.
+            entries.computeIfPresent(id, (_, entry) -> new RegistryEntry(entry.target(), Long.MIN_VALUE));
         } else {
             entries.remove(id);
         }
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/TargetRegistryTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/TargetRegistryTest.java
@@ -73,6 +73,16 @@
         assertThat(ids(20)).containsExactly("t0");
     }
 
+    // Guards against a target that is lost because it registers again with a lower revision, in a store that came back
+    // from an older copy.
+    @Test
+    void targetThatRegistersAgainWithALowerRevisionIsKept() {
+        registry.applyList(Map.of(first, 500L, second, 501L), false, 0);
+        registry.applyList(Map.of(second, 480L), true, 10_000);
+        registry.applyChange(first, 490, 10_500);
+        assertThat(ids(10_000 + 2 * TargetRegistry.REREGISTRATION_GRACE_MILLIS)).containsExactly("t1", "t2");
+    }
+
     private List<String> ids(long nowMillis) {
         return registry.table(nowMillis).targets().stream()
                 .map(target -> target.id().value())
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreClient.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreClient.java
@@ -19,6 +19,7 @@
 import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.platform.ObjectVersion;
+import org.amaranthlock.platform.StorePosition;
 import org.amaranthlock.platform.StoreReply;
 
 /** {@link PeerStoreReader} that sends queries over the peer connections. All calls are on the control loop. */
@@ -102,29 +103,30 @@
     }
 
     @Override
-    public boolean fetchTargetChanges(long revision, Consumer<Optional<StoreReply.Changes>> result) {
-        return fetchTargetChanges(selectReader(), revision, result);
+    public boolean fetchTargetChanges(StorePosition position, Consumer<Optional<StoreReply.Changes>> result) {
+        return fetchTargetChanges(selectReader(), position, result);
     }
 
     @Override
-    public boolean fetchTargetChangesFromSuccessor(long revision, Consumer<Optional<StoreReply.Changes>> result) {
+    public boolean fetchTargetChangesFromSuccessor(
+            StorePosition position, Consumer<Optional<StoreReply.Changes>> result) {
         Set<String> successors = new HashSet<>(peerQueries.connectedPeers());
         selectReader().ifPresent(successors::remove);
-        return fetchTargetChanges(readerSelector.select(successors, clockMillis.getAsLong()), revision, result);
+        return fetchTargetChanges(readerSelector.select(successors, clockMillis.getAsLong()), position, result);
     }
 
     private boolean fetchTargetChanges(
-            Optional<String> reader, long revision, Consumer<Optional<StoreReply.Changes>> result) {
+            Optional<String> reader, StorePosition position, Consumer<Optional<StoreReply.Changes>> result) {
         long id = ++lastQueryId;
         return sendQuery(
                 reader,
                 id,
-                new EntryPeerMessage.TargetsQuery(id, revision),
+                new EntryPeerMessage.TargetsQuery(id, position),
                 TARGETS_TIMEOUT_MILLIS,
                 this::onTimeout,
                 response -> result.accept(
                         response instanceof EntryPeerMessage.TargetsChanged changed
-                                ? Optional.of(new StoreReply.Changes(changed.changes(), changed.revision()))
+                                ? Optional.of(new StoreReply.Changes(changed.changes(), changed.position()))
                                 : Optional.empty()));
     }
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreReader.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreReader.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.platform.ObjectVersion;
+import org.amaranthlock.platform.StorePosition;
 import org.amaranthlock.platform.StoreReply;
 
 /** Reads from the store through a peer of the same failure domain, or region if the store is in another one. */
@@ -38,16 +39,16 @@
     /**
      * Asks a peer for changes of targets; the peer waits some seconds for a change before it responds.
      *
-     * @param revision store revision after which changes are reported
+     * @param position position in the store after which changes are reported
      * @param result receives the changes, or empty if the peer does not know them
      * @return whether a query was sent to a peer; if not, {@code result} is not called
      */
-    boolean fetchTargetChanges(long revision, Consumer<Optional<StoreReply.Changes>> result);
+    boolean fetchTargetChanges(StorePosition position, Consumer<Optional<StoreReply.Changes>> result);
 
     /**
      * Asks the peer that reads the store if the first one cannot, in the same way as {@link #fetchTargetChanges}.
      *
      * @return whether a query was sent to a peer; if not, {@code result} is not called
      */
-    boolean fetchTargetChangesFromSuccessor(long revision, Consumer<Optional<StoreReply.Changes>> result);
+    boolean fetchTargetChangesFromSuccessor(StorePosition position, Consumer<Optional<StoreReply.Changes>> result);
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreServer.java
@@ -14,6 +14,7 @@
 import org.amaranthlock.entry.peer.EntryPeerMessage.TargetsQuery;
 import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreChange;
+import org.amaranthlock.platform.StorePosition;
 
 /**
  * Responds to queries of other hosts with data that this host has read from the store.
@@ -38,7 +39,7 @@
 
     private boolean watchingTargets;
     private long oldestRetainedRevision;
-    private long targetsRevision;
+    private StorePosition targetsPosition = new StorePosition(StorePosition.UNKNOWN_ERA, 0);
     private long listSentAtMillis;
     private long watchSentAtMillis;
 
@@ -72,11 +73,14 @@
 
     /** Handles a query about targets. */
     public void handleQuery(TargetsQuery query, Consumer<EntryPeerMessage> reply) {
-        if (!watchingTargets
-                || query.revision() < oldestRetainedRevision
+        if (watchingTargets && !targetsPosition.isSameHistory(query.position())) {
+            // The position shows the sender that it must list the targets anew.
+            reply.accept(new EntryPeerMessage.TargetsChanged(query.id(), targetsPosition, List.of()));
+        } else if (!watchingTargets
+                || query.position().revision() < oldestRetainedRevision
                 || pendingTargetsQueries.size() >= MAX_PENDING_QUERIES) {
             reply.accept(new EntryPeerMessage.NotKnown(query.id()));
-        } else if (query.revision() < targetsRevision) {
+        } else if (query.position().revision() < targetsPosition.revision()) {
             replyWithChanges(query, reply);
         } else {
             pendingTargetsQueries.add(new PendingTargetsQuery(query, reply));
@@ -149,33 +153,33 @@
         return watchingTargets ? targetsConfirmedAtMillis : OptionalLong.empty();
     }
 
-    /** Returns the store revision up to which this host, which watches the targets, knows their changes. */
-    public long targetsRevision() {
-        return targetsRevision;
+    /** Returns the position in the store up to which this host, which watches the targets, knows their changes. */
+    public StorePosition targetsPosition() {
+        return targetsPosition;
     }
 
-    /** Records that this host itself watches the targets in the store from a revision on. */
-    public void onWatchStarted(long revision) {
+    /** Records that this host itself watches the targets in the store from a position on. */
+    public void onWatchStarted(StorePosition position) {
         watchSentAtMillis = ageClockMillis.getAsLong();
-        if (watchingTargets && revision == targetsRevision) {
+        if (watchingTargets && position.equals(targetsPosition)) {
             return;
         }
         watchingTargets = true;
-        oldestRetainedRevision = revision;
-        targetsRevision = revision;
+        oldestRetainedRevision = position.revision();
+        targetsPosition = position;
         retainedChanges.clear();
     }
 
     /** Records the result of this host's watch and responds to all pending queries, even if nothing changed. */
-    public void onTargetsChanged(List<StoreChange> changes, long revision) {
+    public void onTargetsChanged(List<StoreChange> changes, StorePosition position) {
         targetsConfirmedAtMillis = OptionalLong.of(watchSentAtMillis);
         for (StoreChange change : changes) {
-            retainedChanges.addLast(new RetainedChange(change, revision));
+            retainedChanges.addLast(new RetainedChange(change, position.revision()));
         }
         while (retainedChanges.size() > MAX_RETAINED_CHANGES) {
             oldestRetainedRevision = retainedChanges.removeFirst().revision();
         }
-        targetsRevision = Math.max(targetsRevision, revision);
+        targetsPosition = position.atLeast(targetsPosition.revision());
         List<PendingTargetsQuery> pending = List.copyOf(pendingTargetsQueries);
         pendingTargetsQueries.clear();
         pending.forEach(pendingQuery -> replyWithChanges(pendingQuery.query(), pendingQuery.reply()));
@@ -196,10 +200,10 @@
 
     private void replyWithChanges(TargetsQuery query, Consumer<EntryPeerMessage> reply) {
         List<StoreChange> newer = retainedChanges.stream()
-                .filter(retained -> retained.revision() > query.revision())
+                .filter(retained -> retained.revision() > query.position().revision())
                 .map(RetainedChange::change)
                 .toList();
-        long revision = Math.max(targetsRevision, query.revision());
-        reply.accept(new EntryPeerMessage.TargetsChanged(query.id(), revision, newer));
+        StorePosition position = targetsPosition.atLeast(query.position().revision());
+        reply.accept(new EntryPeerMessage.TargetsChanged(query.id(), position, newer));
     }
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/RolloutWatcher.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/RolloutWatcher.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -21,6 +22,7 @@
 import org.amaranthlock.platform.RolloutCodec;
 import org.amaranthlock.platform.RolloutCodec.StoredOrder;
 import org.amaranthlock.platform.StoreChange;
+import org.amaranthlock.platform.StorePosition;
 import org.amaranthlock.platform.StoreReply;
 import org.amaranthlock.platform.StoredObject;
 
@@ -88,8 +90,8 @@
     private long startedMillis;
     private long readMillis = -1;
 
-    /** Newest revision that the reader knows; it starts anew with the list before a watch, as the store's may. */
-    private long knownRevision = -1;
+    /** Newest position that the reader knows; it starts anew with the list before a watch, as the store's history may. */
+    private StorePosition knownPosition = new StorePosition(StorePosition.UNKNOWN_ERA, -1);
 
     private long confirmDueMillis = Long.MAX_VALUE;
     private long lastConfirmMillis = Long.MIN_VALUE / 2; // half, so that the age does not overflow
@@ -238,13 +240,13 @@
     private void list(boolean thenWatch) {
         long sent = clockMillis.getAsLong();
         Map<String, StoredObject> listed = new TreeMap<>();
-        requestPage("", new Listing(listed, sent, thenWatch, watch), -1);
+        requestPage("", new Listing(listed, sent, thenWatch, watch), Optional.empty());
     }
 
     /** List that is being read, page by page. */
     private record Listing(Map<String, StoredObject> listed, long sentMillis, boolean thenWatch, long watch) {}
 
-    private void requestPage(String after, Listing listing, long revision) {
+    private void requestPage(String after, Listing listing, Optional<StorePosition> first) {
         store.list(RolloutCodec.ORDER_KIND, after, CALL_TIMEOUT_MILLIS, reply -> {
             metrics.recordStoreCall("rollout-list", reply.getClass().getSimpleName());
             if (listing.watch() != watch) {
@@ -254,17 +256,21 @@
                 onFailure("list", reply, listing.thenWatch());
                 return;
             }
-            long from = revision < 0 ? page.revision() : revision;
+            StorePosition from = first.orElse(page.position());
             page.objects().forEach(object -> listing.listed().put(object.name(), object));
             if (page.next().isPresent()) {
-                requestPage(page.next().get(), listing, from);
+                requestPage(page.next().get(), listing, Optional.of(from));
                 return;
             }
-            if (watching && !listing.thenWatch() && from < knownRevision) { // overtaken by a change that was watched
+            if (watching && !listing.thenWatch() && !from.isSameHistory(knownPosition)) {
+                onHistoryChanged();
+                return;
+            }
+            if (watching && !listing.thenWatch() && !from.continues(knownPosition)) { // overtaken by a watched change
                 confirmDueMillis = clockMillis.getAsLong() + CONFIRM_INTERVAL_MILLIS;
                 return;
             }
-            knownRevision = from;
+            knownPosition = from;
             objects.clear();
             objects.putAll(listing.listed());
             publish(listing.sentMillis());
@@ -276,7 +282,7 @@
         });
     }
 
-    private void watch(long revision) {
+    private void watch(StorePosition position) {
         if (!isReader()) {
             watching = false;
             watch++;
@@ -284,20 +290,34 @@
         }
         long sent = clockMillis.getAsLong();
         long number = watch;
-        store.watch(RolloutCodec.ORDER_KIND, revision, WATCH_MILLIS, WATCH_MILLIS + CALL_TIMEOUT_MILLIS, reply -> {
-            metrics.recordStoreCall("rollout-watch", reply.getClass().getSimpleName());
-            if (number != watch) {
-                return;
-            }
-            if (reply instanceof StoreReply.Changes changes) {
-                knownRevision = Math.max(knownRevision, changes.revision());
-                changes.changes().forEach(this::apply);
-                publish(sent);
-                watch(changes.revision());
-            } else {
-                onFailure("watch", reply, true);
-            }
-        });
+        store.watch(
+                RolloutCodec.ORDER_KIND,
+                position.revision(),
+                WATCH_MILLIS,
+                WATCH_MILLIS + CALL_TIMEOUT_MILLIS,
+                reply -> {
+                    metrics.recordStoreCall("rollout-watch", reply.getClass().getSimpleName());
+                    if (number != watch) {
+                        return;
+                    }
+                    if (reply instanceof StoreReply.Changes changes
+                            && !changes.position().continues(position)) {
+                        onHistoryChanged();
+                    } else if (reply instanceof StoreReply.Changes changes) {
+                        knownPosition = changes.position().atLeast(knownPosition.revision());
+                        changes.changes().forEach(this::apply);
+                        publish(sent);
+                        watch(changes.position());
+                    } else {
+                        onFailure("watch", reply, true);
+                    }
+                });
+    }
+
+    /** Lists and watches anew, because the store came back from an older copy. */
+    private void onHistoryChanged() {
+        watch++;
+        onFailure("watch", new StoreReply.HistoryGone(), true);
     }
 
     private void apply(StoreChange change) {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/StartFromPeers.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/StartFromPeers.java
@@ -216,7 +216,7 @@
         if (missing.contains(Part.TARGETS)
                 && ageClockMillis.getAsLong() - confirmedAt < TargetWatcher.MAX_UNCONFIRMED_MILLIS) {
             missing.remove(Part.TARGETS);
-            targetWatcher.startFrom(known.objects(), known.revision(), confirmedAt);
+            targetWatcher.startFrom(known.objects(), known.position(), confirmedAt);
         }
     }
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/StartStateServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/StartStateServer.java
@@ -13,6 +13,7 @@
 import org.amaranthlock.entry.peer.EntryPeerMessage.KnownObjects;
 import org.amaranthlock.entry.peer.EntryPeerMessage.StartQuery;
 import org.amaranthlock.entry.peer.EntryPeerMessage.StartState;
+import org.amaranthlock.platform.StorePosition;
 
 /**
  * Responds to the queries of starting hosts with the state of the store as known to this host, and its age.
@@ -98,14 +99,14 @@
                 .known()
                 .map(object -> new KnownObjects(
                         List.of(object),
-                        object.revision(),
+                        new StorePosition(StorePosition.UNKNOWN_ERA, object.revision()),
                         configurationPoller.confirmedAtMillis() - query.receivedAtMillis()));
         OptionalLong targetsAtMillis = peerStoreServer.targetsConfirmedAtMillis();
         Optional<KnownObjects> targets = targetsAtMillis.isEmpty()
                 ? Optional.empty()
                 : Optional.of(new KnownObjects(
                         targetWatcher.registrations(),
-                        peerStoreServer.targetsRevision(),
+                        peerStoreServer.targetsPosition(),
                         targetsAtMillis.getAsLong() - query.receivedAtMillis()));
         return new StartState(query.id(), configuration, targets, verdicts);
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/TargetWatcher.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/TargetWatcher.java
@@ -21,6 +21,7 @@
 import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.platform.PlatformStore;
 import org.amaranthlock.platform.StoreChange;
+import org.amaranthlock.platform.StorePosition;
 import org.amaranthlock.platform.StoreReply;
 import org.amaranthlock.platform.StoredObject;
 import org.amaranthlock.platform.TargetRegistrationDecoder;
@@ -79,10 +80,11 @@
     /** Registrations as the store holds them, by name. */
     private final Map<String, StoredObject> registrations = new TreeMap<>();
 
-    private long listRevision;
+    /** Position of the first page of the list under way; empty before that page. */
+    private Optional<StorePosition> listPosition = Optional.empty();
 
-    /** Revision of the waiting watch; negative if none is waiting. */
-    private long watchedRevision = -1;
+    /** Position from which the waiting watch continues; empty if none is waiting. */
+    private Optional<StorePosition> watchedPosition = Optional.empty();
 
     /** Number of the current watch; the result of an earlier one is ignored. */
     private long watchNumber;
@@ -126,18 +128,18 @@
     /**
      * Starts watching from the registrations that another host has sent; called on the control loop.
      *
-     * @param revision store revision from which changes follow
+     * @param position position in the store from which changes follow
      * @param confirmedAtMillis time at which the call that confirmed them was sent, or earlier
      */
-    public void startFrom(Collection<StoredObject> known, long revision, long confirmedAtMillis) {
+    public void startFrom(Collection<StoredObject> known, StorePosition position, long confirmedAtMillis) {
         listing.clear();
         registrations.clear();
         known.forEach(this::addListed);
         registry.applyList(listing, false, clockMillis.getAsLong());
-        log.write("targets-received", "count", listing.size(), "revision", revision);
+        log.write("targets-received", "count", listing.size(), "revision", position.revision());
         peerStoreServer.onTargetsKnown(confirmedAtMillis);
         publish();
-        awaitChanges(revision);
+        awaitChanges(position);
     }
 
     /** Returns the registrations as the store holds them; called on the control loop. */
@@ -166,7 +168,7 @@
         listing.clear();
         registrations.clear();
         peerStoreServer.onTargetsListSent();
-        listRevision = -1;
+        listPosition = Optional.empty();
         requestPage("");
     }
 
@@ -185,9 +187,12 @@
             listLater();
             return;
         }
-        // The watch starts at the revision of the first page, so that no change made during the list is missed.
-        if (listRevision < 0) {
-            listRevision = page.revision();
+        // The watch starts at the position of the first page, so that no change made during the list is missed.
+        StorePosition position = listPosition.orElse(page.position());
+        listPosition = Optional.of(position);
+        if (!page.position().continues(position)) {
+            listAgain(position, page.position());
+            return;
         }
         page.objects().forEach(this::addListed);
         if (page.next().isPresent()) {
@@ -197,32 +202,38 @@
         long now = clockMillis.getAsLong();
         boolean afterOutage = recordSuccess();
         registry.applyList(listing, afterOutage, now);
-        log.write("targets-listed", "count", listing.size(), "revision", listRevision, "after_outage", afterOutage);
+        log.write(
+                "targets-listed",
+                "count",
+                listing.size(),
+                "revision",
+                position.revision(),
+                "after_outage",
+                afterOutage);
         peerStoreServer.onTargetsListed();
         publish();
-        awaitChanges(listRevision);
+        awaitChanges(position);
     }
 
-    private void awaitChanges(long revision) {
-        awaitChanges(revision, TAKEOVER_DELAYS_MILLIS.iterator());
+    private void awaitChanges(StorePosition position) {
+        awaitChanges(position, TAKEOVER_DELAYS_MILLIS.iterator());
     }
 
     /** Waits for changes; a peer that has just taken over the watch may not know the revision at the first query. */
-    private void awaitChanges(long revision, Iterator<Long> delays) {
-        boolean querySent = peerReader.fetchTargetChanges(revision, relistingOnFault("peer", changes -> {
+    private void awaitChanges(StorePosition position, Iterator<Long> delays) {
+        boolean querySent = peerReader.fetchTargetChanges(position, relistingOnFault("peer", changes -> {
             if (changes.isPresent()) {
-                applyChanges(changes.get());
-                awaitChanges(changes.get().revision());
+                applyPeersChanges(position, changes.get());
             } else if (delays.hasNext()) {
-                loop.schedule(() -> awaitChanges(revision, delays), delays.next(), TimeUnit.MILLISECONDS);
+                loop.schedule(() -> awaitChanges(position, delays), delays.next(), TimeUnit.MILLISECONDS);
             } else {
-                awaitChangesOfSuccessor(revision, true);
+                awaitChangesOfSuccessor(position, true);
             }
         }));
         if (querySent) {
             peerStoreServer.onWatchStopped();
         } else {
-            watch(revision);
+            watch(position);
         }
     }
 
@@ -230,23 +241,22 @@
      * Waits for changes that the successor of the reader knows, so that one host of the domain watches in place of a
      * reader whose link to the store is cut; one that does not watch yet is asked once more.
      */
-    private void awaitChangesOfSuccessor(long revision, boolean again) {
+    private void awaitChangesOfSuccessor(StorePosition position, boolean again) {
         boolean querySent =
-                peerReader.fetchTargetChangesFromSuccessor(revision, relistingOnFault("successor", changes -> {
+                peerReader.fetchTargetChangesFromSuccessor(position, relistingOnFault("successor", changes -> {
                     if (changes.isPresent()) {
-                        applyChanges(changes.get());
-                        awaitChanges(changes.get().revision());
+                        applyPeersChanges(position, changes.get());
                     } else if (again) {
                         loop.schedule(
-                                () -> awaitChangesOfSuccessor(revision, false),
+                                () -> awaitChangesOfSuccessor(position, false),
                                 SUCCESSOR_DELAY_MILLIS,
                                 TimeUnit.MILLISECONDS);
                     } else {
-                        watchUnlessSilent(revision);
+                        watchUnlessSilent(position);
                     }
                 }));
         if (!querySent) {
-            watch(revision);
+            watch(position);
         }
     }
 
@@ -254,28 +264,28 @@
      * Watches in place of peers that know no changes, unless the store is silent for this host too: while it is away,
      * each host of a fleet would otherwise watch, and list the targets afterwards.
      */
-    private void watchUnlessSilent(long revision) {
+    private void watchUnlessSilent(StorePosition position) {
         if (clockMillis.getAsLong() - silentAtMillis < SILENCE_MILLIS) {
-            loop.schedule(() -> awaitChanges(revision), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> awaitChanges(position), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
         } else {
-            watch(revision);
+            watch(position);
         }
     }
 
-    private void watch(long revision) {
-        peerStoreServer.onWatchStarted(revision);
-        watchedRevision = revision;
+    private void watch(StorePosition position) {
+        peerStoreServer.onWatchStarted(position);
+        watchedPosition = Optional.of(position);
         watchSuspect = false;
         long number = ++watchNumber;
         store.watch(
                 TargetRegistrationDecoder.KIND,
-                revision,
+                position.revision(),
                 WATCH_MILLIS,
                 WATCH_MILLIS + CALL_TIMEOUT_MILLIS,
                 relistingOnFault("watch", reply -> {
                     if (number == watchNumber) {
-                        watchedRevision = -1;
-                        onWatchReply(reply);
+                        watchedPosition = Optional.empty();
+                        onWatchReply(position, reply);
                     }
                 }));
     }
@@ -287,7 +297,7 @@
     @Override
     public void onStoreSilent() {
         silentAtMillis = clockMillis.getAsLong();
-        if (watchedRevision >= 0) {
+        if (watchedPosition.isPresent()) {
             watchSuspect = true;
             peerStoreServer.onWatchStopped();
         }
@@ -297,20 +307,22 @@
     @Override
     public void onStoreResponded() {
         silentAtMillis = NEVER_MILLIS;
-        if (watchedRevision >= 0 && watchSuspect) {
-            log.write("target-watch-repeated", "revision", watchedRevision);
-            watch(watchedRevision);
+        if (watchedPosition.isPresent() && watchSuspect) {
+            log.write("target-watch-repeated", "revision", watchedPosition.get().revision());
+            watch(watchedPosition.get());
         }
     }
 
-    private void onWatchReply(StoreReply reply) {
+    private void onWatchReply(StorePosition watched, StoreReply reply) {
         metrics.recordStoreCall("target-watch", reply.getClass().getSimpleName());
         switch (reply) {
+            case StoreReply.Changes changes
+            when !changes.position().continues(watched) -> listAgain(watched, changes.position());
             case StoreReply.Changes changes -> {
                 applyChanges(changes);
-                peerStoreServer.onTargetsChanged(changes.changes(), changes.revision());
+                peerStoreServer.onTargetsChanged(changes.changes(), changes.position());
                 long pause = changes.changes().isEmpty() ? 0 : COALESCE_DELAY_MILLIS;
-                loop.schedule(() -> awaitChanges(changes.revision()), pause, TimeUnit.MILLISECONDS);
+                loop.schedule(() -> awaitChanges(changes.position()), pause, TimeUnit.MILLISECONDS);
             }
             default -> {
                 recordFailure("watch", reply);
@@ -334,6 +346,22 @@
         };
     }
 
+    /** Applies the changes that a peer knows, unless the store has begun another history since this host's list. */
+    private void applyPeersChanges(StorePosition known, StoreReply.Changes changes) {
+        if (changes.position().continues(known)) {
+            applyChanges(changes);
+            awaitChanges(changes.position());
+        } else {
+            listAgain(known, changes.position());
+        }
+    }
+
+    /** Lists the targets anew, because the store came back from an older copy, whose revisions mean other changes. */
+    private void listAgain(StorePosition known, StorePosition found) {
+        log.write("store-history-changed", "known", known, "found", found);
+        listLater();
+    }
+
     private void listLater() {
         peerStoreServer.onWatchStopped();
         loop.schedule(this::list, backoff.nextDelayMillis(), TimeUnit.MILLISECONDS);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessage.java
@@ -22,6 +22,7 @@
 import org.amaranthlock.platform.ClientRequest;
 import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreChange;
+import org.amaranthlock.platform.StorePosition;
 import org.amaranthlock.platform.StoredObject;
 
 /** Message between entry hosts. */
@@ -179,9 +180,14 @@
      * Asks for changes of targets; the receiver responds when there are changes, or after some seconds without any.
      *
      * @param id id of the query, unique on its connection
-     * @param revision store revision after which changes are reported
+     * @param position position in the store after which changes are reported
      */
-    record TargetsQuery(long id, long revision) implements EntryPeerMessage {}
+    record TargetsQuery(long id, StorePosition position) implements EntryPeerMessage {
+        /** Checks that the position is present. */
+        public TargetsQuery {
+            Objects.requireNonNull(position, "position");
+        }
+    }
 
     /**
      * Asks for a permit to send a request to a target that limits its request rate.
@@ -342,9 +348,10 @@
     /**
      * Reports changes of targets, in the order of the store.
      *
-     * @param revision revision from which the next query continues
+     * @param position position from which the next query continues; in another history than that of the query, it says
+     *     that the targets must be listed anew
      */
-    record TargetsChanged(long id, long revision, List<StoreChange> changes) implements Response {
+    record TargetsChanged(long id, StorePosition position, List<StoreChange> changes) implements Response {
         /** Copies the changes. */
         public TargetsChanged {
             changes = List.copyOf(changes);
@@ -388,11 +395,11 @@
     /**
      * Objects of the store as known to a host.
      *
-     * @param revision store revision from which changes follow
+     * @param position position in the store from which changes follow
      * @param readAfterMillis time from the receipt of the query to the sending of the last call that confirmed the
      *     objects, in milliseconds, including suspensions; negative if the call was sent before the receipt
      */
-    record KnownObjects(List<StoredObject> objects, long revision, long readAfterMillis) {
+    record KnownObjects(List<StoredObject> objects, StorePosition position, long readAfterMillis) {
         /** Copies the objects. */
         public KnownObjects {
             objects = List.copyOf(objects);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
@@ -12,6 +12,7 @@
 import org.amaranthlock.coordination.streamversion.StreamKey;
 import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreChange;
+import org.amaranthlock.platform.StorePosition;
 import org.amaranthlock.platform.StoredObject;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -86,7 +87,13 @@
                     PromptPartCodec.packReport(pack(packer, PROMPT_PARTS), parts.report());
                 case EntryPeerMessage.ConfigurationAnnounced announced ->
                     pack(packer, CONFIGURATION_ANNOUNCED, announced.version());
-                case EntryPeerMessage.TargetsQuery query -> pack(packer, TARGETS_QUERY, query.id(), query.revision());
+                case EntryPeerMessage.TargetsQuery query ->
+                    pack(
+                            packer,
+                            TARGETS_QUERY,
+                            query.id(),
+                            query.position().revision(),
+                            query.position().era());
                 case EntryPeerMessage.ConfigurationConfirmed confirmed ->
                     pack(packer, CONFIGURATION_CONFIRMED, confirmed.id(), confirmed.readAfterMillis());
                 case EntryPeerMessage.TargetsChanged changed -> packChanges(packer, changed);
@@ -161,7 +168,11 @@
                 case CONFIGURATION_QUERY -> unpackConfigurationQuery(unpacker);
                 case PROMPT_PARTS -> new EntryPeerMessage.PromptParts(PromptPartCodec.unpackReport(unpacker));
                 case CONFIGURATION_ANNOUNCED -> new EntryPeerMessage.ConfigurationAnnounced(unpacker.unpackLong());
-                case TARGETS_QUERY -> new EntryPeerMessage.TargetsQuery(unpacker.unpackLong(), unpacker.unpackLong());
+                case TARGETS_QUERY -> {
+                    long id = unpacker.unpackLong();
+                    long revision = unpacker.unpackLong();
+                    yield new EntryPeerMessage.TargetsQuery(id, new StorePosition(unpackEra(unpacker), revision));
+                }
                 case CONFIGURATION_CONFIRMED ->
                     new EntryPeerMessage.ConfigurationConfirmed(unpacker.unpackLong(), unpacker.unpackLong());
                 case TARGETS_CHANGED -> unpackTargetsChanged(unpacker);
@@ -300,12 +311,13 @@
 
     private static void packChanges(MessageBufferPacker packer, EntryPeerMessage.TargetsChanged changed)
             throws IOException {
-        pack(packer, TARGETS_CHANGED, changed.id(), changed.revision());
+        pack(packer, TARGETS_CHANGED, changed.id(), changed.position().revision());
         packer.packArrayHeader(changed.changes().size());
         for (StoreChange change : changed.changes()) {
             packObject(packer, change.object());
             packer.packBoolean(change.removed());
         }
+        packer.packLong(changed.position().era());
     }
 
     private static EntryPeerMessage.TargetsChanged unpackTargetsChanged(MessageUnpacker unpacker) throws IOException {
@@ -316,7 +328,12 @@
             StoredObject object = unpackObject(unpacker);
             changes.add(new StoreChange(object, unpacker.unpackBoolean()));
         }
-        return new EntryPeerMessage.TargetsChanged(id, revision, changes);
+        return new EntryPeerMessage.TargetsChanged(id, new StorePosition(unpackEra(unpacker), revision), changes);
+    }
+
+    /** Unpacks the era of a position; hosts of builds without eras end the message before it. */
+    static long unpackEra(MessageUnpacker unpacker) throws IOException {
+        return unpacker.hasNext() ? unpacker.unpackLong() : StorePosition.UNKNOWN_ERA;
     }
 
     static void packObject(MessagePacker packer, StoredObject object) throws IOException {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerDirectoryTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerDirectoryTest.java
@@ -20,6 +20,7 @@
 import org.amaranthlock.platform.PeerRegistration;
 import org.amaranthlock.platform.PeerRegistrationCodec;
 import org.amaranthlock.platform.PlatformStore;
+import org.amaranthlock.platform.StorePosition;
 import org.amaranthlock.platform.StoreReply;
 import org.amaranthlock.platform.StoredObject;
 import org.apache.commons.rng.simple.RandomSource;
@@ -233,7 +234,7 @@
         for (String name : names) {
             objects.add(new StoredObject(name, 1, PeerRegistrationCodec.encode(peer(name))));
         }
-        return new StoreReply.Page(objects, next, 1);
+        return new StoreReply.Page(objects, next, new StorePosition(StorePosition.UNKNOWN_ERA, 1));
     }
 
     private static PeerRegistration peer(String name) {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerStoreServerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerStoreServerTest.java
@@ -9,6 +9,7 @@
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreChange;
+import org.amaranthlock.platform.StorePosition;
 import org.amaranthlock.platform.StoredObject;
 import org.junit.jupiter.api.Test;
 
@@ -61,47 +62,47 @@
 
     @Test
     void sendsRetainedTargetChangesToLaggingHost() {
-        server.onWatchStarted(10);
-        server.onTargetsChanged(List.of(change("a", 11)), 11);
-        server.onTargetsChanged(List.of(change("b", 14)), 15);
-        server.handleQuery(new EntryPeerMessage.TargetsQuery(1, 11), replies::add);
-        assertThat(replies).containsExactly(new EntryPeerMessage.TargetsChanged(1, 15, List.of(change("b", 14))));
+        server.onWatchStarted(at(10));
+        server.onTargetsChanged(List.of(change("a", 11)), at(11));
+        server.onTargetsChanged(List.of(change("b", 14)), at(15));
+        server.handleQuery(new EntryPeerMessage.TargetsQuery(1, at(11)), replies::add);
+        assertThat(replies).containsExactly(new EntryPeerMessage.TargetsChanged(1, at(15), List.of(change("b", 14))));
     }
 
     // Guards against lost removals: a removal may have the revision of the preceding change.
     @Test
     void forwardsRemovalWithOldRevision() {
-        server.onWatchStarted(10);
+        server.onWatchStarted(at(10));
         StoreChange removal = new StoreChange(change("a", 4).object(), true);
-        server.onTargetsChanged(List.of(removal), 12);
-        server.handleQuery(new EntryPeerMessage.TargetsQuery(1, 10), replies::add);
-        assertThat(replies).containsExactly(new EntryPeerMessage.TargetsChanged(1, 12, List.of(removal)));
+        server.onTargetsChanged(List.of(removal), at(12));
+        server.handleQuery(new EntryPeerMessage.TargetsQuery(1, at(10)), replies::add);
+        assertThat(replies).containsExactly(new EntryPeerMessage.TargetsChanged(1, at(12), List.of(removal)));
     }
 
     @Test
     void repliesToPendingQueryWhenNothingChanged() {
-        server.onWatchStarted(10);
-        server.handleQuery(new EntryPeerMessage.TargetsQuery(1, 10), replies::add);
+        server.onWatchStarted(at(10));
+        server.handleQuery(new EntryPeerMessage.TargetsQuery(1, at(10)), replies::add);
         assertThat(replies).isEmpty();
-        server.onTargetsChanged(List.of(), 10);
-        assertThat(replies).containsExactly(new EntryPeerMessage.TargetsChanged(1, 10, List.of()));
+        server.onTargetsChanged(List.of(), at(10));
+        assertThat(replies).containsExactly(new EntryPeerMessage.TargetsChanged(1, at(10), List.of()));
     }
 
     @Test
     void repliesNotKnownForChangesBeforeLocalWatch() {
-        server.handleQuery(new EntryPeerMessage.TargetsQuery(1, 9), replies::add);
-        server.onWatchStarted(10);
-        server.handleQuery(new EntryPeerMessage.TargetsQuery(2, 9), replies::add);
+        server.handleQuery(new EntryPeerMessage.TargetsQuery(1, at(9)), replies::add);
+        server.onWatchStarted(at(10));
+        server.handleQuery(new EntryPeerMessage.TargetsQuery(2, at(9)), replies::add);
         assertThat(replies).containsExactly(new EntryPeerMessage.NotKnown(1), new EntryPeerMessage.NotKnown(2));
     }
 
     // Guards against missing changes that occurred between two watches of this host.
     @Test
     void discardsRetainedChangesWhenWatchRestartsAtAnotherRevision() {
-        server.onWatchStarted(10);
-        server.onTargetsChanged(List.of(change("a", 11)), 11);
-        server.onWatchStarted(20);
-        server.handleQuery(new EntryPeerMessage.TargetsQuery(1, 10), replies::add);
+        server.onWatchStarted(at(10));
+        server.onTargetsChanged(List.of(change("a", 11)), at(11));
+        server.onWatchStarted(at(20));
+        server.handleQuery(new EntryPeerMessage.TargetsQuery(1, at(10)), replies::add);
         assertThat(replies).containsExactly(new EntryPeerMessage.NotKnown(1));
     }
 
@@ -132,6 +133,38 @@
         return new ObjectVersion(revision, OptionalLong.empty());
     }
 
+    // Guards against hosts that hear of no change until the revisions of the new history have passed the old ones, and
+    // against changes that they miss then.
+    @Test
+    void tellsHostWithAPositionInAnEarlierHistoryThatItMustListAnew() {
+        StorePosition position = new StorePosition(2, 10);
+        server.onWatchStarted(position);
+        server.handleQuery(new EntryPeerMessage.TargetsQuery(1, new StorePosition(1, 500)), replies::add);
+        server.handleQuery(new EntryPeerMessage.TargetsQuery(2, new StorePosition(1, 10)), replies::add);
+        server.handleQuery(new EntryPeerMessage.TargetsQuery(3, new StorePosition(1, 4)), replies::add);
+        assertThat(replies)
+                .containsExactly(
+                        new EntryPeerMessage.TargetsChanged(1, position, List.of()),
+                        new EntryPeerMessage.TargetsChanged(2, position, List.of()),
+                        new EntryPeerMessage.TargetsChanged(3, position, List.of()));
+    }
+
+    // Guards against hosts of an earlier build, which name no era, that cannot follow any more.
+    @Test
+    void sendsChangesToHostThatNamesNoEra() {
+        server.onWatchStarted(new StorePosition(2, 10));
+        server.handleQuery(new EntryPeerMessage.TargetsQuery(1, at(10)), replies::add);
+        server.onTargetsChanged(List.of(change("a", 11)), new StorePosition(2, 11));
+        assertThat(replies)
+                .containsExactly(
+                        new EntryPeerMessage.TargetsChanged(1, new StorePosition(2, 11), List.of(change("a", 11))));
+    }
+
+    /** Returns a position of a store that names no era. */
+    private static StorePosition at(long revision) {
+        return new StorePosition(StorePosition.UNKNOWN_ERA, revision);
+    }
+
     private static StoreChange change(String name, long revision) {
         return new StoreChange(new StoredObject(name, revision, JsonNodeFactory.instance.objectNode()), false);
     }
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/SimulatedStore.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/SimulatedStore.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import org.amaranthlock.platform.PlatformStore;
 import org.amaranthlock.platform.StoreChange;
+import org.amaranthlock.platform.StorePosition;
 import org.amaranthlock.platform.StoreReply;
 import org.amaranthlock.platform.StoredObject;
 
@@ -26,6 +27,7 @@
     private final Map<String, Integer> calls = new TreeMap<>();
     private final Set<String> rejectedKinds = new HashSet<>();
     private long revision = 1;
+    private long era = 1;
     private long responseDelayMillis;
     private boolean away;
 
@@ -77,6 +79,25 @@
         watches.clear();
     }
 
+    /**
+     * Comes back from a copy that lacks the last revisions: what was stored holds, with the lower revisions, and waiting
+     * watches are cut off.
+     */
+    void comeBackWithout(long lostRevisions) {
+        era++;
+        revision = Math.max(1, revision - lostRevisions);
+        history.clear();
+        List.copyOf(watches).forEach(watch -> {
+            watch.done = true;
+            watch.result.accept(new StoreReply.Unanswered("cut off"));
+        });
+        watches.clear();
+    }
+
+    private StorePosition position() {
+        return new StorePosition(era, revision);
+    }
+
     /** Sets whether calls get no response. */
     void away(boolean newAway) {
         away = newAway;
@@ -127,7 +148,7 @@
                     .map(Change::change)
                     .filter(change -> change.object().revision() > watch.after)
                     .toList();
-            watch.result.accept(new StoreReply.Changes(changes, revision));
+            watch.result.accept(new StoreReply.Changes(changes, position()));
         }
     }
 
@@ -169,6 +190,10 @@
         @Override
         public void watch(String kind, long after, long waitMillis, long timeoutMillis, Consumer<StoreReply> result) {
             call(kind + "-watch", timeoutMillis, result, answer -> {
+                if (after > revision) {
+                    answer.accept(new StoreReply.HistoryGone());
+                    return;
+                }
                 Watch watch = new Watch(kind, after, answer);
                 watches.add(watch);
                 boolean changed = history.stream()
@@ -182,7 +207,7 @@
             if (rejectedKinds.contains(kind)) {
                 return new StoreReply.Refused(503);
             }
-            return new StoreReply.Page(List.copyOf(objects(kind).values()), Optional.empty(), revision);
+            return new StoreReply.Page(List.copyOf(objects(kind).values()), Optional.empty(), position());
         }
 
         private void call(
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetDelayTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetDelayTest.java
@@ -42,6 +42,28 @@
         assertKnownInTime((fleet, _) -> fleet.silenceStoreConnections(), 0);
     }
 
+    // Guards against hosts that hear of no change after the store came back from an older copy, until its revisions
+    // have
+    // passed the old ones.
+    @Test
+    void leavingTargetIsKnownInTimeAfterTheStoreCameBackFromAnOlderCopy() {
+        assertKnownInTime((fleet, _) -> fleet.store.comeBackWithout(5), 0);
+    }
+
+    // Guards against changes that are missed because a revision of the lost history exists again.
+    @Test
+    void leavingTargetIsKnownInTimeWhenLostRevisionsAreGivenOutAgainAtOnce() {
+        assertKnownInTime(
+                (fleet, _) -> {
+                    fleet.store.comeBackWithout(3);
+                    fleet.putTarget("engine-1", "draining");
+                    for (long version = 2; version < 12; version++) {
+                        fleet.writeConfiguration(version);
+                    }
+                },
+                0);
+    }
+
     /** Checks all hosts from {@code firstHost} on; those before it have the fault. */
     private static void assertKnownInTime(BiConsumer<StartFleet, Host> fault, int firstHost) {
         for (int reportedAfter = 0; reportedAfter < RANGE_MILLIS; reportedAfter += STEP_MILLIS) {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
@@ -16,6 +16,7 @@
 import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.PlatformStore;
+import org.amaranthlock.platform.StorePosition;
 import org.amaranthlock.platform.StoreReply;
 import org.jboss.logging.Logger;
 import org.junit.jupiter.api.Test;
@@ -54,7 +55,10 @@
         public void list(String kind, String afterName, long timeoutMillis, Consumer<StoreReply> result) {
             calls++;
             result.accept(
-                    rejects ? new StoreReply.Unanswered("busy") : new StoreReply.Page(List.of(), Optional.empty(), 7));
+                    rejects
+                            ? new StoreReply.Unanswered("busy")
+                            : new StoreReply.Page(
+                                    List.of(), Optional.empty(), new StorePosition(StorePosition.UNKNOWN_ERA, 7)));
         }
 
         @Override
@@ -86,12 +90,13 @@
         }
 
         @Override
-        public boolean fetchTargetChangesFromSuccessor(long revision, Consumer<Optional<StoreReply.Changes>> result) {
+        public boolean fetchTargetChangesFromSuccessor(
+                StorePosition position, Consumer<Optional<StoreReply.Changes>> result) {
             return false;
         }
 
         @Override
-        public boolean fetchTargetChanges(long revision, Consumer<Optional<StoreReply.Changes>> result) {
+        public boolean fetchTargetChanges(StorePosition position, Consumer<Optional<StoreReply.Changes>> result) {
             return false;
         }
     }
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/EntryPeerMessageCodecTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/EntryPeerMessageCodecTest.java
@@ -59,6 +59,7 @@
 import org.amaranthlock.platform.ClientRequest;
 import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreChange;
+import org.amaranthlock.platform.StorePosition;
 import org.amaranthlock.platform.StoredObject;
 import org.junit.jupiter.api.Test;
 
@@ -91,9 +92,10 @@
                 new EntryPeerMessage.LoadReport(report),
                 new EntryPeerMessage.ConfigurationQuery(1, new ObjectVersion(20, OptionalLong.empty())),
                 new EntryPeerMessage.ConfigurationQuery(1, ObjectVersion.of(object)),
-                new EntryPeerMessage.TargetsQuery(2, 21),
+                new EntryPeerMessage.TargetsQuery(2, new StorePosition(3, 21)),
                 new EntryPeerMessage.ConfigurationConfirmed(1, 340),
-                new EntryPeerMessage.TargetsChanged(2, 22, List.of(new StoreChange(object, true))),
+                new EntryPeerMessage.TargetsChanged(
+                        2, new StorePosition(3, 22), List.of(new StoreChange(object, true))),
                 new EntryPeerMessage.PermitQuery(
                         4,
                         new PermitRequest(
@@ -207,7 +209,8 @@
     void decodesMessagesOfStarts() {
         StoredObject object = new StoredObject(
                 "main", 12, JsonNodeFactory.instance.objectNode().put("version", 3));
-        EntryPeerMessage.KnownObjects known = new EntryPeerMessage.KnownObjects(List.of(object), 14, -340);
+        EntryPeerMessage.KnownObjects known =
+                new EntryPeerMessage.KnownObjects(List.of(object), new StorePosition(3, 14), -340);
         PromptPartReport report = new PromptPartReport("entry-1", List.of(), Set.of(), Set.of());
         EntryPeerMessage.StartQuery query = new EntryPeerMessage.StartQuery(1, true);
         assertThat(query.requiredLevel()).isEqualTo(MessageLevel.START_FROM_PEERS);
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/PeerMessageSamples.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/peer/PeerMessageSamples.java
@@ -29,6 +29,7 @@
 import org.amaranthlock.platform.ClientRequest;
 import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreChange;
+import org.amaranthlock.platform.StorePosition;
 import org.amaranthlock.platform.StoredObject;
 
 /** One message of each type that hosts exchanged at 5ad7ba2; each set and map has one entry, so that bytes repeat. */
@@ -71,10 +72,14 @@
                 new EntryPeerMessage.ConfigurationQuery(1, new ObjectVersion(20, OptionalLong.empty())));
         samples.put("prompt-parts", new EntryPeerMessage.PromptParts(parts));
         samples.put("configuration-announced", new EntryPeerMessage.ConfigurationAnnounced(9));
-        samples.put("targets-query", new EntryPeerMessage.TargetsQuery(2, 21));
+        samples.put(
+                "targets-query",
+                new EntryPeerMessage.TargetsQuery(2, new StorePosition(StorePosition.UNKNOWN_ERA, 21)));
         samples.put("configuration-confirmed", new EntryPeerMessage.ConfigurationConfirmed(1, 340));
         samples.put(
-                "targets-changed", new EntryPeerMessage.TargetsChanged(2, 22, List.of(new StoreChange(object, true))));
+                "targets-changed",
+                new EntryPeerMessage.TargetsChanged(
+                        2, new StorePosition(StorePosition.UNKNOWN_ERA, 22), List.of(new StoreChange(object, true))));
         samples.put(
                 "permit-query",
                 new EntryPeerMessage.PermitQuery(
