Take no request that could outlast the grace time, and answer what is aborted

Cause: a request that had been read was passed on at any time of the grace time, and the abort at the end closed connections without a response.

Change: from the moment when no connection is accepted any more, a request whose limit lies beyond the abort is rejected as not run; at the abort, requests whose response has not begun get 502, or 503 if they were never sent.

Why it works: what is passed on late has a limit before the abort, and its own answer by then.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/AbortMargin.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/AbortMargin.java
@@ -23,9 +23,14 @@
         maxLatenessMillis = Math.max(maxLatenessMillis, millis);
     }
 
+    /** Returns the longest margin for a grace period, however late timers run. */
+    static long maxMillis(long graceMillis) {
+        return Math.max(MIN_MILLIS, graceMillis / MAX_PART_OF_GRACE);
+    }
+
     /** Returns the margin for a grace period. */
     long millis(long graceMillis) {
         long wanted = Math.max(MIN_MILLIS, LATENESS_FACTOR * maxLatenessMillis);
-        return Math.min(wanted, Math.max(MIN_MILLIS, graceMillis / MAX_PART_OF_GRACE));
+        return Math.min(wanted, maxMillis(graceMillis));
     }
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/ActiveRequest.java
@@ -55,6 +55,7 @@
     private long relayId;
     private TargetExchange currentExchange;
     private boolean reading = true;
+    private boolean responseBegun;
     private Future<?> timer;
     private long timerAtMillis;
 
@@ -128,6 +129,19 @@
         exchange.abort();
     }
 
+    /** Ends the request because this process ends; a client whose response has not begun gets a final one. */
+    void endWithProcess() {
+        if (responseBegun) {
+            abort();
+            return;
+        }
+        onClientDisconnected();
+        boolean sent = currentExchange != null || relayedRequest != null;
+        Rejection rejection = sent ? Rejection.hostStopsAfterSend() : Rejection.hostStops();
+        log.write("aborted", "id", id(), "status", rejection.status(), "cause", rejection.reason());
+        exchange.reject(rejection);
+    }
+
     @Override
     public void send(Attempt attempt) {
         int number = attempt.number();
@@ -286,6 +300,7 @@
 
     @Override
     public void openStream(TargetResponse head, Optional<SoftwareVersion> version) {
+        responseBegun = true;
         exchange.openStream(head, version);
     }
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/GracefulShutdown.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/GracefulShutdown.java
@@ -65,7 +65,10 @@
         schedule(this::stopAccepting, ACCEPT_WHILE_DRAINING_MILLIS);
     }
 
+    /** Closes idle connections; requests that still arrive on others are served if they end within the grace period. */
     private void stopAccepting() {
+        long grace = graceMillis.getAsLong();
+        requestForwarder.rejectRequestsBeyond(startedAtMillis + grace - AbortMargin.maxMillis(grace));
         clientServer.drain();
         check();
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
@@ -87,6 +87,10 @@
     private boolean targetsKnown;
     private boolean verdictsAwaited = true;
     private boolean draining;
+
+    /** Time after which no new request may still be running. */
+    private long lastEndMillis = Long.MAX_VALUE;
+
     private Optional<Runnable> onConfigured = Optional.empty();
 
     RequestForwarder(
@@ -244,23 +248,33 @@
         queues.drain(clockMillis.getAsLong());
     }
 
+    /**
+     * Rejects requests from now on that could still be running at {@code endMillis}: they would be aborted then, and those
+     * that are not idempotent could not be repeated.
+     */
+    void rejectRequestsBeyond(long endMillis) {
+        lastEndMillis = endMillis;
+    }
+
     /** Returns the number of requests without a final response. */
     int activeRequestCount() {
         return activeRequests.size();
     }
 
-    /** Aborts all running requests, shortly before the process ends. */
+    /** Ends all running requests, shortly before the process ends. */
     void abortAll() {
         for (ActiveRequest request : Set.copyOf(activeRequests)) {
-            request.abort();
+            request.endWithProcess();
         }
     }
 
     @Override
     public void handle(ClientRequest request, ClientExchange exchange) {
         long ageMillis = configurationAgeMillis();
-        AdmissionResult result = admissionPolicy.decide(
-                cachedConfiguration, request.host(), request.path(), request.apiKey(), ageMillis);
+        AdmissionResult result = rejectIfTooLate(
+                request,
+                admissionPolicy.decide(
+                        cachedConfiguration, request.host(), request.path(), request.apiKey(), ageMillis));
         switch (result) {
             case AdmissionResult.Rejected rejected -> {
                 Rejection rejection = rejected.rejection();
@@ -286,6 +300,17 @@
         }
     }
 
+    private AdmissionResult rejectIfTooLate(ClientRequest request, AdmissionResult result) {
+        if (!(result instanceof AdmissionResult.Admitted admitted) || lastEndMillis == Long.MAX_VALUE) {
+            return result;
+        }
+        long longestMillis =
+                request.toAttributes().timeLeftMillis(admitted.route().timeoutMillis());
+        return clockMillis.getAsLong() + longestMillis > lastEndMillis
+                ? new AdmissionResult.Rejected(Rejection.hostStops())
+                : result;
+    }
+
     @Override
     public String reasonNotToServe(ClientRequest request, long configurationVersion) {
         long knownVersion =
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientConnectionHandler.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/ClientConnectionHandler.java
@@ -53,9 +53,6 @@
     /** Time in which a request is read that has arrived before its connection was to be closed. */
     private static final long DRAIN_READ_MILLIS = 100;
 
-    /** Retry delay for the client of a request that is not read because the process ends; other hosts take it. */
-    private static final long DRAIN_RETRY_AFTER_MILLIS = 50;
-
     /** Number of unread bytes from which on a stream whose target cannot be paused is aborted. */
     private static final int MAX_UNSENT_BYTES = 1024 * 1024;
 
@@ -149,7 +146,7 @@
     /** Rejects a request that is not received completely, because the process ends. */
     void endUnread() {
         if (!discarding && (incomingRequest != null || headerStarted)) {
-            rejectEarly(Rejection.retryLater(DRAIN_RETRY_AFTER_MILLIS, "draining"));
+            rejectEarly(Rejection.hostStops());
         }
     }
 
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryFixture.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EntryFixture.java
@@ -87,9 +87,9 @@
                 [bounds]
                 configuration-ms = 2500
                 revocation-ms = 5000
-                grace-s = 8
                 %s
-                """.formatted(storeAddress, moreBounds);
+                %s
+                """.formatted(storeAddress, moreBounds.contains("grace-s") ? "" : "grace-s = 8", moreBounds);
     }
 
     /** Starts and registers another desk, whose software has the given version. */
@@ -147,6 +147,15 @@
         return socket;
     }
 
+    /** Opens a connection and sends the head of a request whose body is to follow. */
+    Socket openWithoutBody(String methodAndPath, String id, String body) throws IOException {
+        Socket socket = new Socket("127.0.0.1", clientPort);
+        String request = request(methodAndPath, id, body, "key-1");
+        String head = request.substring(0, request.length() - body.length());
+        socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+        return socket;
+    }
+
     /** Returns the executions of a request at all workers. */
     List<ExecutedRequest> executions(String id) {
         List<ExecutedRequest> found = new ArrayList<>();
