Tests: four more ways in which a worker sends bytes without end

Reported by other operators: a faulty worker sent bytes that were no answer, without end, until the caller closed; the caller ran out of memory. Guards of the product code are unchanged; the stand-in worker learns the four kinds.

Not covered: endless answers to the host's own calls.

--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EndlessResponseTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EndlessResponseTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
 import org.amaranthlock.standin.fleet.FleetWorker;
@@ -35,7 +36,15 @@
     @ParameterizedTest
     @EnumSource(
             value = WorkerFault.class,
-            names = {"ENDLESS_HEADER", "ENDLESS_INTERIM_RESPONSES", "ENDLESS_BODY", "ENDLESS_FOREIGN_RESPONSE"})
+            names = {
+                "ENDLESS_HEADER",
+                "ENDLESS_HEADER_LINES",
+                "ENDLESS_BLANK_LINES",
+                "ENDLESS_INTERIM_RESPONSES",
+                "ENDLESS_BODY",
+                "ENDLESS_SMALL_CHUNKS",
+                "ENDLESS_FOREIGN_RESPONSE"
+            })
     void lookupIsServedByAnotherWorker(WorkerFault fault) {
         fixture = new EntryFixture(2, 0);
         FleetWorker faulty = fixture.desks.getFirst();
@@ -48,6 +57,33 @@
                 .isLessThan(fault == WorkerFault.ENDLESS_BODY ? MAX_READ_BYTES : MAX_SKIPPED_BYTES);
     }
 
+    // Guards against bytes that nobody waits for, which a kept connection would read as long as the worker sends them.
+    @Test
+    void bytesAfterAResponseEndTheirConnection() {
+        fixture = new EntryFixture(1, 0);
+        FleetWorker faulty = fixture.desks.getFirst();
+        faulty.injectFault(WorkerFault.ENDLESS_BLANK_LINES_AFTER_RESPONSE);
+        assertThat(fixture.call("GET /look/x", "r", "")).endsWith("done r");
+        EntryFixture.await(() -> !faulty.sendsEndlessly());
+        assertThat(faulty.endlessByteCount()).isLessThan(MAX_SKIPPED_BYTES);
+    }
+
+    // Guards against a response that takes the processor from other clients by its many parts.
+    @Test
+    void smallChunksDoNotDelayOtherClients() {
+        fixture = new EntryFixture(3, 0);
+        FleetWorker faulty = fixture.desks.getFirst();
+        IntStream.range(0, 8).forEach(_ -> faulty.injectFault(WorkerFault.ENDLESS_SMALL_CHUNKS));
+        List<CompletableFuture<String>> responses = IntStream.range(0, 24)
+                .mapToObj(i -> fixture.callAsync("GET /look/x", "r" + i, ""))
+                .toList();
+        for (int i = 0; i < responses.size(); i++) {
+            assertThat(responses.get(i).join()).endsWith("done r" + i);
+        }
+        EntryFixture.await(() -> !faulty.sendsEndlessly());
+        assertThat(faulty.endlessByteCount()).isLessThan(8 * MAX_SKIPPED_BYTES);
+    }
+
     @ParameterizedTest
     @EnumSource(
             value = WorkerFault.class,
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/EndlessResponse.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/EndlessResponse.java
@@ -38,7 +38,10 @@
         String head = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: ";
         return switch (fault) {
             case ENDLESS_HEADER -> head + requestId + "\r\nX-Long: ";
-            case ENDLESS_INTERIM_RESPONSES -> "";
+            case ENDLESS_INTERIM_RESPONSES, ENDLESS_BLANK_LINES -> "";
+            case ENDLESS_HEADER_LINES -> head + requestId + "\r\n";
+            case ENDLESS_SMALL_CHUNKS -> head + requestId + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+            case ENDLESS_BLANK_LINES_AFTER_RESPONSE -> completeResponse(head);
             case ENDLESS_BODY -> head + requestId + "\r\n\r\n";
             case ENDLESS_FOREIGN_RESPONSE -> head + "another\r\n\r\n";
             case ENDLESS_EVENT -> head + requestId + "\r\n" + STREAM_TYPE + "\r\nid: 0\ndata: ";
@@ -51,12 +54,20 @@
     private String repeated(long number) {
         return switch (fault) {
             case ENDLESS_INTERIM_RESPONSES -> "HTTP/1.1 102 Processing\r\n\r\n";
+            case ENDLESS_BLANK_LINES, ENDLESS_BLANK_LINES_AFTER_RESPONSE -> "\r\n".repeat(REPEATED_BYTES / 2);
+            case ENDLESS_HEADER_LINES -> "a: b\r\n".repeat(REPEATED_BYTES / "a: b\r\n".length());
+            case ENDLESS_SMALL_CHUNKS -> "1\r\nx\r\n".repeat(REPEATED_BYTES / "1\r\nx\r\n".length());
             case ENDLESS_LINES -> "d\n".repeat(REPEATED_BYTES / 2);
             case ENDLESS_STREAM -> "id: " + number + "\ndata: " + "x".repeat(EVENT_BYTES) + "\n\n";
             default -> "x".repeat(REPEATED_BYTES);
         };
     }
 
+    private String completeResponse(String head) {
+        String body = "done " + requestId;
+        return head + requestId + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
     private void write(OutputStream out, String text) throws IOException {
         out.write(text.getBytes(StandardCharsets.ISO_8859_1));
         sentBytes.addAndGet(text.length());
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/WorkerFault.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/WorkerFault.java
@@ -30,6 +30,14 @@
     CRASH,
     /** Executes the request and sends a header line that never ends. */
     ENDLESS_HEADER,
+    /** Executes the request and sends header lines without end. */
+    ENDLESS_HEADER_LINES,
+    /** Executes the request and sends blank lines without end in place of a response. */
+    ENDLESS_BLANK_LINES,
+    /** Executes the request and sends a body in chunks of one byte without end. */
+    ENDLESS_SMALL_CHUNKS,
+    /** Executes the request, responds, and sends blank lines without end after the response. */
+    ENDLESS_BLANK_LINES_AFTER_RESPONSE,
     /** Executes the request and sends interim responses without end. */
     ENDLESS_INTERIM_RESPONSES,
     /** Executes the request and sends a body that never ends. */
