--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/EntryPeerMessageCodec.java
@@ -87,13 +87,7 @@
                     PromptPartCodec.packReport(pack(packer, PROMPT_PARTS), parts.report());
                 case EntryPeerMessage.ConfigurationAnnounced announced ->
                     pack(packer, CONFIGURATION_ANNOUNCED, announced.version());
-                case EntryPeerMessage.TargetsQuery query ->
-                    pack(
-                            packer,
-                            TARGETS_QUERY,
-                            query.id(),
-                            query.position().revision(),
-                            query.position().era());
+                case EntryPeerMessage.TargetsQuery query -> packTargetsQuery(packer, query);
                 case EntryPeerMessage.ConfigurationConfirmed confirmed ->
                     pack(packer, CONFIGURATION_CONFIRMED, confirmed.id(), confirmed.readAfterMillis());
                 case EntryPeerMessage.TargetsChanged changed -> packChanges(packer, changed);
@@ -168,11 +162,7 @@
                 case CONFIGURATION_QUERY -> unpackConfigurationQuery(unpacker);
                 case PROMPT_PARTS -> new EntryPeerMessage.PromptParts(PromptPartCodec.unpackReport(unpacker));
                 case CONFIGURATION_ANNOUNCED -> new EntryPeerMessage.ConfigurationAnnounced(unpacker.unpackLong());
-                case TARGETS_QUERY -> {
-                    long id = unpacker.unpackLong();
-                    long revision = unpacker.unpackLong();
-                    yield new EntryPeerMessage.TargetsQuery(id, new StorePosition(unpackEra(unpacker), revision));
-                }
+                case TARGETS_QUERY -> unpackTargetsQuery(unpacker);
                 case CONFIGURATION_CONFIRMED ->
                     new EntryPeerMessage.ConfigurationConfirmed(unpacker.unpackLong(), unpacker.unpackLong());
                 case TARGETS_CHANGED -> unpackTargetsChanged(unpacker);
@@ -239,6 +229,18 @@
         return new EntryPeerMessage.ConfigurationQuery(id, new ObjectVersion(revision, contentHash));
     }
 
+    private static void packTargetsQuery(MessageBufferPacker packer, EntryPeerMessage.TargetsQuery query)
+            throws IOException {
+        StorePosition position = query.position();
+        pack(packer, TARGETS_QUERY, query.id(), position.revision(), position.era());
+    }
+
+    private static EntryPeerMessage.TargetsQuery unpackTargetsQuery(MessageUnpacker unpacker) throws IOException {
+        long id = unpacker.unpackLong();
+        long revision = unpacker.unpackLong();
+        return new EntryPeerMessage.TargetsQuery(id, new StorePosition(unpackEra(unpacker), revision));
+    }
+
     private static void packStreamVersionQuery(MessageBufferPacker packer, EntryPeerMessage.StreamVersionQuery query)
             throws IOException {
         pack(packer, STREAM_VERSION_QUERY, query.id(), query.stream().value());
