Bound the parts of a response, not only its content

What callers would see (reported by other operators): a faulty worker sends bytes without end, and the requests of other clients on the host suffer.

Why it works: what costs processor time is counted, not only what is kept.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
@@ -46,6 +46,9 @@
     /** Maximum number of interim and other skipped responses to one request. */
     private static final int MAX_SKIPPED_RESPONSES = 32;
 
+    /** Least mean size of the parts of a body of maximum size, in bytes; each part costs processor time. */
+    private static final int MIN_MEAN_PART_BYTES = 64;
+
     private final Consumer<HttpTargetConnection> returnToPool;
     private final ResponseMemory memory;
     private final LongSupplier clockMillis;
@@ -60,6 +63,7 @@
     private boolean notReusable;
     private String failureCause;
     private ByteArrayOutputStream body;
+    private long bodyParts;
     private EventStreamSplitter events;
     private int skippedBytes;
     private int skippedResponses;
@@ -208,6 +212,7 @@
             exchange.listener().onStreamOpened(TargetResponseDecoder.decode(response, new byte[0]));
         } else {
             body = new ByteArrayOutputStream();
+            bodyParts = 0;
         }
     }
 
@@ -221,7 +226,8 @@
 
     private void readBody(HttpContent content) {
         int size = body.size() + content.content().readableBytes();
-        if (size > exchange.maxResponseBytes()) {
+        bodyParts++;
+        if (size > exchange.maxResponseBytes() || bodyParts > exchange.maxResponseBytes() / MIN_MEAN_PART_BYTES + 1) {
             fail(tooLong());
         } else if (reserve(size)) {
             body.writeBytes(ByteBufUtil.getBytes(content.content()));
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/HttpTargetConnectionTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/HttpTargetConnectionTest.java
@@ -146,6 +146,16 @@
         assertThat(reusableConnections).isEmpty();
     }
 
+    // Guards against a body that occupies the event loop of other clients by its many parts.
+    @Test
+    void reportsBodyInVeryManyChunksAsLost() {
+        receive(OK + "Transfer-Encoding: chunked\r\n\r\n");
+        for (int i = 0; i < 200 && listener.lostCause == null; i++) {
+            receive("1\r\nx\r\n".repeat(1_000));
+        }
+        assertThat(listener.lostCause).isNotNull();
+    }
+
     @Test
     void reportsNonHttpBytesAsLost() {
         receive("no protocol at all\r\n\r\n");
