--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/GracefulShutdown.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/GracefulShutdown.java
@@ -68,7 +68,7 @@
     /** Closes idle connections; requests that still arrive on others are served if they end within the grace period. */
     private void stopAccepting() {
         long grace = graceMillis.getAsLong();
-        requestForwarder.rejectRequestsBeyond(startedAtMillis + grace - AbortMargin.maxMillis(grace));
+        requestForwarder.graceLimit().endAt(startedAtMillis + grace - AbortMargin.maxMillis(grace));
         clientServer.drain();
         check();
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/RequestForwarder.java
@@ -81,16 +81,13 @@
     private final Runnable onLoadChanged;
     private final StreamQueues queues;
     private final CachedConfiguration cachedConfiguration = new CachedConfiguration();
+    private final GraceLimit graceLimit = new GraceLimit();
     private final Map<ServiceName, FleetRetryBudget> retryBudgets = new HashMap<>();
     private final Set<ActiveRequest> activeRequests = new LinkedHashSet<>();
     private int registeredHostCount = INITIAL_HOST_COUNT;
     private boolean targetsKnown;
     private boolean verdictsAwaited = true;
     private boolean draining;
-
-    /** Time after which no new request may still be running. */
-    private long lastEndMillis = Long.MAX_VALUE;
-
     private Optional<Runnable> onConfigured = Optional.empty();
 
     RequestForwarder(
@@ -239,6 +236,11 @@
                 && admissionPolicy.isFresh(configurationAgeMillis());
     }
 
+    /** Returns the limit for requests that arrive while this host stops. */
+    GraceLimit graceLimit() {
+        return graceLimit;
+    }
+
     /**
      * Reports this host as not ready and makes each client connection close after its current response. Streams that wait
      * are turned away, because they could not end within the grace period.
@@ -248,14 +250,6 @@
         queues.drain(clockMillis.getAsLong());
     }
 
-    /**
-     * Rejects requests from now on that could still be running at {@code endMillis}: they would be aborted then, and those
-     * that are not idempotent could not be repeated.
-     */
-    void rejectRequestsBeyond(long endMillis) {
-        lastEndMillis = endMillis;
-    }
-
     /** Returns the number of requests without a final response. */
     int activeRequestCount() {
         return activeRequests.size();
@@ -271,10 +265,9 @@
     @Override
     public void handle(ClientRequest request, ClientExchange exchange) {
         long ageMillis = configurationAgeMillis();
-        AdmissionResult result = rejectIfTooLate(
-                request,
-                admissionPolicy.decide(
-                        cachedConfiguration, request.host(), request.path(), request.apiKey(), ageMillis));
+        AdmissionResult decided = admissionPolicy.decide(
+                cachedConfiguration, request.host(), request.path(), request.apiKey(), ageMillis);
+        AdmissionResult result = graceLimit.apply(decided, request, clockMillis.getAsLong());
         switch (result) {
             case AdmissionResult.Rejected rejected -> {
                 Rejection rejection = rejected.rejection();
@@ -300,17 +293,6 @@
         }
     }
 
-    private AdmissionResult rejectIfTooLate(ClientRequest request, AdmissionResult result) {
-        if (!(result instanceof AdmissionResult.Admitted admitted) || lastEndMillis == Long.MAX_VALUE) {
-            return result;
-        }
-        long longestMillis =
-                request.toAttributes().timeLeftMillis(admitted.route().timeoutMillis());
-        return clockMillis.getAsLong() + longestMillis > lastEndMillis
-                ? new AdmissionResult.Rejected(Rejection.hostStops())
-                : result;
-    }
-
     @Override
     public String reasonNotToServe(ClientRequest request, long configurationVersion) {
         long knownVersion =
