--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
@@ -54,6 +54,10 @@
     private ObjectVersion knownVersion;
     private long confirmedAtMillis;
     private boolean lastReadUsable = true;
+
+    /** Number of reads that have failed since the last one that succeeded. */
+    private int failedReads;
+
     private int queriesSinceRead;
 
     /** Whether a read was repeated at once since the last confirmation. */
@@ -71,6 +75,14 @@
     /** Whether a version was announced while a read was under way, which may have come too early to see it. */
     private boolean announcedWhileReading;
 
+    /** Where a configuration came from, for logs. */
+    private enum Source {
+        STORE,
+        PEER,
+        /** A peer that told this host what it knew when this one started. */
+        START
+    }
+
     /** Listener for confirmed configurations. */
     public interface ConfigurationListener {
         /** Called when a call sent at {@code sentAtMillis} has confirmed that this configuration is the newest. */
@@ -122,7 +134,7 @@
      */
     public boolean startFrom(StoredObject object, long confirmedAtMillis) {
         if (ageClockMillis.getAsLong() - confirmedAtMillis >= times.maxUnconfirmedMillis()
-                || !confirm(object, confirmedAtMillis)) {
+                || !confirm(object, confirmedAtMillis, Source.START)) {
             return false;
         }
         if (knownConfiguration.version() < announcedVersion) {
@@ -190,7 +202,7 @@
 
     private void onFetched(Optional<EntryPeerMessage.ConfigurationFetched> fetched, long sentAt) {
         boolean usable = fetched.isPresent()
-                && confirm(fetched.get().object(), sentAt + fetched.get().readAfterMillis())
+                && confirm(fetched.get().object(), sentAt + fetched.get().readAfterMillis(), Source.PEER)
                 && knownConfiguration.version() >= announcedVersion;
         metrics.recordStoreCall("configuration-fetch", usable ? "Found" : "NotKnown");
         if (usable) {
@@ -228,6 +240,10 @@
         readRepeated = false;
         recordUsable(true, "peer");
         confirmedAtMillis = sentAt + readAfterMillis.getAsLong();
+        long aheadMillis = confirmedAtMillis - ageClockMillis.getAsLong();
+        if (aheadMillis > 0) {
+            log.write("configuration-confirmed-ahead", "version", knownConfiguration.version(), "ms", aheadMillis);
+        }
         listener.onConfigurationConfirmed(knownConfiguration, confirmedAtMillis);
         confirmAgain();
     }
@@ -276,7 +292,7 @@
     private void onReadReply(StoreReply reply, long sentAt) {
         reading = false;
         metrics.recordStoreCall("configuration", reply.getClass().getSimpleName());
-        boolean usable = reply instanceof StoreReply.Found found && confirm(found.object(), sentAt);
+        boolean usable = reply instanceof StoreReply.Found found && confirm(found.object(), sentAt, Source.STORE);
         recordUsable(usable, describe(reply));
         if (reply instanceof StoreReply.Unanswered) {
             linkListener.onStoreSilent();
@@ -284,10 +300,12 @@
             linkListener.onStoreResponded();
         }
         if (!usable) {
+            recordFailedRead(reply);
             peerStoreServer.onConfigurationReadFailed();
             schedule(this::queryOrRead, backoff.nextDelayMillis());
             return;
         }
+        failedReads = 0;
         queriesSinceRead = 0;
         readRepeated = false;
         backoff.reset();
@@ -329,6 +347,22 @@
         schedule(this::queryOrRead, times.intervalMillis());
     }
 
+    private void recordFailedRead(StoreReply reply) {
+        failedReads++;
+        log.write(
+                "configuration-read-failed",
+                "failed",
+                failedReads,
+                "known",
+                knownVersion(),
+                "announced",
+                announcedVersion == Long.MIN_VALUE ? "-" : announcedVersion,
+                "age_ms",
+                knownConfiguration == null ? "-" : ageClockMillis.getAsLong() - confirmedAtMillis,
+                "reply",
+                describe(reply));
+    }
+
     private void recordUsable(boolean usable, String reply) {
         if (usable != lastReadUsable) {
             lastReadUsable = usable;
@@ -340,9 +374,21 @@
      * Reports the configuration as confirmed; returns false if the object cannot be decoded, or if its version is older
      * than the known one.
      */
-    private boolean confirm(StoredObject object, long sentAt) {
-        if (!isKnown(object) && !apply(object)) {
-            return false;
+    private boolean confirm(StoredObject object, long sentAt, Source source) {
+        if (!isKnown(object)) {
+            if (!apply(object)) {
+                return false;
+            }
+            log.write(
+                    "configuration-known",
+                    "version",
+                    knownConfiguration.version(),
+                    "source",
+                    source,
+                    "age_ms",
+                    ageClockMillis.getAsLong() - sentAt,
+                    "failed_reads",
+                    failedReads);
         }
         confirmedAtMillis = sentAt;
         listener.onConfigurationConfirmed(knownConfiguration, sentAt);
