Measure intervals for other hosts so that a clock jump makes nothing look newer

Callers saw: requests handled by an older version, or with a withdrawn key, for seconds too long, at hosts whose own clock was right. Cause: a reader tells a follower how long after its query the confirming read was sent. It measured this with the clock that takes a forward jump of the time of day for a suspension, so the confirmation lay in the future by the jump, and the follower's own read came later by as much. Waiting fetches of a configuration and the state for starting hosts carry intervals of the same kind. Change: ClockReading holds both clocks. An interval for another host is the least that can have passed by either: waiting times by the monotonic clock, ages by the one that includes suspensions. What a peer tells is never taken for newer than the receipt of its response, which covers readers of an earlier build.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/SuspensionAwareClock.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/SuspensionAwareClock.java
@@ -7,7 +7,8 @@
  * Monotonic clock that includes the time for which the host was suspended.
  *
  * <p>The system's monotonic clock stops while a host is suspended; the wall clock does not. A forward jump of the wall
- * clock counts as a suspension, which can only make cached data look older than it is. The threads of a process share
+ * clock counts as a suspension, which can only make cached data look older than it is. Intervals for other hosts are
+ * measured by {@link ClockReading}, since there a longer interval may make data look newer. The threads of a process share
  * one clock: with a clock per thread, a suspension while a value is passed between threads would not be counted.
  */
 public final class SuspensionAwareClock {
@@ -32,7 +33,12 @@
     }
 
     /** Returns the milliseconds since an arbitrary fixed moment, including suspensions. */
-    public synchronized long millis() {
+    public long millis() {
+        return read().inclusiveMillis();
+    }
+
+    /** Returns the present moment. */
+    public synchronized ClockReading read() {
         long monotonic = monotonicMillis.getAsLong();
         long wallClock = wallClockMillis.getAsLong();
         long unexplainedMillis = (wallClock - lastWallClockMillis) - (monotonic - lastMonotonicMillis);
@@ -41,6 +47,6 @@
         }
         lastMonotonicMillis = monotonic;
         lastWallClockMillis = wallClock;
-        return monotonic + suspendedMillis;
+        return new ClockReading(monotonic, monotonic + suspendedMillis);
     }
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -166,13 +166,13 @@
         this.store = new NettyPlatformStore(
                 controlLoop, settings.storeAddress(), RegionSetup.countStoreCalls(regionLinks, trafficLoop));
         this.promptPartExchange = createPromptPartExchange(promptPartGuard, trafficLoop, controlLoop, random);
-        PeerStoreServer peerStoreServer = new PeerStoreServer(ageClock::millis);
+        PeerStoreServer peerStoreServer = new PeerStoreServer(ageClock::read);
         PeerStoreClient peerStoreClient = createPeerStoreClient(controlLoop);
         this.targetWatcher = createTargetWatcher(trafficLoop, controlLoop, peerStoreClient, peerStoreServer);
         this.configurationPoller = createConfigurationPoller(controlLoop, ageClock, peerStoreClient, peerStoreServer);
-        this.configurationFetchServer = new ConfigurationFetchServer(configurationPoller, ageClock::millis);
+        this.configurationFetchServer = new ConfigurationFetchServer(configurationPoller, ageClock::read);
         this.startStateServer = new StartStateServer(
-                controlLoop, configurationPoller, targetWatcher, peerStoreServer, promptPartExchange, ageClock::millis);
+                controlLoop, configurationPoller, targetWatcher, peerStoreServer, promptPartExchange, ageClock::read);
         this.startFromPeers = createStartFromPeers(controlLoop, ageClock);
         this.loadReportExchange = createLoadReportExchange(controlLoop, ageClock, random);
         this.loadReportCollector = createLoadReportCollector(trafficLoop, controlLoop);
@@ -314,7 +314,7 @@
                 configurationPoller,
                 targetWatcher,
                 promptPartExchange,
-                ageClock::millis,
+                ageClock::read,
                 RandomSource.SPLIT_MIX_64.create(),
                 log,
                 metrics);
@@ -437,7 +437,7 @@
         return new ConfigurationPoller(
                 store,
                 controlLoop,
-                ageClock::millis,
+                ageClock::read,
                 ConfigurationPollTimes.within(settings.bounds().maxConfigurationAgeMillis()),
                 peerReader,
                 peerStoreServer,
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationFetchServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationFetchServer.java
@@ -4,7 +4,8 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.amaranthlock.coordination.forwarding.ClockReading;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.entry.peer.EntryPeerMessage.ConfigurationFetch;
 
@@ -19,20 +20,20 @@
     private static final int MAX_PENDING_QUERIES = 1_000;
 
     private final ConfigurationPoller poller;
-    private final LongSupplier ageClockMillis;
+    private final Supplier<ClockReading> clock;
     private final List<PendingFetch> pending = new ArrayList<>();
 
-    private record PendingFetch(ConfigurationFetch query, long receivedAtMillis, Consumer<EntryPeerMessage> reply) {}
+    private record PendingFetch(ConfigurationFetch query, ClockReading receivedAt, Consumer<EntryPeerMessage> reply) {}
 
-    /** Creates a server; the clock must include times of suspension. */
-    public ConfigurationFetchServer(ConfigurationPoller poller, LongSupplier ageClockMillis) {
+    /** Creates a server that measures the intervals in its responses with {@code clock}. */
+    public ConfigurationFetchServer(ConfigurationPoller poller, Supplier<ClockReading> clock) {
         this.poller = Objects.requireNonNull(poller, "poller");
-        this.ageClockMillis = Objects.requireNonNull(ageClockMillis, "age clock");
+        this.clock = Objects.requireNonNull(clock, "clock");
     }
 
     /** Handles a query. */
     public void handleQuery(ConfigurationFetch query, Consumer<EntryPeerMessage> reply) {
-        PendingFetch fetch = new PendingFetch(query, ageClockMillis.getAsLong(), reply);
+        PendingFetch fetch = new PendingFetch(query, clock.get(), reply);
         if (isKnown(fetch)) {
             respond(fetch);
         } else if (pending.size() < MAX_PENDING_QUERIES) {
@@ -55,7 +56,7 @@
     }
 
     private void respond(PendingFetch fetch) {
-        long readAfterMillis = poller.confirmedAtMillis() - fetch.receivedAtMillis();
+        long readAfterMillis = fetch.receivedAt().leastMillisUntil(poller.confirmedAt());
         fetch.reply()
                 .accept(new EntryPeerMessage.ConfigurationFetched(
                         fetch.query().id(), poller.known().orElseThrow(), readAfterMillis));
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
@@ -7,7 +7,8 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.amaranthlock.coordination.forwarding.ClockReading;
 import org.amaranthlock.coordination.forwarding.EntryConfiguration;
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.metrics.EntryMetrics;
@@ -39,7 +40,7 @@
 
     private final PlatformStore store;
     private final EventLoop loop;
-    private final LongSupplier ageClockMillis;
+    private final Supplier<ClockReading> clock;
     private final ConfigurationPollTimes times;
     private final RetryBackoff backoff;
     private final PeerStoreReader peerReader;
@@ -52,7 +53,7 @@
     private EntryConfiguration knownConfiguration;
     private StoredObject knownObject;
     private ObjectVersion knownVersion;
-    private long confirmedAtMillis;
+    private ClockReading confirmedAt;
     private boolean lastReadUsable = true;
 
     /** Number of reads that have failed since the last one that succeeded. */
@@ -97,7 +98,7 @@
     public ConfigurationPoller(
             PlatformStore store,
             EventLoop loop,
-            LongSupplier ageClockMillis,
+            Supplier<ClockReading> clock,
             ConfigurationPollTimes times,
             PeerStoreReader peerReader,
             PeerStoreServer peerStoreServer,
@@ -108,7 +109,8 @@
             EntryMetrics metrics) {
         this.store = Objects.requireNonNull(store, "store");
         this.loop = Objects.requireNonNull(loop, "loop");
-        this.ageClockMillis = Objects.requireNonNull(ageClockMillis, "age clock");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.confirmedAt = clock.get();
         this.times = Objects.requireNonNull(times, "times");
         this.backoff = new RetryBackoff(times.retryDelayMillis(), times.intervalMillis());
         this.peerReader = Objects.requireNonNull(peerReader, "peer reader");
@@ -129,12 +131,11 @@
      * Starts polling from a configuration that another host has sent, unless it is so old that a host would read the
      * store itself; called on the control loop.
      *
-     * @param confirmedAtMillis time at which the call that confirmed it was sent, or earlier
+     * @param sentAt when the call that confirmed it was sent, or earlier
      * @return whether polling has started
      */
-    public boolean startFrom(StoredObject object, long confirmedAtMillis) {
-        if (ageClockMillis.getAsLong() - confirmedAtMillis >= times.maxUnconfirmedMillis()
-                || !confirm(object, confirmedAtMillis, Source.START)) {
+    public boolean startFrom(StoredObject object, ClockReading sentAt) {
+        if (millisSince(sentAt) >= times.maxUnconfirmedMillis() || !confirm(object, sentAt, Source.START)) {
             return false;
         }
         if (knownConfiguration.version() < announcedVersion) {
@@ -156,8 +157,12 @@
     }
 
     /** Returns when the call was sent that confirmed the known configuration last. */
-    public long confirmedAtMillis() {
-        return confirmedAtMillis;
+    public ClockReading confirmedAt() {
+        return confirmedAt;
+    }
+
+    private long millisSince(ClockReading earlier) {
+        return clock.get().inclusiveMillis() - earlier.inclusiveMillis();
     }
 
     /**
@@ -183,10 +188,10 @@
      * suffices for a read of this host's own after that; a silent peer thus delays no change beyond its bound.
      */
     private void fetchOrRead() {
-        long sentAt = ageClockMillis.getAsLong();
+        ClockReading sentAt = clock.get();
         long wait = times.callTimeoutMillis();
         int current = ++step;
-        boolean querySent = sentAt - confirmedAtMillis + wait < times.maxUnconfirmedMillis()
+        boolean querySent = millisSince(confirmedAt) + wait < times.maxUnconfirmedMillis()
                 && peerReader.fetchConfiguration(announcedVersion, wait, fetched -> {
                     if (current == step) {
                         onFetched(fetched, sentAt);
@@ -200,9 +205,10 @@
         }
     }
 
-    private void onFetched(Optional<EntryPeerMessage.ConfigurationFetched> fetched, long sentAt) {
-        boolean usable = fetched.isPresent()
-                && confirm(fetched.get().object(), sentAt + fetched.get().readAfterMillis(), Source.PEER)
+    private void onFetched(Optional<EntryPeerMessage.ConfigurationFetched> fetched, ClockReading sentAt) {
+        boolean usable = fetched.filter(found ->
+                                confirm(found.object(), confirmedByPeer(sentAt, found.readAfterMillis()), Source.PEER))
+                        .isPresent()
                 && knownConfiguration.version() >= announcedVersion;
         metrics.recordStoreCall("configuration-fetch", usable ? "Found" : "NotKnown");
         if (usable) {
@@ -215,7 +221,7 @@
     /** Has the known configuration confirmed, by a peer if there is one that reads the store. */
     private void confirmAgain() {
         int current = ++step;
-        long sentAt = ageClockMillis.getAsLong();
+        ClockReading sentAt = clock.get();
         boolean querySent = peerReader.confirmConfiguration(knownVersion, readAfter -> {
             if (current == step) {
                 onPeerReply(readAfter, sentAt);
@@ -230,7 +236,7 @@
         }
     }
 
-    private void onPeerReply(OptionalLong readAfterMillis, long sentAt) {
+    private void onPeerReply(OptionalLong readAfterMillis, ClockReading sentAt) {
         if (readAfterMillis.isEmpty()) {
             retryQueryOrRead();
             return;
@@ -239,13 +245,23 @@
         queriesSinceRead = 0;
         readRepeated = false;
         recordUsable(true, "peer");
-        confirmedAtMillis = sentAt + readAfterMillis.getAsLong();
-        long aheadMillis = confirmedAtMillis - ageClockMillis.getAsLong();
+        confirmedAt = confirmedByPeer(sentAt, readAfterMillis.getAsLong());
+        listener.onConfigurationConfirmed(knownConfiguration, confirmedAt.inclusiveMillis());
+        confirmAgain();
+    }
+
+    /**
+     * Returns when a peer sent the call that confirms the configuration, after a query of this host. A peer of an earlier
+     * build may tell too long an interval, but the call was sent before its response.
+     */
+    private ClockReading confirmedByPeer(ClockReading querySentAt, long readAfterMillis) {
+        ClockReading now = clock.get();
+        ClockReading told = querySentAt.plusMillis(readAfterMillis);
+        long aheadMillis = now.leastMillisUntil(told);
         if (aheadMillis > 0) {
-            log.write("configuration-confirmed-ahead", "version", knownConfiguration.version(), "ms", aheadMillis);
+            log.write("configuration-confirmed-ahead", "known", knownVersion(), "ms", aheadMillis);
         }
-        listener.onConfigurationConfirmed(knownConfiguration, confirmedAtMillis);
-        confirmAgain();
+        return told.min(now);
     }
 
     /**
@@ -253,7 +269,7 @@
      * knows, or to take over from a disconnected reader.
      */
     private void retryQueryOrRead() {
-        long nextAge = ageClockMillis.getAsLong() - confirmedAtMillis + times.retryDelayMillis();
+        long nextAge = millisSince(confirmedAt) + times.retryDelayMillis();
         if (nextAge < times.maxUnconfirmedMillis()) {
             schedule(this::confirmAgain, times.retryDelayMillis());
         } else {
@@ -262,7 +278,7 @@
     }
 
     private void scheduleReadAtAge(long ageMillis) {
-        schedule(this::read, confirmedAtMillis + ageMillis - ageClockMillis.getAsLong());
+        schedule(this::read, ageMillis - millisSince(confirmedAt));
     }
 
     private void schedule(Runnable action, long delayMillis) {
@@ -281,7 +297,7 @@
         cancelScheduled();
         reading = true;
         announcedWhileReading = false;
-        long sentAt = ageClockMillis.getAsLong();
+        ClockReading sentAt = clock.get();
         store.read(
                 ConfigurationDecoder.KIND,
                 ConfigurationDecoder.NAME,
@@ -289,7 +305,7 @@
                 reply -> onReadReply(reply, sentAt));
     }
 
-    private void onReadReply(StoreReply reply, long sentAt) {
+    private void onReadReply(StoreReply reply, ClockReading sentAt) {
         reading = false;
         metrics.recordStoreCall("configuration", reply.getClass().getSimpleName());
         boolean usable = reply instanceof StoreReply.Found found && confirm(found.object(), sentAt, Source.STORE);
@@ -325,7 +341,7 @@
      */
     private void queryOrRead() {
         int current = ++step;
-        long sentAt = ageClockMillis.getAsLong();
+        ClockReading sentAt = clock.get();
         boolean repeatsRead = !readRepeated && peerReader.isSuccessor();
         readRepeated |= repeatsRead;
         boolean querySent = knownConfiguration != null
@@ -358,7 +374,7 @@
                 "announced",
                 announcedVersion == Long.MIN_VALUE ? "-" : announcedVersion,
                 "age_ms",
-                knownConfiguration == null ? "-" : ageClockMillis.getAsLong() - confirmedAtMillis,
+                knownConfiguration == null ? "-" : millisSince(confirmedAt),
                 "reply",
                 describe(reply));
     }
@@ -374,7 +390,7 @@
      * Reports the configuration as confirmed; returns false if the object cannot be decoded, or if its version is older
      * than the known one.
      */
-    private boolean confirm(StoredObject object, long sentAt, Source source) {
+    private boolean confirm(StoredObject object, ClockReading sentAt, Source source) {
         if (!isKnown(object)) {
             if (!apply(object)) {
                 return false;
@@ -386,12 +402,12 @@
                     "source",
                     source,
                     "age_ms",
-                    ageClockMillis.getAsLong() - sentAt,
+                    millisSince(sentAt),
                     "failed_reads",
                     failedReads);
         }
-        confirmedAtMillis = sentAt;
-        listener.onConfigurationConfirmed(knownConfiguration, sentAt);
+        confirmedAt = sentAt;
+        listener.onConfigurationConfirmed(knownConfiguration, sentAt.inclusiveMillis());
         return true;
     }
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreServer.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.amaranthlock.coordination.forwarding.ClockReading;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.entry.peer.EntryPeerMessage.ConfigurationQuery;
 import org.amaranthlock.entry.peer.EntryPeerMessage.TargetsQuery;
@@ -29,7 +29,7 @@
     /** Limit of pending queries; the senders of further queries have to read the store themselves. */
     private static final int MAX_PENDING_QUERIES = 1_000;
 
-    private final LongSupplier ageClockMillis;
+    private final Supplier<ClockReading> clock;
     private final List<PendingConfigurationQuery> pendingConfigurationQueries = new ArrayList<>();
     private final List<PendingTargetsQuery> pendingTargetsQueries = new ArrayList<>();
     private final Deque<RetainedChange> retainedChanges = new ArrayDeque<>();
@@ -40,11 +40,11 @@
     private boolean watchingTargets;
     private long oldestRetainedRevision;
     private StorePosition targetsPosition = new StorePosition(StorePosition.UNKNOWN_ERA, 0);
-    private long listSentAtMillis;
-    private long watchSentAtMillis;
+    private ClockReading listSentAt;
+    private ClockReading watchSentAt;
 
-    /** Time at which the last call that confirmed the targets was sent; empty if a peer sent the last changes. */
-    private OptionalLong targetsConfirmedAtMillis = OptionalLong.empty();
+    /** When the last call that confirmed the targets was sent; empty if a peer sent the last changes. */
+    private Optional<ClockReading> targetsConfirmedAt = Optional.empty();
 
     /**
      * A change with the revision of the watch response that reported it; a removal may itself have an older revision.
@@ -52,13 +52,15 @@
     private record RetainedChange(StoreChange change, long revision) {}
 
     private record PendingConfigurationQuery(
-            ConfigurationQuery query, long receivedAtMillis, Consumer<EntryPeerMessage> reply) {}
+            ConfigurationQuery query, ClockReading receivedAt, Consumer<EntryPeerMessage> reply) {}
 
     private record PendingTargetsQuery(TargetsQuery query, Consumer<EntryPeerMessage> reply) {}
 
-    /** Creates a server; the clock must include times of suspension. */
-    public PeerStoreServer(LongSupplier ageClockMillis) {
-        this.ageClockMillis = Objects.requireNonNull(ageClockMillis, "age clock");
+    /** Creates a server that measures the intervals in its responses with {@code clock}. */
+    public PeerStoreServer(Supplier<ClockReading> clock) {
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.listSentAt = clock.get();
+        this.watchSentAt = listSentAt;
     }
 
     /** Handles a query about the configuration. */
@@ -67,7 +69,7 @@
         if (!known || pendingConfigurationQueries.size() >= MAX_PENDING_QUERIES) {
             reply.accept(new EntryPeerMessage.NotKnown(query.id()));
         } else {
-            pendingConfigurationQueries.add(new PendingConfigurationQuery(query, ageClockMillis.getAsLong(), reply));
+            pendingConfigurationQueries.add(new PendingConfigurationQuery(query, clock.get(), reply));
         }
     }
 
@@ -88,17 +90,17 @@
     }
 
     /**
-     * Records that a read by this host, sent at {@code sentAtMillis}, returned this version of the configuration, and
-     * responds to all pending queries about it.
+     * Records that a read by this host, sent at {@code sentAt}, returned this version of the configuration, and responds to
+     * all pending queries about it.
      */
-    public void onConfigurationRead(ObjectVersion version, long sentAtMillis) {
+    public void onConfigurationRead(ObjectVersion version, ClockReading sentAt) {
         configurationVersion = Optional.of(version);
         List<PendingConfigurationQuery> pending = List.copyOf(pendingConfigurationQueries);
         pendingConfigurationQueries.clear();
         for (PendingConfigurationQuery pendingQuery : pending) {
             long id = pendingQuery.query().id();
             boolean newest = pendingQuery.query().version().matches(version);
-            long readAfterMillis = sentAtMillis - pendingQuery.receivedAtMillis();
+            long readAfterMillis = pendingQuery.receivedAt().leastMillisUntil(sentAt);
             pendingQuery
                     .reply()
                     .accept(
@@ -132,25 +134,25 @@
 
     /** Records that this host begins to list the targets in the store. */
     public void onTargetsListSent() {
-        listSentAtMillis = ageClockMillis.getAsLong();
+        listSentAt = clock.get();
     }
 
     /** Records that this host has listed the targets. */
     public void onTargetsListed() {
-        targetsConfirmedAtMillis = OptionalLong.of(listSentAtMillis);
+        targetsConfirmedAt = Optional.of(listSentAt);
     }
 
-    /** Records that another host sent the targets, and the time of the call that confirmed them. */
-    public void onTargetsKnown(long confirmedAtMillis) {
-        targetsConfirmedAtMillis = OptionalLong.of(confirmedAtMillis);
+    /** Records that another host sent the targets, and when the call was sent that confirmed them. */
+    public void onTargetsKnown(ClockReading confirmedAt) {
+        targetsConfirmedAt = Optional.of(confirmedAt);
     }
 
     /**
-     * Returns the time at which the last call that confirmed the targets was sent; empty if this host does not watch
-     * them in the store itself.
+     * Returns when the last call that confirmed the targets was sent; empty if this host does not watch them in the store
+     * itself.
      */
-    public OptionalLong targetsConfirmedAtMillis() {
-        return watchingTargets ? targetsConfirmedAtMillis : OptionalLong.empty();
+    public Optional<ClockReading> targetsConfirmedAt() {
+        return watchingTargets ? targetsConfirmedAt : Optional.empty();
     }
 
     /** Returns the position in the store up to which this host, which watches the targets, knows their changes. */
@@ -160,7 +162,7 @@
 
     /** Records that this host itself watches the targets in the store from a position on. */
     public void onWatchStarted(StorePosition position) {
-        watchSentAtMillis = ageClockMillis.getAsLong();
+        watchSentAt = clock.get();
         if (watchingTargets && position.equals(targetsPosition)) {
             return;
         }
@@ -172,7 +174,7 @@
 
     /** Records the result of this host's watch and responds to all pending queries, even if nothing changed. */
     public void onTargetsChanged(List<StoreChange> changes, StorePosition position) {
-        targetsConfirmedAtMillis = OptionalLong.of(watchSentAtMillis);
+        targetsConfirmedAt = Optional.of(watchSentAt);
         for (StoreChange change : changes) {
             retainedChanges.addLast(new RetainedChange(change, position.revision()));
         }
@@ -191,7 +193,7 @@
      */
     public void onWatchStopped() {
         watchingTargets = false;
-        targetsConfirmedAtMillis = OptionalLong.empty();
+        targetsConfirmedAt = Optional.empty();
         pendingTargetsQueries.forEach(pendingQuery -> pendingQuery
                 .reply()
                 .accept(new EntryPeerMessage.NotKnown(pendingQuery.query().id())));
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/StartFromPeers.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/StartFromPeers.java
@@ -12,7 +12,8 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.amaranthlock.coordination.forwarding.ClockReading;
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.entry.peer.EntryPeerMessage.KnownObjects;
@@ -66,7 +67,7 @@
     private final ConfigurationPoller configurationPoller;
     private final TargetWatcher targetWatcher;
     private final PromptPartExchange promptPartExchange;
-    private final LongSupplier ageClockMillis;
+    private final Supplier<ClockReading> clock;
     private final UniformRandomProvider random;
     private final DecisionLog log;
     private final EntryMetrics metrics;
@@ -75,7 +76,7 @@
     private final Set<String> asked = new HashSet<>();
     private long lastId;
     private boolean listed;
-    private long listedAtMillis;
+    private ClockReading listedAt;
     private boolean waitOver;
     private boolean spreading;
 
@@ -99,7 +100,7 @@
         boolean sendStartQuery(String peer, StartQuery query);
     }
 
-    private record Query(String peer, long sentAtMillis, boolean mayWait) {}
+    private record Query(String peer, ClockReading sentAt, boolean mayWait) {}
 
     /**
      * Creates the component that fetches the start state of a host.
@@ -115,7 +116,7 @@
             ConfigurationPoller configurationPoller,
             TargetWatcher targetWatcher,
             PromptPartExchange promptPartExchange,
-            LongSupplier ageClockMillis,
+            Supplier<ClockReading> clock,
             UniformRandomProvider random,
             DecisionLog log,
             EntryMetrics metrics) {
@@ -127,7 +128,8 @@
         this.configurationPoller = Objects.requireNonNull(configurationPoller, "configuration poller");
         this.targetWatcher = Objects.requireNonNull(targetWatcher, "target watcher");
         this.promptPartExchange = Objects.requireNonNull(promptPartExchange, "prompt part exchange");
-        this.ageClockMillis = Objects.requireNonNull(ageClockMillis, "age clock");
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.listedAt = clock.get();
         this.random = Objects.requireNonNull(random, "random");
         this.log = Objects.requireNonNull(log, "log");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
@@ -155,7 +157,7 @@
             return;
         }
         listed = true;
-        listedAtMillis = ageClockMillis.getAsLong();
+        listedAt = clock.get();
         if (registered.isEmpty()) {
             readMissing("no-peers");
         } else {
@@ -205,27 +207,31 @@
     private void useConfiguration(KnownObjects known, Query query) {
         boolean used = missing.contains(Part.CONFIGURATION)
                 && known.objects().size() == 1
-                && configurationPoller.startFrom(known.objects().getFirst(), confirmedAtMillis(known, query));
+                && configurationPoller.startFrom(known.objects().getFirst(), confirmedAt(known, query));
         if (used) {
             missing.remove(Part.CONFIGURATION);
         }
     }
 
     private void useTargets(KnownObjects known, Query query) {
-        long confirmedAt = confirmedAtMillis(known, query);
-        if (missing.contains(Part.TARGETS)
-                && ageClockMillis.getAsLong() - confirmedAt < TargetWatcher.MAX_UNCONFIRMED_MILLIS) {
+        ClockReading confirmedAt = confirmedAt(known, query);
+        if (missing.contains(Part.TARGETS) && millisSince(confirmedAt) < TargetWatcher.MAX_UNCONFIRMED_MILLIS) {
             missing.remove(Part.TARGETS);
             targetWatcher.startFrom(known.objects(), known.position(), confirmedAt);
         }
     }
 
-    private static long confirmedAtMillis(KnownObjects known, Query query) {
-        return query.sentAtMillis() + known.readAfterMillis();
+    /** A host of an earlier build may tell too long an interval, but the call was sent before its response. */
+    private ClockReading confirmedAt(KnownObjects known, Query query) {
+        return query.sentAt().plusMillis(known.readAfterMillis()).min(clock.get());
+    }
+
+    private long millisSince(ClockReading earlier) {
+        return clock.get().inclusiveMillis() - earlier.inclusiveMillis();
     }
 
     private Object age(Optional<KnownObjects> known, Query query) {
-        return known.<Object>map(present -> ageClockMillis.getAsLong() - confirmedAtMillis(present, query))
+        return known.<Object>map(present -> millisSince(confirmedAt(present, query)))
                 .orElse("-");
     }
 
@@ -258,24 +264,24 @@
     }
 
     private boolean mayAnswer(Query query) {
-        return ageClockMillis.getAsLong() - query.sentAtMillis() < PEER_WAIT_MILLIS;
+        return millisSince(query.sentAt()) < PEER_WAIT_MILLIS;
     }
 
     private boolean isAnswerExpected(Query query) {
-        return ageClockMillis.getAsLong() - query.sentAtMillis() < ANSWER_MILLIS;
+        return millisSince(query.sentAt()) < ANSWER_MILLIS;
     }
 
     private void send(String peer, boolean mayWait) {
         long id = ++lastId;
         if (peers.sendStartQuery(peer, new StartQuery(id, mayWait))) {
-            outstanding.put(id, new Query(peer, ageClockMillis.getAsLong(), mayWait));
+            outstanding.put(id, new Query(peer, clock.get(), mayWait));
             loop.schedule(this::proceed, ANSWER_MILLIS, TimeUnit.MILLISECONDS);
             loop.schedule(this::proceed, PEER_WAIT_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
     private void onWaitOver() {
-        long elapsed = ageClockMillis.getAsLong() - listedAtMillis;
+        long elapsed = millisSince(listedAt);
         if (asked.isEmpty() && elapsed < CONNECT_WAIT_MILLIS && peers.isConnecting()) {
             loop.schedule(this::onWaitOver, ANSWER_MILLIS, TimeUnit.MILLISECONDS);
             return;
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/StartStateServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/StartStateServer.java
@@ -4,10 +4,10 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.amaranthlock.coordination.forwarding.ClockReading;
 import org.amaranthlock.coordination.promptpart.PromptPartReport;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.entry.peer.EntryPeerMessage.KnownObjects;
@@ -36,32 +36,32 @@
     private final TargetWatcher targetWatcher;
     private final PeerStoreServer peerStoreServer;
     private final PromptPartExchange promptPartExchange;
-    private final LongSupplier ageClockMillis;
-    private final long createdAtMillis;
+    private final Supplier<ClockReading> clock;
+    private final ClockReading createdAt;
     private final List<PendingQuery> pendingQueries = new ArrayList<>();
 
-    private record PendingQuery(long id, long receivedAtMillis, Consumer<EntryPeerMessage> reply) {}
+    private record PendingQuery(long id, ClockReading receivedAt, Consumer<EntryPeerMessage> reply) {}
 
-    /** Creates a server; the clock must include times of suspension. */
+    /** Creates a server that measures the intervals in its responses with {@code clock}. */
     public StartStateServer(
             Executor controlLoop,
             ConfigurationPoller configurationPoller,
             TargetWatcher targetWatcher,
             PeerStoreServer peerStoreServer,
             PromptPartExchange promptPartExchange,
-            LongSupplier ageClockMillis) {
+            Supplier<ClockReading> clock) {
         this.controlLoop = Objects.requireNonNull(controlLoop, "control loop");
         this.configurationPoller = Objects.requireNonNull(configurationPoller, "configuration poller");
         this.targetWatcher = Objects.requireNonNull(targetWatcher, "target watcher");
         this.peerStoreServer = Objects.requireNonNull(peerStoreServer, "peer store server");
         this.promptPartExchange = Objects.requireNonNull(promptPartExchange, "prompt part exchange");
-        this.ageClockMillis = Objects.requireNonNull(ageClockMillis, "age clock");
-        this.createdAtMillis = ageClockMillis.getAsLong();
+        this.clock = Objects.requireNonNull(clock, "clock");
+        this.createdAt = clock.get();
     }
 
     /** Handles the query of a starting host. */
     public void handleQuery(StartQuery query, Consumer<EntryPeerMessage> reply) {
-        PendingQuery pending = new PendingQuery(query.id(), ageClockMillis.getAsLong(), reply);
+        PendingQuery pending = new PendingQuery(query.id(), clock.get(), reply);
         if (query.mayWait() && !isStarted() && pendingQueries.size() < MAX_PENDING_QUERIES) {
             pendingQueries.add(pending);
         } else {
@@ -81,8 +81,8 @@
     }
 
     private boolean isStarted() {
-        boolean awaitsVerdicts = !promptPartExchange.knowsVerdicts()
-                && ageClockMillis.getAsLong() - createdAtMillis < VERDICT_WAIT_MILLIS;
+        boolean awaitsVerdicts =
+                !promptPartExchange.knowsVerdicts() && createdAt.leastMillisUntil(clock.get()) < VERDICT_WAIT_MILLIS;
         return configurationPoller.known().isPresent() && targetWatcher.isStarted() && !awaitsVerdicts;
     }
 
@@ -100,14 +100,13 @@
                 .map(object -> new KnownObjects(
                         List.of(object),
                         new StorePosition(StorePosition.UNKNOWN_ERA, object.revision()),
-                        configurationPoller.confirmedAtMillis() - query.receivedAtMillis()));
-        OptionalLong targetsAtMillis = peerStoreServer.targetsConfirmedAtMillis();
-        Optional<KnownObjects> targets = targetsAtMillis.isEmpty()
-                ? Optional.empty()
-                : Optional.of(new KnownObjects(
+                        query.receivedAt().leastMillisUntil(configurationPoller.confirmedAt())));
+        Optional<KnownObjects> targets = peerStoreServer
+                .targetsConfirmedAt()
+                .map(confirmedAt -> new KnownObjects(
                         targetWatcher.registrations(),
                         peerStoreServer.targetsPosition(),
-                        targetsAtMillis.getAsLong() - query.receivedAtMillis()));
+                        query.receivedAt().leastMillisUntil(confirmedAt)));
         return new StartState(query.id(), configuration, targets, verdicts);
     }
 }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/TargetWatcher.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/TargetWatcher.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.amaranthlock.coordination.forwarding.ClockReading;
 import org.amaranthlock.coordination.forwarding.EntryTarget;
 import org.amaranthlock.coordination.forwarding.Mechanisms;
 import org.amaranthlock.coordination.forwarding.TargetRegistry;
@@ -132,15 +133,15 @@
      * Starts watching from the registrations that another host has sent; called on the control loop.
      *
      * @param position position in the store from which changes follow
-     * @param confirmedAtMillis time at which the call that confirmed them was sent, or earlier
+     * @param confirmedAt when the call that confirmed them was sent, or earlier
      */
-    public void startFrom(Collection<StoredObject> known, StorePosition position, long confirmedAtMillis) {
+    public void startFrom(Collection<StoredObject> known, StorePosition position, ClockReading confirmedAt) {
         listing.clear();
         registrations.clear();
         known.forEach(this::addListed);
         registry.applyList(listing, false, clockMillis.getAsLong());
         log.write("targets-received", "count", listing.size(), "revision", position.revision());
-        peerStoreServer.onTargetsKnown(confirmedAtMillis);
+        peerStoreServer.onTargetsKnown(confirmedAt);
         publish();
         awaitChanges(position);
     }
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationDelayTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationDelayTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.amaranthlock.entry.control.ConfigurationFleet.Host;
 import org.junit.jupiter.api.Test;
@@ -92,6 +93,77 @@
         }
     }
 
+    // Guards against a confirmation that lies in the future because the time of day of the reader jumped while it
+    // answered: the follower reads the store late by the length of the jump, if the reader ends before the next change.
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void changeIsInForceInTimeWhenTheClockOfTheReaderJumpsBeforeItIsKilled(boolean earlierBuild) {
+        for (long jumpAt = 0; jumpAt < 1_000; jumpAt += STEP_MILLIS) {
+            ConfigurationFleet fleet = new ConfigurationFleet();
+            fleet.write(1, 10);
+            Host reader = fleet.addHost("entry-1", "a", 2_500);
+            Host follower = fleet.addHost("entry-2", "a", 2_500);
+            if (earlierBuild) {
+                reader.earlierBuild();
+            }
+            fleet.advance(3_000 + jumpAt);
+            reader.jumpClock(6_000);
+            fleet.advance(950);
+            reader.kill();
+            fleet.write(2, 11);
+            long acknowledgedAt = fleet.nowMillis();
+            fleet.advance(9_000);
+            assertWithMessage("milliseconds until a change is in force after a jump at %s ms", jumpAt)
+                    .that(follower.inForceAtMillis(2) - acknowledgedAt)
+                    .isAtMost((long) (2_500 * USABLE_SHARE));
+        }
+    }
+
+    // As above: keys are accepted by the age of the configuration, and a withdrawn one longer by the length of the
+    // jump.
+    @Test
+    void hostBelievesNoConfirmationThatIsNewerThanTheReadWhenClocksOfOtherHostsJump() {
+        for (long jumpAt = 0; jumpAt < 1_000; jumpAt += STEP_MILLIS) {
+            ConfigurationFleet fleet = new ConfigurationFleet();
+            fleet.write(1, 10);
+            Host reader = fleet.addHost("entry-1", "a", 2_500);
+            Host follower = fleet.addHost("entry-2", "a", 2_500);
+            fleet.advance(3_000 + jumpAt);
+            reader.jumpClock(2_000);
+            assertConfirmedByReads(fleet, follower);
+        }
+    }
+
+    // As above, for a host that gets the object of a new version from its reader, since the store is in another region.
+    @Test
+    void hostBelievesNoFetchedConfigurationThatIsNewerThanTheReadWhenClocksOfOtherHostsJump() {
+        for (long jumpAt = 0; jumpAt < 200; jumpAt += STEP_MILLIS / 7) {
+            ConfigurationFleet fleet = new ConfigurationFleet();
+            fleet.putBeyondLink(Set.of("b"), 100_000, true);
+            fleet.write(1, 10);
+            Host announcer = fleet.addHost("entry-1", "a", 2_500);
+            Host reader = fleet.addHost("entry-2", "b", 2_500);
+            Host follower = fleet.addHost("entry-3", "b", 2_500);
+            fleet.advance(5_000);
+            fleet.write(2, 11);
+            // The query for the third version comes while the reader reads the second one, and waits for the next read.
+            fleet.advanceUntil(() -> announcer.inForceAtMillis(2) < Long.MAX_VALUE);
+            announcer.announce(3);
+            fleet.advance(3 * ConfigurationFleet.ONE_WAY_MILLIS);
+            fleet.write(3, 12);
+            fleet.advance(jumpAt);
+            reader.jumpClock(2_000);
+            assertConfirmedByReads(fleet, follower);
+        }
+    }
+
+    private static void assertConfirmedByReads(ConfigurationFleet fleet, Host host) {
+        for (int i = 0; i < 1_500; i++) {
+            fleet.advance(1);
+            assertWithMessage("confirmed at").that(host.confirmedAtMillis()).isAtMost(fleet.lastReadMillis());
+        }
+    }
+
     // Guards against a configuration that is never applied because the store came back from an older copy, whose
     // revisions are lower than those that hosts have seen.
     @Test
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
@@ -9,8 +9,10 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import org.amaranthlock.coordination.forwarding.ClockReading;
 import org.amaranthlock.coordination.forwarding.StoreReaderSelector;
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.metrics.EntryMetrics;
@@ -46,6 +48,7 @@
     private boolean sharesReads;
     private double linkFreeAtMillis;
     private long crossedBytes;
+    private long lastReadMillis;
 
     ConfigurationFleet() {
         channel.freezeTime();
@@ -96,10 +99,21 @@
         }
     }
 
+    void advanceUntil(BooleanSupplier condition) {
+        while (!condition.getAsBoolean()) {
+            advance(1);
+        }
+    }
+
     long nowMillis() {
         return nowMillis;
     }
 
+    /** Returns when a host sent the last read; no confirmation can be newer. */
+    long lastReadMillis() {
+        return lastReadMillis;
+    }
+
     private void schedule(long delayMillis, Runnable action) {
         channel.eventLoop().schedule(action, delayMillis, TimeUnit.MILLISECONDS);
     }
@@ -108,7 +122,7 @@
     final class Host {
         private final String name;
         private final String domain;
-        private final PeerStoreServer server = new PeerStoreServer(() -> nowMillis);
+        private final PeerStoreServer server = new PeerStoreServer(this::clock);
         private final PeerStoreClient client;
         private final ConfigurationPoller poller;
         private final ConfigurationFetchServer fetchServer;
@@ -121,6 +135,8 @@
         private boolean rejectedByStore;
         private boolean losesNextRead;
         private int reads;
+        private long clockAheadMillis;
+        private boolean earlierBuild;
 
         private Host(String name, String domain, long applyMillis) {
             this.name = name;
@@ -137,7 +153,7 @@
             this.poller = new ConfigurationPoller(
                     new Store(),
                     channel.eventLoop(),
-                    () -> nowMillis,
+                    this::clock,
                     ConfigurationPollTimes.within(applyMillis),
                     client,
                     server,
@@ -150,7 +166,22 @@
                     this::announce,
                     log,
                     metrics);
-            this.fetchServer = new ConfigurationFetchServer(poller, () -> nowMillis);
+            this.fetchServer = new ConfigurationFetchServer(poller, this::clock);
+        }
+
+        private ClockReading clock() {
+            long inclusive = nowMillis + clockAheadMillis;
+            return new ClockReading(earlierBuild ? inclusive : nowMillis, inclusive);
+        }
+
+        /** The time of day of this host jumps ahead, which its clock takes for a suspension. */
+        void jumpClock(long millis) {
+            clockAheadMillis += millis;
+        }
+
+        /** The host is of a build that measures all intervals by the clock that takes a jump for a suspension. */
+        void earlierBuild() {
+            earlierBuild = true;
         }
 
         private void known() {
@@ -219,7 +250,8 @@
             rejectedByStore = rejected;
         }
 
-        private void announce(long version) {
+        /** Announces a version to all other hosts. */
+        void announce(long version) {
             hosts.values().stream()
                     .filter(other -> other != this)
                     .forEach(other -> send(other, () -> other.poller.onVersionAnnounced(version)));
@@ -296,6 +328,7 @@
                     return;
                 }
                 reads++;
+                lastReadMillis = nowMillis;
                 if (rejectedByStore) {
                     schedule(2 * ONE_WAY_MILLIS, () -> result.accept(new StoreReply.Unanswered("busy")));
                     return;
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerStoreServerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerStoreServerTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import org.amaranthlock.coordination.forwarding.ClockReading;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreChange;
@@ -15,45 +16,45 @@
 
 class PeerStoreServerTest {
     private final long[] nowMillis = {0};
-    private final PeerStoreServer server = new PeerStoreServer(() -> nowMillis[0]);
+    private final PeerStoreServer server = new PeerStoreServer(() -> ClockReading.of(nowMillis[0]));
     private final List<EntryPeerMessage> replies = new ArrayList<>();
 
     @Test
     void confirmsConfigurationWithNextReadAndReportsWhenItWasSent() {
-        server.onConfigurationRead(version(7), 0);
+        server.onConfigurationRead(version(7), ClockReading.of(0));
         nowMillis[0] = 20;
         server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, version(7)), replies::add);
         assertThat(replies).isEmpty();
         nowMillis[0] = 940;
-        server.onConfigurationRead(version(7), 900);
+        server.onConfigurationRead(version(7), ClockReading.of(900));
         assertThat(replies).containsExactly(new EntryPeerMessage.ConfigurationConfirmed(1, 880));
     }
 
     // Guards against a confirmation that counts as newer than its read, which was under way when the query arrived.
     @Test
     void reportsReadThatWasSentBeforeQueryArrived() {
-        server.onConfigurationRead(version(7), 0);
+        server.onConfigurationRead(version(7), ClockReading.of(0));
         nowMillis[0] = 905;
         server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, version(7)), replies::add);
         nowMillis[0] = 940;
-        server.onConfigurationRead(version(7), 900);
+        server.onConfigurationRead(version(7), ClockReading.of(900));
         assertThat(replies).containsExactly(new EntryPeerMessage.ConfigurationConfirmed(1, -5));
     }
 
     // Guards against an outdated configuration that stays in force because a peer with a newer one confirms it.
     @Test
     void doesNotConfirmOutdatedConfiguration() {
-        server.onConfigurationRead(version(7), 0);
+        server.onConfigurationRead(version(7), ClockReading.of(0));
         server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, version(6)), replies::add);
         server.handleQuery(new EntryPeerMessage.ConfigurationQuery(2, version(7)), replies::add);
-        server.onConfigurationRead(version(8), 900);
+        server.onConfigurationRead(version(8), ClockReading.of(900));
         assertThat(replies).containsExactly(new EntryPeerMessage.NotKnown(1), new EntryPeerMessage.NotKnown(2));
     }
 
     // Guards against hosts that wait for a peer that cannot reach the store.
     @Test
     void repliesNotKnownAtOnceWhenLocalReadFails() {
-        server.onConfigurationRead(version(7), 0);
+        server.onConfigurationRead(version(7), ClockReading.of(0));
         server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, version(7)), replies::add);
         server.onConfigurationUnavailable();
         server.handleQuery(new EntryPeerMessage.ConfigurationQuery(2, version(7)), replies::add);
@@ -110,21 +111,21 @@
     // revision of a lost configuration to another one.
     @Test
     void doesNotConfirmOtherContentWithTheSameRevision() {
-        server.onConfigurationRead(new ObjectVersion(7, OptionalLong.of(100)), 0);
+        server.onConfigurationRead(new ObjectVersion(7, OptionalLong.of(100)), ClockReading.of(0));
         server.handleQuery(
                 new EntryPeerMessage.ConfigurationQuery(1, new ObjectVersion(7, OptionalLong.of(200))), replies::add);
         server.handleQuery(
                 new EntryPeerMessage.ConfigurationQuery(2, new ObjectVersion(7, OptionalLong.of(100))), replies::add);
-        server.onConfigurationRead(new ObjectVersion(7, OptionalLong.of(300)), 900);
+        server.onConfigurationRead(new ObjectVersion(7, OptionalLong.of(300)), ClockReading.of(900));
         assertThat(replies).containsExactly(new EntryPeerMessage.NotKnown(1), new EntryPeerMessage.NotKnown(2));
     }
 
     // Hosts of an earlier build name no content, and are answered by the revision.
     @Test
     void confirmsRevisionToHostOfEarlierBuild() {
-        server.onConfigurationRead(new ObjectVersion(7, OptionalLong.of(100)), 0);
+        server.onConfigurationRead(new ObjectVersion(7, OptionalLong.of(100)), ClockReading.of(0));
         server.handleQuery(new EntryPeerMessage.ConfigurationQuery(1, version(7)), replies::add);
-        server.onConfigurationRead(new ObjectVersion(7, OptionalLong.of(100)), 900);
+        server.onConfigurationRead(new ObjectVersion(7, OptionalLong.of(100)), ClockReading.of(900));
         assertThat(replies).containsExactly(new EntryPeerMessage.ConfigurationConfirmed(1, 900));
     }
 
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/StartFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/StartFleet.java
@@ -12,6 +12,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.amaranthlock.coordination.forwarding.ClockReading;
 import org.amaranthlock.coordination.forwarding.Mechanisms;
 import org.amaranthlock.coordination.forwarding.StoreReaderSelector;
 import org.amaranthlock.coordination.forwarding.TargetTable;
@@ -127,7 +128,7 @@
         private final long startedAtMillis = nowMillis;
         private final DecisionLog log = new DecisionLog(Logger.getLogger(LOGGER), () -> nowMillis);
         private final EntryMetrics metrics = new EntryMetrics();
-        private final PeerStoreServer server = new PeerStoreServer(() -> nowMillis);
+        private final PeerStoreServer server = new PeerStoreServer(this::clock);
         private final PeerStoreClient client;
         private final ConfigurationPoller poller;
         private final TargetWatcher watcher;
@@ -185,7 +186,7 @@
             this.poller = new ConfigurationPoller(
                     storeClient,
                     channel.eventLoop(),
-                    () -> nowMillis,
+                    this::clock,
                     ConfigurationPollTimes.within(APPLY_MILLIS),
                     client,
                     server,
@@ -212,7 +213,7 @@
                     random,
                     this::onVerdictsKnown);
             this.stateServer =
-                    new StartStateServer(channel.eventLoop(), poller, watcher, server, exchange, () -> nowMillis);
+                    new StartStateServer(channel.eventLoop(), poller, watcher, server, exchange, this::clock);
             this.startFromPeers = new StartFromPeers(
                     channel.eventLoop(),
                     name,
@@ -222,7 +223,7 @@
                     poller,
                     watcher,
                     exchange,
-                    () -> nowMillis,
+                    this::clock,
                     random,
                     log,
                     metrics);
@@ -238,6 +239,10 @@
                     metrics);
         }
 
+        private ClockReading clock() {
+            return ClockReading.of(nowMillis);
+        }
+
         private void start() {
             startFromPeers.start();
             directory.start("10.0.0." + name.substring("entry-".length()) + ":7000");
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.amaranthlock.coordination.forwarding.ClockReading;
 import org.amaranthlock.coordination.forwarding.Mechanisms;
 import org.amaranthlock.coordination.forwarding.TargetTable;
 import org.amaranthlock.entry.log.DecisionLog;
@@ -35,7 +36,7 @@
             channel.eventLoop(),
             () -> nowMillis,
             new NoPeers(),
-            new PeerStoreServer(() -> nowMillis),
+            new PeerStoreServer(() -> ClockReading.of(nowMillis)),
             this::publish,
             Mechanisms.ALL,
             new DecisionLog(Logger.getLogger("target-watcher-test"), () -> nowMillis),
