Repeat a lost read at once if the peers are silent too

Callers saw: after one event had silenced all open connections, hosts that count as calm again after 4 s handled requests by an older version, acknowledged more than the bound before. Cause: after a failed read a host asks its peers, and only one host of a failure domain repeats the read and announces what it finds. When the connections to the peers are silent as well, the others hear neither answer nor announcement, ask one silent peer after the other, and read again only after three queries of 0.9 s. Only hosts with two or more peers between the reader and themselves are affected, as in a domain of four. Change: a read that is lost on a kept connection is repeated at once, on a new one, unless a peer has answered since the last confirmation. If peers answer, the store may be away; the number of reads in an outage stays within its bound. Evidence: ConfigurationDelayTest.changeIsInForceInTimeWhenAllOpenConnectionsGoSilent, virtual time, failed before with 3,563 ms where 2,250 are allowed; over all offsets 4,663 ms after the acknowledgement and up to 4.6 s after the silence in 190 of 2,610 cases later than the rule allows.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
@@ -27,6 +27,10 @@
  * that this host does not know yet is read from the store. However its peers fail, the host sends a read of its own when
  * the last confirmation has reached the age of {@link ConfigurationPollTimes#maxUnconfirmedMillis()}.
  *
+ * <p>A read that is lost on a connection that earlier calls have used is repeated at once, on a new one, if no peer has
+ * answered since the last confirmation either: one event may have silenced all connections, so that peers can neither
+ * confirm nor announce a version. If peers answer, the store may be away, and each host would repeat its read.
+ *
  * <p>A read is at least as recent as its call, so it also confirms that the known configuration is the newest. A watch
  * without events does not confirm this, because the store may have dropped the watch.
  *
@@ -61,6 +65,9 @@
 
     private int queriesSinceRead;
 
+    /** Number of queries that peers had answered when the configuration was confirmed last. */
+    private long answeredAtConfirmation;
+
     /** Whether a read was repeated at once since the last confirmation. */
     private boolean readRepeated;
 
@@ -246,6 +253,7 @@
         readRepeated = false;
         recordUsable(true, "peer");
         confirmedAt = confirmedByPeer(sentAt, readAfterMillis.getAsLong());
+        answeredAtConfirmation = peerReader.answeredQueries();
         listener.onConfigurationConfirmed(knownConfiguration, confirmedAt.inclusiveMillis());
         confirmAgain();
     }
@@ -318,7 +326,11 @@
         if (!usable) {
             recordFailedRead(reply);
             peerStoreServer.onConfigurationReadFailed();
-            schedule(this::queryOrRead, backoff.nextDelayMillis());
+            if (isLostWithConnections(reply)) {
+                read();
+            } else {
+                schedule(this::queryOrRead, backoff.nextDelayMillis());
+            }
             return;
         }
         failedReads = 0;
@@ -363,6 +375,13 @@
         schedule(this::queryOrRead, times.intervalMillis());
     }
 
+    /** Returns whether an event may have silenced this host's connections to the store and to its peers alike. */
+    private boolean isLostWithConnections(StoreReply reply) {
+        return reply instanceof StoreReply.Unanswered unanswered
+                && unanswered.keptConnection()
+                && peerReader.answeredQueries() == answeredAtConfirmation;
+    }
+
     private void recordFailedRead(StoreReply reply) {
         failedReads++;
         log.write(
@@ -407,6 +426,7 @@
                     failedReads);
         }
         confirmedAt = sentAt;
+        answeredAtConfirmation = peerReader.answeredQueries();
         listener.onConfigurationConfirmed(knownConfiguration, sentAt.inclusiveMillis());
         return true;
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreClient.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreClient.java
@@ -41,6 +41,7 @@
     private final EntryMetrics metrics;
     private final Map<Long, OutstandingQuery> outstandingQueries = new HashMap<>();
     private long lastQueryId;
+    private long answeredQueries;
 
     private record OutstandingQuery(String peer, Consumer<EntryPeerMessage.Response> result, Future<?> timeout) {}
 
@@ -73,6 +74,11 @@
                                 : OptionalLong.empty()));
     }
 
+    @Override
+    public long answeredQueries() {
+        return answeredQueries;
+    }
+
     @Override
     public boolean isSuccessor() {
         return readerSelector.isSuccessor(peerQueries.connectedPeers(), clockMillis.getAsLong());
@@ -132,6 +138,9 @@
 
     /** Completes the query to which a host has responded. */
     public void onResponse(EntryPeerMessage.Response response) {
+        if (!(response instanceof EntryPeerMessage.TargetsChanged)) {
+            answeredQueries++;
+        }
         complete(response, response.getClass().getSimpleName());
     }
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreReader.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreReader.java
@@ -20,6 +20,12 @@
      */
     boolean confirmConfiguration(ObjectVersion version, Consumer<OptionalLong> result);
 
+    /**
+     * Returns how often peers have answered so far, other than with changes of targets; it stands still while the
+     * connections to them are silent.
+     */
+    long answeredQueries();
+
     /** Returns whether this host is the one of its failure domain to read the store if the queried peer cannot. */
     boolean isSuccessor();
 
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationDelayTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationDelayTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.amaranthlock.entry.control.ConfigurationFleet.Host;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -75,6 +76,31 @@
         }
     }
 
+    // Guards against a host that, after one event has silenced all open connections, asks one silent peer after the
+    // other
+    // instead of repeating the read that was lost; no announcement reaches it either.
+    @Test
+    void changeIsInForceInTimeWhenAllOpenConnectionsGoSilent() {
+        for (long changeAt = 0; changeAt < 4_000; changeAt += STEP_MILLIS) {
+            ConfigurationFleet fleet = new ConfigurationFleet();
+            fleet.write(1, 10);
+            List<Host> hosts = Stream.of("entry-1", "entry-2", "entry-3", "entry-4", "entry-5")
+                    .map(name -> fleet.addHost(name, "a", 2_500))
+                    .toList();
+            fleet.advance(3_000);
+            fleet.silenceOpenConnections();
+            fleet.advance(changeAt);
+            fleet.write(2, 11);
+            long acknowledgedAt = fleet.nowMillis();
+            fleet.advance(9_000);
+            for (Host host : hosts) {
+                assertWithMessage("milliseconds until a change %s ms after the silence is in force", changeAt)
+                        .that(host.inForceAtMillis(2) - acknowledgedAt)
+                        .isAtMost((long) (2_500 * USABLE_SHARE));
+            }
+        }
+    }
+
     // Guards against requests that are handled by an older version after one of the same client host was passed to a
     // host of another domain, which knew the newer version.
     @Test
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
@@ -36,6 +36,9 @@
     /** Bytes per millisecond of a host, 10 Mbit/s. */
     private static final double HOST_BYTES_PER_MILLI = 1_250;
 
+    /** Time after which a closed connection to another host is opened again, in milliseconds. */
+    private static final int RECONNECT_MILLIS = 500;
+
     /** Part of its size that an object has on its way between hosts; see EntryPeerMessageCodecTest. */
     private static final double COMPRESSED = 0.11;
 
@@ -85,6 +88,14 @@
         stored = new StoredObject("main", revision, spec);
     }
 
+    /** Has all connections that are open, between hosts and to the store, go silent; new ones work. */
+    void silenceOpenConnections() {
+        for (Host host : hosts.values()) {
+            host.losesNextRead = true;
+            hosts.keySet().forEach(other -> host.connection(other).silent = true);
+        }
+    }
+
     /** Writes an object that is no configuration. */
     void writeUndecodable(long revision) {
         stored = new StoredObject(
@@ -118,6 +129,12 @@
         channel.eventLoop().schedule(action, delayMillis, TimeUnit.MILLISECONDS);
     }
 
+    /** Connection of a host to another one, which carries its messages and the responses to them. */
+    private static final class Connection {
+        private boolean open = true;
+        private boolean silent;
+    }
+
     /** Host with its own poller; other hosts of its failure domain are its peers. */
     final class Host {
         private final String name;
@@ -129,11 +146,13 @@
         private double freeAtMillis;
         private final Map<Long, Long> inForceAtMillis = new LinkedHashMap<>();
         private long confirmedAtMillis;
+        private final Map<String, Connection> connections = new TreeMap<>();
         private boolean silent;
         private boolean killed;
         private boolean cutFromStore;
         private boolean rejectedByStore;
         private boolean losesNextRead;
+        private boolean keepsStoreConnection;
         private int reads;
         private long clockAheadMillis;
         private boolean earlierBuild;
@@ -254,31 +273,40 @@
         void announce(long version) {
             hosts.values().stream()
                     .filter(other -> other != this)
-                    .forEach(other -> send(other, () -> other.poller.onVersionAnnounced(version)));
+                    .forEach(other ->
+                            send(other, connection(other.name), () -> other.poller.onVersionAnnounced(version)));
+        }
+
+        private Connection connection(String peer) {
+            return connections.computeIfAbsent(peer, _ -> new Connection());
         }
 
-        private void receive(EntryPeerMessage message, Host sender) {
+        private void receive(EntryPeerMessage message, Host sender, Connection connection) {
             if (silent) {
                 return;
             }
             if (message instanceof EntryPeerMessage.ConfigurationQuery query) {
                 server.handleQuery(
                         query,
-                        reply -> send(sender, () -> sender.client.onResponse((EntryPeerMessage.Response) reply)));
+                        reply -> send(
+                                sender, connection, () -> sender.client.onResponse((EntryPeerMessage.Response) reply)));
             }
             if (message instanceof EntryPeerMessage.ConfigurationFetch fetch) {
                 fetchServer.handleQuery(
                         fetch,
                         reply -> schedule(
                                 objectMillis(),
-                                () -> send(sender, () -> sender.client.onResponse((EntryPeerMessage.Response) reply))));
+                                () -> send(
+                                        sender,
+                                        connection,
+                                        () -> sender.client.onResponse((EntryPeerMessage.Response) reply))));
             }
         }
 
-        private void send(Host receiver, Runnable action) {
+        private void send(Host receiver, Connection connection, Runnable action) {
             if (!silent) {
                 schedule(ONE_WAY_MILLIS, () -> {
-                    if (!receiver.silent) {
+                    if (!receiver.silent && connection.open && !connection.silent) {
                         action.run();
                     }
                 });
@@ -289,7 +317,7 @@
             @Override
             public Set<String> connectedPeers() {
                 return hosts.values().stream()
-                        .filter(other -> !other.killed && !other.name.equals(name))
+                        .filter(other -> !other.killed && !other.name.equals(name) && connection(other.name).open)
                         .filter(other -> other.domain.equals(domain) || (isStoreRemote() && other.isBeyondLink()))
                         .map(other -> other.name)
                         .collect(Collectors.toSet());
@@ -298,7 +326,8 @@
             @Override
             public boolean sendQuery(String peer, EntryPeerMessage query) {
                 Host receiver = hosts.get(peer);
-                send(receiver, () -> receiver.receive(query, Host.this));
+                Connection connection = connection(peer);
+                send(receiver, connection, () -> receiver.receive(query, Host.this, connection));
                 return true;
             }
 
@@ -316,6 +345,8 @@
 
             @Override
             public void reset(String peer) {
+                connection(peer).open = false;
+                schedule(RECONNECT_MILLIS, () -> connections.put(peer, new Connection()));
                 client.onPeerLost(peer, "link-closed");
             }
         }
@@ -335,9 +366,12 @@
                 }
                 if (cutFromStore || losesNextRead) {
                     losesNextRead = false;
-                    schedule(timeoutMillis, () -> result.accept(new StoreReply.Unanswered("no response")));
+                    boolean kept = keepsStoreConnection;
+                    keepsStoreConnection = false;
+                    schedule(timeoutMillis, () -> result.accept(new StoreReply.Unanswered("no response", kept)));
                     return;
                 }
+                keepsStoreConnection = true;
                 schedule(ONE_WAY_MILLIS, () -> {
                     StoredObject found = stored;
                     schedule(ONE_WAY_MILLIS + linkMillis(), () -> {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/SimulatedStore.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/SimulatedStore.java
@@ -156,6 +156,9 @@
         private final Consumer<Runnable> process;
         private final BooleanSupplier cut;
 
+        /** Whether a connection is open on which an earlier call got its response. */
+        private boolean keepsConnection;
+
         private Client(Consumer<Runnable> process, BooleanSupplier cut) {
             this.process = process;
             this.cut = cut;
@@ -218,11 +221,16 @@
         private void send(
                 String what, long timeoutMillis, Consumer<StoreReply> result, Consumer<Consumer<StoreReply>> handler) {
             calls.merge(what, 1, Integer::sum);
-            Consumer<StoreReply> once = new Once(result);
-            scheduler.accept(timeoutMillis, () -> once.accept(new StoreReply.Unanswered("no response")));
+            Once once = new Once(result);
+            boolean kept = keepsConnection;
+            scheduler.accept(timeoutMillis, () -> {
+                keepsConnection &= once.called;
+                once.accept(new StoreReply.Unanswered("no response", kept));
+            });
             if (!away && !cut.getAsBoolean()) {
                 Consumer<StoreReply> answer = reply -> scheduler.accept(oneWayMillis + responseDelayMillis, () -> {
                     if (!cut.getAsBoolean()) {
+                        keepsConnection = true;
                         once.accept(reply);
                     }
                 });
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
@@ -80,6 +80,11 @@
     }
 
     private static final class NoPeers implements PeerStoreReader {
+        @Override
+        public long answeredQueries() {
+            return 0;
+        }
+
         @Override
         public boolean isSuccessor() {
             return false;
