Go on polling the configuration after a program error in a handler

Callers would have seen: a host that never applies a change again, and rejects routes that were added. Cause: each call is sent by the handler of the one before, so an exception there ended the polling for good. Change: a failing handler is logged (configuration-fault), and the store is read again after the usual delay. Evidence: ConfigurationDelayTest.pollingGoesOnAfterAProgramError failed before (the next version was never applied).

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.amaranthlock.coordination.forwarding.ClockReading;
@@ -199,11 +200,11 @@
         long wait = times.callTimeoutMillis();
         int current = ++step;
         boolean querySent = millisSince(confirmedAt) + wait < times.maxUnconfirmedMillis()
-                && peerReader.fetchConfiguration(announcedVersion, wait, fetched -> {
+                && peerReader.fetchConfiguration(announcedVersion, wait, pollingOnFault("fetch", fetched -> {
                     if (current == step) {
                         onFetched(fetched, sentAt);
                     }
-                });
+                }));
         if (querySent) {
             peerStoreServer.onConfigurationUnavailable();
             schedule(this::read, wait);
@@ -229,11 +230,11 @@
     private void confirmAgain() {
         int current = ++step;
         ClockReading sentAt = clock.get();
-        boolean querySent = peerReader.confirmConfiguration(knownVersion, readAfter -> {
+        boolean querySent = peerReader.confirmConfiguration(knownVersion, pollingOnFault("peer", readAfter -> {
             if (current == step) {
                 onPeerReply(readAfter, sentAt);
             }
-        });
+        }));
         if (querySent) {
             peerStoreServer.onConfigurationUnavailable();
             scheduleReadAtAge(times.maxUnconfirmedMillis());
@@ -294,6 +295,21 @@
         scheduled = loop.schedule(action, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Returns a handler that reads the store again if {@code handler} fails. The next call is only sent from such a
+     * handler, so that an exception would end the polling for good.
+     */
+    private <T> Consumer<T> pollingOnFault(String call, Consumer<T> handler) {
+        return result -> {
+            try {
+                handler.accept(result);
+            } catch (RuntimeException e) {
+                log.write("configuration-fault", "call", call, "cause", e);
+                schedule(this::read, backoff.nextDelayMillis());
+            }
+        };
+    }
+
     private void cancelScheduled() {
         if (scheduled != null) {
             scheduled.cancel(false);
@@ -310,7 +326,7 @@
                 ConfigurationDecoder.KIND,
                 ConfigurationDecoder.NAME,
                 times.callTimeoutMillis(),
-                reply -> onReadReply(reply, sentAt));
+                pollingOnFault("read", reply -> onReadReply(reply, sentAt)));
     }
 
     private void onReadReply(StoreReply reply, ClockReading sentAt) {
@@ -360,11 +376,11 @@
                 && !repeatsRead
                 && knownConfiguration.version() >= announcedVersion
                 && queriesSinceRead < MAX_QUERIES_PER_READ
-                && peerReader.confirmConfiguration(knownVersion, readAfter -> {
+                && peerReader.confirmConfiguration(knownVersion, pollingOnFault("peer", readAfter -> {
                     if (current == step && readAfter.isPresent()) {
                         onPeerReply(readAfter, sentAt);
                     }
-                });
+                }));
         if (!querySent) {
             queriesSinceRead = 0;
             read();
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationDelayTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationDelayTest.java
@@ -291,6 +291,23 @@
                 .isEqualTo(4);
     }
 
+    // Guards against a host that never hears of a change again because a handler of the polling failed once.
+    @Test
+    void pollingGoesOnAfterAProgramError() {
+        ConfigurationFleet fleet = new ConfigurationFleet();
+        fleet.write(1, 10);
+        List<Host> hosts = List.of(fleet.addHost("entry-1", "a", 2_500), fleet.addHost("entry-2", "a", 2_500));
+        fleet.advance(2_000);
+        hosts.forEach(Host::failNextConfirmation);
+        fleet.advance(2_000);
+        fleet.write(2, 11);
+        long acknowledgedAt = fleet.nowMillis();
+        fleet.advance(2_500);
+        for (Host host : hosts) {
+            assertWithMessage("applied").that(host.inForceAtMillis(2)).isAtMost(acknowledgedAt + 2_250);
+        }
+    }
+
     @Test
     void undecodableConfigurationIsNotAppliedAndNextOneIs() {
         ConfigurationFleet fleet = new ConfigurationFleet();
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
@@ -156,6 +156,7 @@
         private int reads;
         private long clockAheadMillis;
         private boolean earlierBuild;
+        private boolean listenerFails;
 
         private Host(String name, String domain, long applyMillis) {
             this.name = name;
@@ -178,6 +179,10 @@
                     server,
                     StoreLinkListener.none(),
                     (configuration, sentAtMillis) -> {
+                        if (listenerFails) {
+                            listenerFails = false;
+                            throw new IllegalStateException("fault of the test");
+                        }
                         inForceAtMillis.putIfAbsent(configuration.version(), nowMillis);
                         confirmedAtMillis = Math.max(confirmedAtMillis, sentAtMillis);
                         known();
@@ -264,6 +269,11 @@
             losesNextRead = true;
         }
 
+        /** The next confirmation of the configuration meets a program error. */
+        void failNextConfirmation() {
+            listenerFails = true;
+        }
+
         /** Sets whether the store rejects the calls at once. */
         void rejectedByStore(boolean rejected) {
             rejectedByStore = rejected;
