Never send a request again on a connection that has answered it

Report of other operators: a worker writes an earlier refusal once more on a kept connection, and clients are told 'not run' for a request that runs. Callers saw: 503 for a lookup or an order that had run, if the same id came again after its refusal; a stream that goes on from another account's memory. Cause: answers are matched by the request id. Two requests with one id, and the calls of the host itself, which have none, cannot be told apart on one connection. Change: a connection remembers the ids that it has answered, the empty one of own calls included, and is not used for a request with such an id again. For different ids nothing changes: their answers were told apart before. Evidence: RepeatedRefusalTest, complete daemon, lookups, orders and streams, at once, before and after the true answer: 2 of 18 cases failed before (lookups and orders sent again).

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
@@ -15,7 +15,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.SequencedSet;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.amaranthlock.coordination.forwarding.EventStreamSplitter;
@@ -49,6 +51,9 @@
     /** Least mean size of the parts of a body of maximum size, in bytes; each part costs processor time. */
     private static final int MIN_MEAN_PART_BYTES = 64;
 
+    /** Number of answered requests whose ids are remembered; a second copy of an answer is not expected later. */
+    private static final int MAX_REMEMBERED_IDS = 64;
+
     private final Consumer<HttpTargetConnection> returnToPool;
     private final ResponseMemory memory;
     private final LongSupplier clockMillis;
@@ -70,6 +75,9 @@
     private long reservedBytes;
     private long reusableUntilMillis;
 
+    /** Ids of the requests that were answered on this connection, the oldest first. */
+    private final SequencedSet<String> answeredIds = new LinkedHashSet<>();
+
     HttpTargetConnection(Consumer<HttpTargetConnection> returnToPool, ResponseMemory memory, LongSupplier clockMillis) {
         this.returnToPool = returnToPool;
         this.memory = memory;
@@ -112,6 +120,11 @@
         return channel.isActive() && !notReusable && clockMillis.getAsLong() < reusableUntilMillis;
     }
 
+    /** Returns whether a request with this id was answered on this connection lately. */
+    boolean hasAnswered(String requestId) {
+        return answeredIds.contains(requestId);
+    }
+
     boolean wasActiveAtWrite() {
         return activeAtWrite;
     }
@@ -289,6 +302,7 @@
         byte[] responseBody = body == null ? null : body.toByteArray();
         boolean truncated = events != null && !events.atBoundary();
         clearResponse();
+        rememberAnswered(completedExchange.requestId());
         if (truncated) {
             close();
             completedExchange.complete();
@@ -312,6 +326,13 @@
         }
     }
 
+    private void rememberAnswered(String requestId) {
+        answeredIds.add(requestId);
+        if (answeredIds.size() > MAX_REMEMBERED_IDS) {
+            answeredIds.removeFirst();
+        }
+    }
+
     private void clearResponse() {
         exchange = null;
         head = null;
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnectionPool.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/TargetConnectionPool.java
@@ -20,6 +20,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -108,7 +109,7 @@
         if (!exchange.isCall()) {
             links.recordRequest(target.service());
         }
-        HttpTargetConnection idleConnection = reuse ? pollIdleConnection(target.id()) : null;
+        HttpTargetConnection idleConnection = reuse ? pollIdleConnection(target.id(), exchange.requestId()) : null;
         if (idleConnection != null) {
             write(idleConnection, exchange);
             return;
@@ -254,14 +255,23 @@
         });
     }
 
-    private HttpTargetConnection pollIdleConnection(TargetId id) {
-        Deque<HttpTargetConnection> idleConnections = idle.get(id);
-        while (idleConnections != null && !idleConnections.isEmpty()) {
-            HttpTargetConnection candidate = idleConnections.pollLast();
-            if (candidate.isReusable()) {
+    /**
+     * Removes and returns the connection that was used last, but none on which a request with this id was answered before:
+     * a second copy of that answer could not be told from the answer to this one. Calls of this host itself have no id, so
+     * a connection answers one of them only.
+     */
+    private HttpTargetConnection pollIdleConnection(TargetId id, String requestId) {
+        Iterator<HttpTargetConnection> newestFirst =
+                idle.getOrDefault(id, new ArrayDeque<>()).descendingIterator();
+        while (newestFirst.hasNext()) {
+            HttpTargetConnection candidate = newestFirst.next();
+            if (!candidate.isReusable()) {
+                newestFirst.remove();
+                candidate.close();
+            } else if (!candidate.hasAnswered(requestId)) {
+                newestFirst.remove();
                 return candidate;
             }
-            candidate.close();
         }
         return null;
     }
