--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/OwnCallTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/OwnCallTest.java
@@ -1,6 +1,7 @@
 package org.amaranthlock.entry.target;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -21,6 +22,8 @@
 import org.amaranthlock.model.TargetId;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the calls of a host itself, which have no id, with an engine that writes an earlier answer once more. */
 class OwnCallTest {
@@ -73,6 +76,25 @@
         }
     }
 
+    // Guards against an answer that a worker breaks off in its head, or in its body, and that counts as whole.
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void cutAnswerIsNoAnswer(boolean reset) throws InterruptedException, IOException {
+        String answer = ScriptedWorker.response(200, "", ScriptedWorker.STAMP, "{\"handle\":\"h\"}");
+        for (int length = 1; length < answer.length(); length++) {
+            String part = answer.substring(0, length);
+            engine = ScriptedWorker.answeringCalls((_, connection) -> {
+                ScriptedWorker.write(connection, part);
+                if (reset) {
+                    ScriptedWorker.resetOnClose(connection);
+                }
+                return false;
+            });
+            assertWithMessage(part).that(copyOf("stream")).isEmpty();
+            engine.close();
+        }
+    }
+
     private Optional<String> copyOf(String requestId) throws InterruptedException {
         EntryTarget target = target("engine-1", engine.port());
         EntryTarget backup = target("engine-2", 1);
