Refuse messages with several lengths in HTTP/1.0 too

Cause: Netty's decoder refuses several lengths in HTTP/1.1 only. In HTTP/1.0 it takes the first one and writes it over the others, so that no later check sees them. Change: the headers of a received message accept one length, of digits only (SingleLengthHeaders); a message with another one fails while it is decoded. Evidence: ClientConnectionHandlerTest, 3 of 5 forms failed before; HttpTargetConnectionTest, a response with the lengths 2 and 9 counted as whole before. ClientRequestHandlerTest.requestWithTwoLengthsDoesNotRun passed before too.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/StrictRequestDecoder.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/front/StrictRequestDecoder.java
@@ -3,9 +3,10 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import org.amaranthlock.platform.SingleLengthHeaders;
 
 /**
- * HTTP request decoder that rejects requests with both {@code Content-Length} and {@code Transfer-Encoding}, because
+ * HTTP request decoder that rejects requests with several lengths, or with a length and {@code Transfer-Encoding}, because
  * two receivers could disagree on the end of such a request and take part of a body for another request (request
  * smuggling).
  */
@@ -16,7 +17,8 @@
         super(new HttpDecoderConfig()
                 .setMaxInitialLineLength(maxHeaderBytes)
                 .setMaxHeaderSize(maxHeaderBytes)
-                .setMaxChunkSize(MAX_CHUNK_BYTES));
+                .setMaxChunkSize(MAX_CHUNK_BYTES)
+                .setHeadersFactory(SingleLengthHeaders.factory()));
     }
 
     @Override
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -24,6 +25,7 @@
 import org.amaranthlock.coordination.forwarding.MalformedStreamException;
 import org.amaranthlock.coordination.forwarding.StreamEvent;
 import org.amaranthlock.platform.MessageFraming;
+import org.amaranthlock.platform.SingleLengthHeaders;
 import org.amaranthlock.platform.TargetResponseDecoder;
 
 /**
@@ -86,6 +88,10 @@
 
     /** Decoder of the responses on this connection. */
     private final class ResponseDecoder extends HttpResponseDecoder {
+        private ResponseDecoder() {
+            super(new HttpDecoderConfig().setHeadersFactory(SingleLengthHeaders.factory()));
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage message) {
             return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientConnectionHandlerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/front/ClientConnectionHandlerTest.java
@@ -129,6 +129,28 @@
         assertThat(handler.requests).isEmpty();
     }
 
+    // As above: of two lengths, the decoder takes the first one if the request is of the earlier protocol version.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 0\r\nContent-Length: 9",
+                "Content-Length: 9\r\nContent-Length: 0",
+                "Content-Length: 9\r\nContent-Length: 9",
+                "Content-Length: 0, 9",
+                "Content-Length: 0,9\r\nContent-Length: 9",
+            })
+    void rejectsSeveralContentLengthsOfEarlierProtocolVersion(String framing) {
+        send("POST /p/x HTTP/1.0\r\n" + HEAD + framing + "\r\n\r\nwith body");
+        assertThat(received()).contains("400");
+        assertThat(handler.requests).isEmpty();
+    }
+
+    @Test
+    void readsBodyWithOneLengthOfEarlierProtocolVersion() {
+        send("POST /p/x HTTP/1.0\r\n" + HEAD + "Content-Length: 9\r\n\r\nwith body");
+        assertThat(handler.requests.getFirst().body()).hasLength(9);
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"Chunked", "chunked ", " CHUNKED"})
     void readsChunkedBodyHoweverTheCodingIsSpelled(String coding) {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/HttpTargetConnectionTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/HttpTargetConnectionTest.java
@@ -139,6 +139,15 @@
         assertThat(reusableConnections).isEmpty();
     }
 
+    // Guards against a part of a body that counts as whole: of two lengths, the decoder takes the first one.
+    @Test
+    void reportsResponseOfEarlierProtocolVersionWithTwoLengthsAsLost() {
+        receive(OK.replace("HTTP/1.1", "HTTP/1.0") + "Content-Length: 2\r\nContent-Length: 9\r\n\r\nok, whole");
+        channel.close();
+        assertThat(listener.responses).isEmpty();
+        assertThat(listener.lostCause).isNotNull();
+    }
+
     // Guards against the rest of a response that a target ends elsewhere, which would be read as the next one.
     @Test
     void doesNotReuseConnectionAfterResponseWithTwoLengths() {
--- a/amaranthlock-router/src/test/java/org/amaranthlock/router/ClientRequestHandlerTest.java
+++ b/amaranthlock-router/src/test/java/org/amaranthlock/router/ClientRequestHandlerTest.java
@@ -211,6 +211,17 @@
         assertThat(router.core.findReceived(Arrived.class)).isEmpty();
     }
 
+    // As above, for a request of the earlier protocol version, of whose two lengths the decoder takes the first one.
+    @Test
+    void requestWithTwoLengthsDoesNotRun() throws Exception {
+        try (Socket socket = router.connect()) {
+            String request = rawCompletion("Content-Length: 2\r\n").replace("HTTP/1.1", "HTTP/1.0");
+            write(socket, request);
+            assertThat(readToEnd(socket)).doesNotContain("HTTP/1.1 200");
+        }
+        assertThat(router.core.findReceived(Arrived.class)).isEmpty();
+    }
+
     // Guards against unbounded buffering for a client that does not read its response.
     @Test
     void slowReaderIsReportedAsDisconnectedWhenTheBufferIsFull() throws Exception {
