Give up a stream whose engine repeats its events without end

Cause: events that the client has already are left out, and nothing counted them. Change: after 64 events of one response whose ids are not above the one before, the attempt is lost, and the stream goes on at another engine. Repeating engines send numbers that do not increase, which the protocol does not allow.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/EventStreamSplitter.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/EventStreamSplitter.java
@@ -8,12 +8,16 @@
 /**
  * Splits the bytes of an event stream into whole events, so that a stream can resume after the last whole event.
  *
- * <p>Each byte is looked at once, and the bytes of one event are bounded. Not thread-safe.
+ * <p>Each byte is looked at once, and the bytes of one event are bounded, as are the events that bring nothing new. Not
+ * thread-safe.
  */
 public final class EventStreamSplitter {
     /** Longest event, in bytes; an event of a text stream has a few hundred. */
     public static final int MAX_EVENT_BYTES = 256 * 1024;
 
+    /** Maximum number of events of a stream whose ids are not above the one before; each costs processor time. */
+    static final int MAX_REPEATED_EVENTS = 64;
+
     private static final String ID_FIELD = "id:";
     private static final char COMMENT_START = ':';
 
@@ -29,10 +33,13 @@
     /** Whether the current event has a line with a field; blank lines and comments before it do not end it. */
     private boolean eventHasField;
 
+    private long lastId = Long.MIN_VALUE;
+    private int repeatedEvents;
+
     /**
      * Adds bytes and returns the events that they complete.
      *
-     * @throws MalformedStreamException if an event has no numeric id or is too long
+     * @throws MalformedStreamException if an event has no numeric id or is too long, or if too many are repeated
      */
     public List<StreamEvent> add(byte[] bytes) {
         List<StreamEvent> events = new ArrayList<>();
@@ -85,7 +92,21 @@
         byte[] event = pending.toByteArray();
         pending.reset();
         eventHasField = false;
-        return new StreamEvent(id(event), event);
+        long id = id(event);
+        recordId(id);
+        return new StreamEvent(id, event);
+    }
+
+    private void recordId(long id) {
+        if (id > lastId) {
+            lastId = id;
+            return;
+        }
+        repeatedEvents++;
+        if (repeatedEvents > MAX_REPEATED_EVENTS) {
+            throw new MalformedStreamException(
+                    "more than " + MAX_REPEATED_EVENTS + " events that do not follow the one before");
+        }
     }
 
     private static long id(byte[] event) {
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/EventStreamSplitterTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/EventStreamSplitterTest.java
@@ -53,6 +53,16 @@
         assertThat(thrown.reason()).isEqualTo("event without a number");
     }
 
+    // Guards against an engine that repeats its events without end; a few repetitions are left out by the receiver.
+    @Test
+    void rejectsManyEventsThatFollowNoEarlierOne() {
+        splitter.add(bytes("id: 7\n\n"));
+        assertThat(splitter.add(bytes("id: 7\n\nid: 3\n\nid: 8\n\n"))).hasSize(3);
+        byte[] repeated = bytes("id: 8\n\n".repeat(EventStreamSplitter.MAX_REPEATED_EVENTS));
+        MalformedStreamException thrown = assertThrows(MalformedStreamException.class, () -> splitter.add(repeated));
+        assertThat(thrown.reason()).isEqualTo("more than 64 events that do not follow the one before");
+    }
+
     // Guards against a sound stream that is cut because its engine shows with comments that it lives.
     @Test
     void commentsAreNoEventsAndGoAlongWithTheNextOne() {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EndlessResponseTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/EndlessResponseTest.java
@@ -100,6 +100,22 @@
         assertThat(faulty.endlessByteCount()).isLessThan(MAX_SKIPPED_BYTES);
     }
 
+    // Guards against an engine that takes the processor, and all time of a stream, by an event that the client has
+    // already.
+    @Test
+    void streamGoesOnAtAnotherEngineWhenOneRepeatsAnEvent() {
+        fixture = new EntryFixture(1, 2);
+        FleetWorker faulty = fixture.engines.getFirst();
+        for (int i = 0; faulty.endlessByteCount() == 0; i++) {
+            faulty.injectFault(WorkerFault.ENDLESS_REPEATED_EVENT);
+            assertThat(EntryFixture.events(fixture.call("POST /draft/x", "s" + i, "prompt")))
+                    .contains("id: " + (FleetWorker.EVENTS_PER_STREAM - 1) + "\n");
+            assertThat(fixture.call("GET /look/x", "r" + i, "")).endsWith("done r" + i);
+        }
+        EntryFixture.await(() -> !faulty.sendsEndlessly());
+        assertThat(faulty.endlessByteCount()).isLessThan(MAX_SKIPPED_BYTES);
+    }
+
     // Guards against other clients of the same event loop that wait while endless bytes are read.
     @Test
     void otherClientsAreServedMeanwhile() {
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/EndlessResponse.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/EndlessResponse.java
@@ -46,7 +46,7 @@
             case ENDLESS_FOREIGN_RESPONSE -> head + "another\r\n\r\n";
             case ENDLESS_EVENT -> head + requestId + "\r\n" + STREAM_TYPE + "\r\nid: 0\ndata: ";
             case ENDLESS_LINES -> head + requestId + "\r\n" + STREAM_TYPE + "\r\nid: 0\n";
-            case ENDLESS_STREAM -> head + requestId + "\r\n" + STREAM_TYPE + "\r\n";
+            case ENDLESS_STREAM, ENDLESS_REPEATED_EVENT -> head + requestId + "\r\n" + STREAM_TYPE + "\r\n";
             default -> throw new IllegalArgumentException(fault + " is not endless");
         };
     }
@@ -58,6 +58,7 @@
             case ENDLESS_HEADER_LINES -> "a: b\r\n".repeat(REPEATED_BYTES / "a: b\r\n".length());
             case ENDLESS_SMALL_CHUNKS -> "1\r\nx\r\n".repeat(REPEATED_BYTES / "1\r\nx\r\n".length());
             case ENDLESS_LINES -> "d\n".repeat(REPEATED_BYTES / 2);
+            case ENDLESS_REPEATED_EVENT -> "id: 0\ndata: x\n\n".repeat(REPEATED_BYTES / "id: 0\ndata: x\n\n".length());
             case ENDLESS_STREAM -> "id: " + number + "\ndata: " + "x".repeat(EVENT_BYTES) + "\n\n";
             default -> "x".repeat(REPEATED_BYTES);
         };
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/WorkerFault.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/fleet/WorkerFault.java
@@ -48,6 +48,8 @@
     ENDLESS_EVENT,
     /** Executes the request and sends a stream whose first event consists of short lines without end. */
     ENDLESS_LINES,
+    /** Executes the request and sends a stream that consists of one event, again and again. */
+    ENDLESS_REPEATED_EVENT,
     /** Executes the request and sends a stream of large events without end. */
     ENDLESS_STREAM;
 
