Ask no peer for some time when a silent connection to the store shows that peers may be silent too

Callers would have seen: requests at a worker that left more than drain_ms before, at hosts that count as calm again (DRAIN).

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
@@ -344,6 +344,7 @@
             peerStoreServer.onConfigurationReadFailed();
             if (isLostWithConnections(reply)) {
                 read();
+                peerReader.giveUpQueries();
             } else {
                 schedule(this::queryOrRead, backoff.nextDelayMillis());
             }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreClient.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreClient.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.amaranthlock.coordination.forwarding.StoreReaderSelector;
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.metrics.EntryMetrics;
@@ -79,6 +80,19 @@
         return answeredQueries;
     }
 
+    @Override
+    public void giveUpQueries() {
+        Set<String> silent = outstandingQueries.values().stream()
+                .map(OutstandingQuery::peer)
+                .collect(Collectors.toUnmodifiableSet());
+        if (silent.isEmpty()) {
+            return;
+        }
+        // Before any query is completed, because its sender asks the next host at once.
+        peerQueries.connectedPeers().forEach(peer -> readerSelector.markUnresponsive(peer, clockMillis.getAsLong()));
+        silent.forEach(this::onTimeout);
+    }
+
     @Override
     public boolean isSuccessor() {
         return readerSelector.isSuccessor(peerQueries.connectedPeers(), clockMillis.getAsLong());
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreReader.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreReader.java
@@ -26,6 +26,12 @@
      */
     long answeredQueries();
 
+    /**
+     * Ends the queries that wait for peers, if there are any, and asks no peer for some time: the event that silenced a
+     * connection to the store may have silenced those to the peers.
+     */
+    void giveUpQueries();
+
     /** Returns whether this host is the one of its failure domain to read the store if the queried peer cannot. */
     boolean isSuccessor();
 
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/StartFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/StartFleet.java
@@ -109,6 +109,12 @@
         hosts.values().forEach(host -> host.losesNextCall = true);
     }
 
+    /** Has all connections that are open, to the store and between hosts, go silent; new ones work. */
+    void silenceOpenConnections() {
+        silenceStoreConnections();
+        hosts.values().forEach(host -> host.silent.addAll(host.connections.keySet()));
+    }
+
     long nowMillis() {
         return nowMillis;
     }
@@ -148,6 +154,10 @@
         private final Set<String> toldLevel = new TreeSet<>();
 
         private final Set<String> connecting = new LinkedHashSet<>();
+
+        /** Hosts to which the connection of this one has gone silent. */
+        private final Set<String> silent = new TreeSet<>();
+
         private boolean suspended;
         private boolean cutFromStore;
         private boolean losesNextCall;
@@ -378,6 +388,7 @@
                 connecting.remove(peer);
                 if (runs() && other != null && !other.killed) {
                     connections.put(peer, other);
+                    silent.remove(peer);
                     send(other, () -> other.onGreeting(this));
                 }
             });
@@ -427,6 +438,9 @@
 
         private void respond(Host sender, EntryPeerMessage reply) {
             send(sender, () -> {
+                if (sender.silent.contains(name)) {
+                    return;
+                }
                 if (reply instanceof EntryPeerMessage.StartState state) {
                     sender.startFromPeers.onState(state);
                 } else {
@@ -466,7 +480,7 @@
             @Override
             public boolean sendQuery(String peer, EntryPeerMessage query) {
                 Host receiver = connections.get(peer);
-                if (receiver != null) {
+                if (receiver != null && !silent.contains(peer)) {
                     send(receiver, () -> receiver.receive(query, Host.this));
                 }
                 return receiver != null;
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetDelayTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetDelayTest.java
@@ -12,6 +12,9 @@
     /** Time after the report within which no request may be sent to the target any more, in milliseconds. */
     private static final long DRAIN_MILLIS = 2_500;
 
+    /** Time after the loss of their connections from which hosts count as calm, in milliseconds. */
+    private static final int CALM_AFTER_MILLIS = 4_000;
+
     private static final int HOSTS = 4;
     private static final int STEP_MILLIS = 130;
 
@@ -44,6 +47,13 @@
         assertKnownInTime((fleet, _) -> fleet.silenceStoreConnections(), 0);
     }
 
+    // Guards against a host that waits for the answer of a peer on a connection that has gone silent, as all others
+    // have.
+    @Test
+    void leavingTargetIsKnownInTimeWhenAllOpenConnectionsGoSilent() {
+        assertKnownInTime((fleet, _) -> fleet.silenceOpenConnections(), 0, CALM_AFTER_MILLIS);
+    }
+
     // Guards against hosts that hear of no change after the store came back from an older copy, until its revisions
     // have
     // passed the old ones.
@@ -96,6 +106,11 @@
 
     /** Checks all hosts from {@code firstHost} on; those before it have the fault. */
     private static void assertKnownInTime(BiConsumer<StartFleet, Host> fault, int firstHost) {
+        assertKnownInTime(fault, firstHost, 0);
+    }
+
+    /** As above, for a fault after which hosts are bound only from {@code calmAfterMillis} on. */
+    private static void assertKnownInTime(BiConsumer<StartFleet, Host> fault, int firstHost, int calmAfterMillis) {
         for (int reportedAfter = 0; reportedAfter < RANGE_MILLIS; reportedAfter += STEP_MILLIS) {
             StartFleet fleet = startedFleet();
             List<Host> hosts = List.copyOf(fleet.hosts.values());
@@ -104,7 +119,7 @@
             fault.accept(fleet, hosts.getFirst());
             fleet.advance(reportedAfter);
             fleet.putTarget("engine-1", "draining");
-            fleet.advance(DRAIN_MILLIS);
+            fleet.advance(Math.max(DRAIN_MILLIS, calmAfterMillis - reportedAfter));
             for (Host host : hosts.subList(firstHost, HOSTS)) {
                 assertWithMessage(
                                 "%s sends requests to a target that reported %s ms after the fault",
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
@@ -80,6 +80,9 @@
     }
 
     private static final class NoPeers implements PeerStoreReader {
+        @Override
+        public void giveUpQueries() {}
+
         @Override
         public long answeredQueries() {
             return 0;
