--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/Fault.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/Fault.java
@@ -127,8 +127,9 @@
     }
 
     private static Fault storeFault(Random random, FaultProxy store, long millis) {
-        return switch (random.nextInt(4)) {
+        return switch (random.nextInt(5)) {
             case 0 -> new Fault("reset store", store::resetAll);
+            case 4 -> new Fault("silence open connections to the store", store::silenceOpen);
             case 1 -> proxyFault("delay store for " + millis + " ms", store, FaultProxy.Mode.DELAY, millis);
             case 2 ->
                 proxyFault(
--- a/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/FaultProxy.java
+++ b/amaranthlock-standins/src/main/java/org/amaranthlock/standin/soak/FaultProxy.java
@@ -11,7 +11,8 @@
 import org.jboss.logging.Logger;
 
 /**
- * TCP proxy on the loopback interface whose connections can be delayed, stalled in one or both directions, or reset.
+ * TCP proxy on the loopback interface whose connections can be delayed, stalled in one or both directions, silenced for
+ * good, or reset.
  */
 final class FaultProxy implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(FaultProxy.class);
@@ -21,6 +22,10 @@
 
     private final ServerSocket listener;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
+    /** Sockets that stay open and carry nothing any more. */
+    private final Set<Socket> silenced = ConcurrentHashMap.newKeySet();
+
     private volatile Mode mode = Mode.PASS;
     private volatile String upstream;
 
@@ -55,6 +60,11 @@
         mode = newMode;
     }
 
+    /** Has the open connections carry nothing any more, without a reset; new ones work. */
+    void silenceOpen() {
+        silenced.addAll(sockets);
+    }
+
     /** Resets all connections. */
     void resetAll() {
         sockets.forEach(FaultProxy::reset);
@@ -110,11 +120,15 @@
             OutputStream out = to.getOutputStream();
             for (int read = in.read(buffer); read >= 0; read = in.read(buffer)) {
                 applyMode(fromServer);
-                out.write(buffer, 0, read);
-                out.flush();
+                if (!silenced.contains(from)) {
+                    out.write(buffer, 0, read);
+                    out.flush();
+                }
             }
             applyMode(fromServer);
-            to.shutdownOutput();
+            if (!silenced.contains(from)) {
+                to.shutdownOutput();
+            }
         } catch (IOException e) {
             reset(from);
             reset(to);
@@ -122,6 +136,7 @@
             Thread.currentThread().interrupt();
         } finally {
             sockets.remove(from);
+            silenced.remove(from);
         }
     }
 
