--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ClockReading.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/ClockReading.java
@@ -24,6 +24,11 @@
         return Math.min(other.monotonicMillis - monotonicMillis, other.inclusiveMillis - inclusiveMillis);
     }
 
+    /** Returns the age of an earlier moment at this one, in milliseconds, including suspensions; for use by this host. */
+    public long millisSince(ClockReading earlier) {
+        return inclusiveMillis - earlier.inclusiveMillis;
+    }
+
     /** Returns the moment {@code millis} milliseconds after this one. */
     public ClockReading plusMillis(long millis) {
         return new ClockReading(monotonicMillis + millis, inclusiveMillis + millis);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ConfigurationPoller.java
@@ -143,7 +143,7 @@
      * @return whether polling has started
      */
     public boolean startFrom(StoredObject object, ClockReading sentAt) {
-        if (millisSince(sentAt) >= times.maxUnconfirmedMillis() || !confirm(object, sentAt, Source.START)) {
+        if (clock.get().millisSince(sentAt) >= times.maxUnconfirmedMillis() || !confirm(object, sentAt, Source.START)) {
             return false;
         }
         if (knownConfiguration.version() < announcedVersion) {
@@ -169,10 +169,6 @@
         return confirmedAt;
     }
 
-    private long millisSince(ClockReading earlier) {
-        return clock.get().inclusiveMillis() - earlier.inclusiveMillis();
-    }
-
     /**
      * Reads a newer version at once that another host knows, from the store or from the peer that reads it for this
      * region; called on the control loop.
@@ -199,7 +195,7 @@
         ClockReading sentAt = clock.get();
         long wait = times.callTimeoutMillis();
         int current = ++step;
-        boolean querySent = millisSince(confirmedAt) + wait < times.maxUnconfirmedMillis()
+        boolean querySent = clock.get().millisSince(confirmedAt) + wait < times.maxUnconfirmedMillis()
                 && peerReader.fetchConfiguration(announcedVersion, wait, pollingOnFault("fetch", fetched -> {
                     if (current == step) {
                         onFetched(fetched, sentAt);
@@ -278,7 +274,7 @@
      * knows, or to take over from a disconnected reader.
      */
     private void retryQueryOrRead() {
-        long nextAge = millisSince(confirmedAt) + times.retryDelayMillis();
+        long nextAge = clock.get().millisSince(confirmedAt) + times.retryDelayMillis();
         if (nextAge < times.maxUnconfirmedMillis()) {
             schedule(this::confirmAgain, times.retryDelayMillis());
         } else {
@@ -287,7 +283,7 @@
     }
 
     private void scheduleReadAtAge(long ageMillis) {
-        schedule(this::read, ageMillis - millisSince(confirmedAt));
+        schedule(this::read, ageMillis - clock.get().millisSince(confirmedAt));
     }
 
     private void schedule(Runnable action, long delayMillis) {
@@ -410,7 +406,7 @@
                 "announced",
                 announcedVersion == Long.MIN_VALUE ? "-" : announcedVersion,
                 "age_ms",
-                knownConfiguration == null ? "-" : millisSince(confirmedAt),
+                knownConfiguration == null ? "-" : clock.get().millisSince(confirmedAt),
                 "reply",
                 describe(reply));
     }
@@ -438,7 +434,7 @@
                     "source",
                     source,
                     "age_ms",
-                    millisSince(sentAt),
+                    clock.get().millisSince(sentAt),
                     "failed_reads",
                     failedReads);
         }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/StartFromPeers.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/StartFromPeers.java
@@ -215,7 +215,8 @@
 
     private void useTargets(KnownObjects known, Query query) {
         ClockReading confirmedAt = confirmedAt(known, query);
-        if (missing.contains(Part.TARGETS) && millisSince(confirmedAt) < TargetWatcher.MAX_UNCONFIRMED_MILLIS) {
+        if (missing.contains(Part.TARGETS)
+                && clock.get().millisSince(confirmedAt) < TargetWatcher.MAX_UNCONFIRMED_MILLIS) {
             missing.remove(Part.TARGETS);
             targetWatcher.startFrom(known.objects(), known.position(), confirmedAt);
         }
@@ -226,12 +227,8 @@
         return query.sentAt().plusMillis(known.readAfterMillis()).min(clock.get());
     }
 
-    private long millisSince(ClockReading earlier) {
-        return clock.get().inclusiveMillis() - earlier.inclusiveMillis();
-    }
-
     private Object age(Optional<KnownObjects> known, Query query) {
-        return known.<Object>map(present -> millisSince(confirmedAt(present, query)))
+        return known.<Object>map(present -> clock.get().millisSince(confirmedAt(present, query)))
                 .orElse("-");
     }
 
@@ -264,11 +261,11 @@
     }
 
     private boolean mayAnswer(Query query) {
-        return millisSince(query.sentAt()) < PEER_WAIT_MILLIS;
+        return clock.get().millisSince(query.sentAt()) < PEER_WAIT_MILLIS;
     }
 
     private boolean isAnswerExpected(Query query) {
-        return millisSince(query.sentAt()) < ANSWER_MILLIS;
+        return clock.get().millisSince(query.sentAt()) < ANSWER_MILLIS;
     }
 
     private void send(String peer, boolean mayWait) {
@@ -281,7 +278,7 @@
     }
 
     private void onWaitOver() {
-        long elapsed = millisSince(listedAt);
+        long elapsed = clock.get().millisSince(listedAt);
         if (asked.isEmpty() && elapsed < CONNECT_WAIT_MILLIS && peers.isConnecting()) {
             loop.schedule(this::onWaitOver, ANSWER_MILLIS, TimeUnit.MILLISECONDS);
             return;
