Tests: give the cases of broken answers a class of their own

Change: WorkerCases, taken out of BrokenAnswerTest without a change of what is checked; no product code.

--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/BrokenAnswerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/BrokenAnswerTest.java
@@ -2,49 +2,26 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.amaranthlock.standin.fleet.FleetWorker;
-import org.amaranthlock.standin.fleet.OperatorConfiguration;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/**
- * Tests the complete daemon with workers that break off their answer, and with errors of those that go on. Each case has a
- * route and two workers of its own, so that no case depends on what the daemon has learned of the workers of another one.
- */
+/** Tests the complete daemon with workers that break off their answer, and with errors of those that go on. */
 class BrokenAnswerTest {
     private static final String ERROR_TEXT = "out of memory";
     private static final int EVENTS_BEFORE_BREAK = 3;
 
-    private final EntryFixture fixture = new EntryFixture(0, 0);
-    private final List<Case> cases = new ArrayList<>();
-    private final List<ScriptedWorker> workers = new ArrayList<>();
-
-    /**
-     * Answer of a worker to one request.
-     *
-     * @param name route, service and request id of the case
-     * @param like route of the standard configuration whose requests are like those of the case
-     * @param answer what is sent, for a failed assertion
-     * @param attempts number of attempts that have reached a worker
-     */
-    private record Case(
-            String name, String like, String answer, ScriptedWorker.Script script, AtomicInteger attempts) {}
+    private final WorkerCases cases = new WorkerCases();
 
     @AfterEach
     void close() throws IOException {
-        fixture.close();
-        for (ScriptedWorker worker : workers) {
-            worker.close();
-        }
+        cases.close();
     }
 
     // Guards against an error, or its head, in the middle of a stream that has begun, and against a stream that seems
@@ -53,9 +30,8 @@
     @CsvSource({"false, false", "false, true", "true, false", "true, true"})
     void errorOfTheNextEngineIsNoPartOfAStream(boolean insideAnEvent, boolean reset) {
         for (String error : errors()) {
-            AtomicInteger attempts = new AtomicInteger();
-            addCase("draft", error, attempts, (arrival, connection) -> {
-                if (attempts.get() > 1) {
+            cases.add("draft", error, (arrival, connection, attempt) -> {
+                if (attempt > 1) {
                     ScriptedWorker.write(connection, error.replace("ID", arrival.id()));
                     return error.contains("Content-Length") || error.contains("chunked");
                 }
@@ -68,9 +44,9 @@
                 return breakOff(connection, reset);
             });
         }
-        startCases();
-        for (Case current : cases) {
-            String response = fixture.call("POST /" + current.name() + "/x", current.name(), current.name());
+        cases.start();
+        for (WorkerCases.Case current : cases.all()) {
+            String response = cases.call(current);
             assertWithMessage("attempts, %s", current.answer())
                     .that(current.attempts().get())
                     .isAtLeast(2);
@@ -93,17 +69,16 @@
                 String head = head(like, lengthFirst);
                 for (int length : cutLengths(head)) {
                     String part = head.substring(0, length);
-                    addCase(like, part, new AtomicInteger(), (arrival, connection) -> {
+                    cases.add(like, part, (arrival, connection, _) -> {
                         ScriptedWorker.write(connection, part.replace("ID", arrival.id()));
                         return breakOff(connection, reset);
                     });
                 }
             }
         }
-        startCases();
-        String method = like.equals("look") ? "GET /" : "POST /";
-        for (Case current : cases) {
-            String response = fixture.call(method + current.name() + "/x", current.name(), current.name());
+        cases.start();
+        for (WorkerCases.Case current : cases.all()) {
+            String response = cases.call(current);
             assertWithMessage("attempts, %s", current.answer())
                     .that(current.attempts().get())
                     .isAtLeast(1);
@@ -172,50 +147,4 @@
         }
         return false;
     }
-
-    private void addCase(String like, String answer, AtomicInteger attempts, ScriptedWorker.Script script) {
-        ScriptedWorker.Script counting = (arrival, connection) -> {
-            attempts.incrementAndGet();
-            return script.answer(arrival, connection);
-        };
-        cases.add(new Case("c" + cases.size(), like, answer, counting, attempts));
-    }
-
-    /** Starts the workers of all cases and waits until the daemon knows them, and a last one that answers. */
-    private void startCases() {
-        List<Case> all = new ArrayList<>(cases);
-        all.add(new Case("last", "look", "", BrokenAnswerTest::succeed, new AtomicInteger()));
-        ObjectNode configuration = (ObjectNode) OperatorConfiguration.standard(2, "key-1");
-        for (Case current : all) {
-            copyNamed((ArrayNode) configuration.path("routes"), current.like(), current.name())
-                    .put("path_prefix", "/" + current.name() + "/")
-                    .put("service", current.name());
-            String service = current.like().equals("draft") ? "engines" : "desks";
-            copyNamed((ArrayNode) configuration.path("services"), service, current.name());
-            for (String zone : List.of("a", "b")) {
-                ScriptedWorker worker = new ScriptedWorker(current.script());
-                workers.add(worker);
-                fixture.store.put("servers", current.name() + "-" + zone, worker.registration(current.name(), zone));
-            }
-        }
-        fixture.store.put("config", "main", configuration);
-        EntryFixture.await(() -> fixture.call("GET /last/x", "r", "").startsWith("HTTP/1.1 200"));
-    }
-
-    private static boolean succeed(ScriptedWorker.Arrival arrival, Socket connection) throws IOException {
-        ScriptedWorker.write(connection, ScriptedWorker.success(arrival.id()));
-        return true;
-    }
-
-    /** Adds a copy of the named entry of a list under another name, and returns it. */
-    private static ObjectNode copyNamed(ArrayNode entries, String name, String newName) {
-        for (int i = 0; i < entries.size(); i++) {
-            if (entries.get(i).path("name").asText().equals(name)) {
-                ObjectNode copy = entries.get(i).deepCopy();
-                entries.add(copy.put("name", newName));
-                return copy;
-            }
-        }
-        throw new IllegalArgumentException("the standard configuration has no \"" + name + "\"");
-    }
 }
