Take a response with a line that is no field for none

Cause: Netty's decoder ends a name at its first blank and looks for the colon behind it. The class is each line of a head that is neither a field nor continues one (RFC 9112, section 5). Control bytes in names and values, lines without a colon and names that are no token were refused already; their tests stay. Measured: MalformedResponseTest.responseWithALineThatIsNoFieldIsNoAnswer, the whole daemon with 25 heads, four ways to end a body, for lookups, orders and streams. HttpTargetConnectionTest shows that no statement of such a head is believed, and that blanks before a colon are removed.

--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/MalformedResponseTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/MalformedResponseTest.java
@@ -66,6 +66,43 @@
         checkNoneIsPassedOn();
     }
 
+    // Guards against a field that the worker did not send: a part of a line, or a line of its own, that is read as
+    // another
+    // field than a strict reader sees (RFC 9112, section 5).
+    @ParameterizedTest
+    @ValueSource(strings = {"look", "order", "draft"})
+    void responseWithALineThatIsNoFieldIsNoAnswer(String like) {
+        for (String line : List.of(
+                "X-A b: v",
+                "X-A\tb: v",
+                "X-A b : v",
+                "X-Server-Stamp x: v",
+                "Retry-After x: 9",
+                "Connection x: close",
+                "X-Request-Id x: other",
+                "Transfer-Encoding x: gzip",
+                "Content-Length x: 1",
+                "X-A",
+                ": v",
+                " : v",
+                "X\u0000A: v",
+                "X\u0001A: v",
+                "X\u007fA: v",
+                "X\rA: v",
+                "X\u000bA: v",
+                "X\u00e9A: v",
+                "X(A: v",
+                "X\"A: v",
+                "X-A: v\u0000w",
+                "X-A: v\u0001w",
+                "X-A: v\rw")) {
+            addCases(like, "HTTP/1.1 200 OK", line + "\r\n");
+        }
+        addCases(like, "HTTP/1.1 200 OK\r\n X-A: v", "");
+        addCases(like, "HTTP/1.1 503 x", "X-Not-Run x: 1\r\nX-Not-Run: 1\r\n");
+        checkNoneIsPassedOn();
+    }
+
     /** Adds cases with the lines before and after the usual headers, for each way in which a body can end. */
     private void addCases(String like, String statusLine, String headers) {
         String type = like.equals("draft") ? "text/event-stream" : "application/json";
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/HttpTargetConnectionTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/HttpTargetConnectionTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.amaranthlock.coordination.forwarding.StreamEvent;
 import org.amaranthlock.coordination.forwarding.TargetResponse;
 import org.junit.jupiter.api.Test;
@@ -185,6 +186,24 @@
         assertThat(channel.isOpen()).isFalse();
     }
 
+    @Test
+    void believesNothingThatAResponseWithALineThatIsNoFieldSays() {
+        receive(
+                "HTTP/1.1 503 x\r\nX-Request-Id: r1\r\nServer-Leaving x: 1\r\nRetry-After: 9\r\nContent-Length: 0\r\n\r\n");
+        assertThat(heads).isEmpty();
+        assertThat(listener.lostCause).isEqualTo("not HTTP: line without a field name");
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    // A proxy removes blanks before the colon of a field (RFC 9112, section 5.1).
+    @ParameterizedTest
+    @ValueSource(strings = {" ", "\t", " \t "})
+    void removesBlanksBeforeAColon(String blanks) {
+        receive(OK + "X-A" + blanks + ": v\r\nContent-Length: 2\r\n\r\nok");
+        assertThat(listener.responses.getFirst().headers()).contains(Map.entry("X-A", "v"));
+        assertThat(reusableConnections).hasSize(1);
+    }
+
     @Test
     void deliversOnlyCompleteEvents() {
         receive(OK + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
