--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/MalformedResponseTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/MalformedResponseTest.java
@@ -17,6 +17,8 @@
  */
 class MalformedResponseTest {
     private static final String WORKER_TEXT = "text of the worker";
+    private static final String WORKER_EVENT = "id: 0\ndata: " + WORKER_TEXT + "\n\n";
+    private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
 
     private final WorkerCases cases = new WorkerCases();
 
@@ -103,21 +105,73 @@
         checkNoneIsPassedOn();
     }
 
+    // Guards against a body that ends where the worker did not end it (RFC 9112, section 7.1): the size of a chunk that
+    // does
+    // not fit in 32 bits, or that is followed by something else.
+    @ParameterizedTest
+    @ValueSource(strings = {"look", "order", "draft"})
+    void responseWithAChunkOfUnknownSizeIsNoAnswer(String like) {
+        String text = like.equals("draft") ? WORKER_EVENT : WORKER_TEXT;
+        String size = Integer.toHexString(text.length());
+        for (String line : List.of(
+                "1" + "0".repeat(8 - size.length()) + size,
+                "f" + "0".repeat(16 - size.length()) + size,
+                "80000000",
+                size + " 5",
+                size + "\t5",
+                size + "\u0000",
+                size + "\r",
+                size + "\u000b",
+                size + ";x\u0000",
+                " " + size,
+                "+" + size,
+                "-" + size,
+                "0x" + size,
+                size + "g",
+                "",
+                ";x")) {
+            addCase(like, head(like, "HTTP/1.1 200 OK", "") + CHUNKED + line + "\r\n" + text + "\r\n0\r\n\r\n");
+        }
+        for (String lastLine : List.of("0 5", "0\u0000", " 0", "+0", "100000000")) {
+            if (!like.equals("draft")) { // the events before the end of a stream are passed on
+                addCase(like, chunkedResponse(like) + lastLine + "\r\n\r\n");
+            }
+        }
+        checkNoneIsPassedOn();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"look", "order"})
+    void responseWithATrailerThatIsNoFieldIsNoAnswer(String like) {
+        for (String line : List.of("X-A b: v", "X-A", ": v", " : v", "X\u0001A: v", "X-A: v\u0000")) {
+            addCase(like, chunkedResponse(like) + "0\r\n" + line + "\r\n\r\n");
+        }
+        checkNoneIsPassedOn();
+    }
+
     /** Adds cases with the lines before and after the usual headers, for each way in which a body can end. */
     private void addCases(String like, String statusLine, String headers) {
-        String type = like.equals("draft") ? "text/event-stream" : "application/json";
-        String head = statusLine + "\r\n" + headers + "X-Request-Id: ID\r\n" + ScriptedWorker.STAMP + "Content-Type: "
-                + type + "\r\n";
-        String text = like.equals("draft") ? "id: 0\ndata: " + WORKER_TEXT + "\n\n" : WORKER_TEXT;
+        String head = head(like, statusLine, headers);
+        String text = like.equals("draft") ? WORKER_EVENT : WORKER_TEXT;
         addCase(like, head + "Content-Length: " + text.length() + "\r\n\r\n" + text);
-        addCase(
-                like,
-                head + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(text.length()) + "\r\n" + text
-                        + "\r\n0\r\n\r\n");
+        addCase(like, head + CHUNKED + Integer.toHexString(text.length()) + "\r\n" + text + "\r\n0\r\n\r\n");
         addCase(like, head + "\r\n" + text);
         addCase(like, head + "Content-Length: 0\r\n\r\n");
     }
 
+    /** Returns the beginning of a head, without the lines that say where the body ends. */
+    private static String head(String like, String statusLine, String headers) {
+        String type = like.equals("draft") ? "text/event-stream" : "application/json";
+        return statusLine + "\r\n" + headers + "X-Request-Id: ID\r\n" + ScriptedWorker.STAMP + "Content-Type: " + type
+                + "\r\n";
+    }
+
+    /** Returns a success with one chunk and without its end. */
+    private static String chunkedResponse(String like) {
+        String chunk = Integer.toHexString(WORKER_TEXT.length()) + "\r\n" + WORKER_TEXT + "\r\n";
+        return head(like, "HTTP/1.1 200 OK", "") + CHUNKED + chunk;
+    }
+
     private void addCase(String like, String answer) {
         cases.add(like, answer, (arrival, connection, attempt) -> {
             if (attempt > 1) {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/HttpTargetConnectionTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/HttpTargetConnectionTest.java
@@ -213,6 +213,17 @@
         assertThat(listener.events).containsExactly(0L);
     }
 
+    // Guards against a stream that counts as complete though its end is none.
+    @ParameterizedTest
+    @ValueSource(strings = {"100000000\r\n\r\n", "0 5\r\n\r\n", "0\r\nX-A b: v\r\n\r\n", "0\r\nX-A\r\n\r\n"})
+    void reportsStreamWithMalformedEndAsLost(String end) {
+        receive(OK + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        receive("f\r\nid: 0\ndata: a\n\n\r\n" + end);
+        assertThat(listener.streamEnded).isFalse();
+        assertThat(listener.lostCause).startsWith("not HTTP");
+        assertThat(channel.isOpen()).isFalse();
+    }
+
     // Guards against taking a stream that ends inside an event for complete.
     @Test
     void reportsStreamTruncatedInsideEventAsLost() {
