--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
@@ -24,7 +24,6 @@
 import org.amaranthlock.coordination.forwarding.MalformedStreamException;
 import org.amaranthlock.coordination.forwarding.StreamEvent;
 import org.amaranthlock.platform.MalformedResponseException;
-import org.amaranthlock.platform.MessageFraming;
 import org.amaranthlock.platform.StrictResponseDecoder;
 import org.amaranthlock.platform.TargetResponseDecoder;
 
@@ -212,10 +211,6 @@
             close();
             return;
         }
-        if (!MessageFraming.isUnderstood(response)) {
-            fail("not HTTP: unknown transfer coding");
-            return;
-        }
         if (!TargetResponseDecoder.isResponseTo(response, exchange.requestId())) {
             notReusable = true;
             skipResponse();
