Tests: answers that are none to calls of a host itself

Change: OwnCallTest has answers without a length that are reset, and six beginnings of answers that are none; no product code. Measured: all seven new cases pass.

--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/OwnCallTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/target/OwnCallTest.java
@@ -95,6 +95,38 @@
         }
     }
 
+    // As above, for an answer that ends with the connection.
+    @Test
+    void answerWithoutLengthThatIsResetIsNoAnswer() throws InterruptedException, IOException {
+        engine = ScriptedWorker.answeringCalls((_, connection) -> {
+            ScriptedWorker.write(connection, "HTTP/1.1 200 OK\r\n\r\n{\"handle\":\"h\"}");
+            ScriptedWorker.resetOnClose(connection);
+            return false;
+        });
+        for (int i = 0; i < CALLS; i++) {
+            assertThat(copyOf("stream-" + i)).isEmpty();
+        }
+    }
+
+    // Guards against the memory of a stream that is taken from bytes that are no answer.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 0200 x",
+                "HTTP/1.1 2000 x",
+                "HTTP/2.0 200 x",
+                "HTTP/1.1 101 x",
+                "HTTP/1.1 200 OK\r\nX-A b: v",
+                "HTTP/1.1 200 OK\r\nX\u0001A: v"
+            })
+    void answerThatIsNoneIsNoAnswer(String beginning) throws InterruptedException {
+        engine = ScriptedWorker.answeringCalls((_, connection) -> {
+            ScriptedWorker.write(connection, beginning + "\r\nContent-Length: 14\r\n\r\n{\"handle\":\"h\"}");
+            return true;
+        });
+        assertThat(copyOf("stream")).isEmpty();
+    }
+
     private Optional<String> copyOf(String requestId) throws InterruptedException {
         EntryTarget target = target("engine-1", engine.port());
         EntryTarget backup = target("engine-2", 1);
