Product transports: take a response whose head HTTP does not allow for none

Cause: ServiceTalk's decoder reads more than HTTP allows, and nothing checked the head after it. Change: each connection of HttpClientSupport has a ResponseValidationFilter, which closes the connection and fails the request: services and engines count the attempt as lost, a write has an unknown outcome.

--- a/amaranthlock-net/src/main/java/org/amaranthlock/transport/http/HttpClientSupport.java
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/transport/http/HttpClientSupport.java
@@ -31,7 +31,7 @@
      * Creates a client with a connection pool for one address.
      *
      * <p>The client neither retries requests nor ejects the address after failures (outlier detection), because the
-     * decision core makes both decisions.
+     * decision core makes both decisions. A response that HTTP does not allow fails its request.
      *
      * @param address IP address and port
      */
@@ -42,6 +42,7 @@
                 .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MILLIS)
                 .executionStrategy(offloadNone())
                 .loadBalancerFactory(loadBalancerWithoutOutlierDetection())
+                .appendConnectionFilter(new ResponseValidationFilter())
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
                 .buildStreaming();
     }
--- a/amaranthlock-net/src/test/java/org/amaranthlock/transport/objectapi/HttpObjectApiTransportTest.java
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/transport/objectapi/HttpObjectApiTransportTest.java
@@ -1,6 +1,7 @@
 package org.amaranthlock.transport.objectapi;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -33,6 +34,27 @@
                 .isEqualTo(new ObjectApiEvent.WriteUnknown(1));
     }
 
+    /** Guards against a write that counts as applied, or as rejected, because of what is no response. */
+    @Test
+    void writeWithAMalformedResponseHasUnknownOutcome() throws Exception {
+        String headers = "etag: \"6\"\r\nplatform-revision: 41\r\ncontent-length: 0\r\n\r\n";
+        for (String beginning : new String[] {
+            "000 x",
+            "2000 x",
+            "600 x",
+            "200 OK\r\nx-a b: v",
+            "200 OK\r\nx-a: v\u0000w",
+            "200 OK\r\ntransfer-encoding: gzip"
+        }) {
+            String response = "HTTP/1.1 " + beginning + "\r\n" + headers;
+            assertWithMessage(response)
+                    .that(eventForResponse(
+                            new ObjectApiCommand.Write(1, "engines/g", 0, LEASE),
+                            (head, out) -> ScriptedHttpServer.write(out, response)))
+                    .isEqualTo(new ObjectApiEvent.WriteUnknown(1));
+        }
+    }
+
     /** Guards against a write that waits indefinitely for an unresponsive platform. */
     @Test
     void writeWithLateResponseHasUnknownOutcome() throws Exception {
