Take a stored response without a status for lost

Cause: the status in the body of a reconciliation was any positive number, cut to 32 bits. Change: it must be a final status of HTTP (200 to 599), else the outcome stays unknown. Measured: MalformedResponseTest.storedResponseWithoutAStatusIsLost failed before at the status 99 (Reconciled), and passes for six statuses.

--- a/amaranthlock-net/src/main/java/org/amaranthlock/transport/target/ServiceClient.java
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/transport/target/ServiceClient.java
@@ -26,6 +26,8 @@
 /** Calls plain services and queries the outcome of earlier calls. */
 final class ServiceClient {
     private static final Duration RECONCILE_TIMEOUT = Duration.ofSeconds(2);
+    private static final int FIRST_FINAL_STATUS = 200;
+    private static final int LAST_STATUS = 599;
     private static final int CONFLICT = 409;
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -158,7 +160,14 @@
         }
         JsonNode body = node.path("body");
         String text = body.isTextual() ? body.textValue() : body.isMissingNode() ? "" : body.toString();
-        return Optional.of(new ServiceResponse(
-                (int) TargetJson.longField(node, "status"), Map.of(), text.getBytes(StandardCharsets.UTF_8)));
+        return Optional.of(new ServiceResponse(storedStatus(node), Map.of(), text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private static int storedStatus(JsonNode node) {
+        long status = TargetJson.longField(node, "status");
+        if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
+            throw new MalformedDataException("field status must be a final status of HTTP");
+        }
+        return (int) status;
     }
 }
--- a/amaranthlock-net/src/test/java/org/amaranthlock/transport/target/MalformedResponseTest.java
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/transport/target/MalformedResponseTest.java
@@ -87,6 +87,20 @@
         assertThat(faults).isEmpty();
     }
 
+    /** Guards against a stored status that is none, which a client would get. */
+    @Test
+    void storedResponseWithoutAStatusIsLost() throws Exception {
+        for (int status : new int[] {-1, 0, 99, 199, 600, 1_000}) {
+            String body = "{\"executed\":true,\"status\":" + status + ",\"body\":\"done\"}";
+            String answer = "HTTP/1.1 200 OK\r\ncontent-length: " + body.length() + "\r\n\r\n" + body;
+            Event event = event(
+                    answer,
+                    address -> transport.execute(new RequestCommand.Reconcile(
+                            ATTEMPT, target(address), call(address, "").spec(), OptionalLong.empty())));
+            assertWithMessage("%s", event).that(isLost(event)).isTrue();
+        }
+    }
+
     /** Guards against a part of a response that counts as whole when a reset ends it during a long upload. */
     @Test
     void responseThatIsResetDuringTheUploadIsLost() throws Exception {
