Take an answer without a status that another host passes on for lost

Cause: a relayed answer was passed on whatever its status was. Change: RelayedRequest takes an answer whose status is none of HTTP for a lost one: an order ends with 502. Measured: RelayedRequestTest.responseOfOtherHostWithoutAStatusDoesNotReachClient failed before for all of five statuses, and passes. A play with both builds was not made.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RelayedRequest.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/RelayedRequest.java
@@ -78,7 +78,7 @@
         if (!isCurrent(attempt)) {
             return;
         }
-        if (stream.opened()) {
+        if (stream.opened() || !response.hasFinalStatus()) {
             endLost("status-" + response.status(), nowMillis);
             return;
         }
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetResponse.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetResponse.java
@@ -21,6 +21,14 @@
         boolean notRun,
         TargetStatements statements,
         byte[] body) {
+    private static final int FIRST_FINAL_STATUS = 200;
+    private static final int LAST_STATUS = 599;
+
+    /** Returns whether the status is one that HTTP has for a final response (RFC 9110, section 15). */
+    public boolean hasFinalStatus() {
+        return status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
+    }
+
     /** Returns whether the status is in the 2xx range. */
     public boolean isSuccess() {
         return status >= 200 && status < 300;
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/RelayedRequestTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/forwarding/RelayedRequestTest.java
@@ -9,6 +9,8 @@
 import org.amaranthlock.coordination.targetlimit.LimitReport;
 import org.amaranthlock.model.ServiceName;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests requests at a host that has no path to the targets while other hosts have one. */
 class RelayedRequestTest extends AbstractForwardedRequestTest {
@@ -68,6 +70,16 @@
         assertThat(port.finalDecisionCount()).isEqualTo(1);
     }
 
+    // Guards against an answer that is none, which a host of an earlier build passes on as it read it from a target.
+    @ParameterizedTest
+    @ValueSource(ints = {0, 99, 199, 600, 2_000})
+    void responseOfOtherHostWithoutAStatusDoesNotReachClient(int status) {
+        RelayedRequest order = relay(RouteKind.NON_IDEMPOTENT);
+        order.onResponse(1, response(status, true, true), 100);
+        assertThat(port.responses).isEmpty();
+        assertThat(port.rejections.getFirst().status()).isEqualTo(502);
+    }
+
     @Test
     void rejectionForReasonOfOneHostLeadsToNextHost() {
         RelayedRequest request = relay(RouteKind.NON_IDEMPOTENT);
