--- a/amaranthlock-net/src/test/java/org/amaranthlock/transport/target/MalformedResponseTest.java
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/transport/target/MalformedResponseTest.java
@@ -76,15 +76,20 @@
         answers.add("HTTP/1.0" + chunked + "2\r\nok\r\n0\r\n\r\n");
         answers.add("HTTP/1.1" + chunked + "100000002\r\nok\r\n0\r\n\r\n");
         answers.add("HTTP/1.1" + chunked + "2\r\nok\r\n0\r\nx-a b: v\r\n\r\n");
-        List<String> faults = new ArrayList<>();
-        for (String answer : answers) {
-            for (Event event : List.of(callEvent(answer), streamEvent(answer))) {
-                if (!isLost(event)) {
-                    faults.add(answer + "\n-> " + event);
-                }
-            }
+        assertLost(answers);
+    }
+
+    /** Guards against the line of a status or of a chunk that a lenient decoder reads as another one. */
+    @Test
+    void responseThatOnlyALenientDecoderReadsIsLost() throws Exception {
+        List<String> answers = new ArrayList<>();
+        for (String line : List.of("\r\nHTTP/1.1 200 x", "HTTP/1.1\t200\tx", "HTTP/1.1 200")) {
+            answers.add(line + "\r\ncontent-length: 2\r\n\r\nok");
         }
-        assertThat(faults).isEmpty();
+        for (String size : List.of("+2", " 2", "2 5", "2\u0000")) {
+            answers.add("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" + size + "\r\nok\r\n0\r\n\r\n");
+        }
+        assertLost(answers);
     }
 
     /** Guards against a stored status that is none, which a client would get. */
@@ -128,6 +133,19 @@
         }
     }
 
+    /** Checks what becomes of a call of a service, and of a stream of an engine, that get each of the answers. */
+    private void assertLost(List<String> answers) throws Exception {
+        List<String> faults = new ArrayList<>();
+        for (String answer : answers) {
+            for (Event event : List.of(callEvent(answer), streamEvent(answer))) {
+                if (!isLost(event)) {
+                    faults.add(answer + "\n-> " + event);
+                }
+            }
+        }
+        assertThat(faults).isEmpty();
+    }
+
     private Event callEvent(String answer) throws Exception {
         return event(answer, address -> transport.execute(call(address, "b")));
     }
