Say once which statuses HTTP has

No change of behaviour, so no test that failed before. Measured: RelayedRequestTest, StrictResponseDecoderTest, MalformedStoreResponseTest and the tests of amaranthlock-net pass as before.

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetResponse.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/forwarding/TargetResponse.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.amaranthlock.model.HttpStatuses;
 
 /**
  * Response of a target: its head and, unless it is an event stream, its complete body.
@@ -21,12 +22,9 @@
         boolean notRun,
         TargetStatements statements,
         byte[] body) {
-    private static final int FIRST_FINAL_STATUS = 200;
-    private static final int LAST_STATUS = 599;
-
-    /** Returns whether the status is one that HTTP has for a final response (RFC 9110, section 15). */
+    /** Returns whether the status is one that HTTP has for a final response. */
     public boolean hasFinalStatus() {
-        return status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
+        return HttpStatuses.isFinal(status);
     }
 
     /** Returns whether the status is in the 2xx range. */
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/target/HttpTargetConnection.java
@@ -177,12 +177,6 @@
         }
     }
 
-    private static String reason(Throwable cause) {
-        return cause instanceof MalformedResponseException malformed
-                ? malformed.reason()
-                : cause.getClass().getSimpleName();
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         fail(failureCause == null ? "closed" : failureCause);
@@ -198,6 +192,12 @@
         }
     }
 
+    private static String reason(Throwable cause) {
+        return cause instanceof MalformedResponseException malformed
+                ? malformed.reason()
+                : cause.getClass().getSimpleName();
+    }
+
     private boolean isIdle() {
         return exchange == null || exchange.completed();
     }
--- a/amaranthlock-net/src/main/java/org/amaranthlock/transport/http/ResponseValidationFilter.java
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/transport/http/ResponseValidationFilter.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.amaranthlock.model.HttpStatuses;
 import org.amaranthlock.protocol.MalformedDataException;
 
 /**
@@ -21,8 +22,6 @@
  * accepts beyond it, and closes their connection.
  */
 final class ResponseValidationFilter implements StreamingHttpConnectionFilterFactory {
-    private static final int FIRST_STATUS = 100;
-    private static final int LAST_STATUS = 599;
     private static final char DELETE = 0x7f;
 
     /** The compiler warns of {@code close}, which the filter inherits and does not change. */
@@ -49,8 +48,7 @@
     }
 
     private static Optional<String> findFault(StreamingHttpResponse response) {
-        int status = response.status().code();
-        if (status < FIRST_STATUS || status > LAST_STATUS) {
+        if (!HttpStatuses.isValid(response.status().code())) {
             return Optional.of("no status of HTTP");
         }
         if (!isFramingUnderstood(response)) {
--- a/amaranthlock-net/src/main/java/org/amaranthlock/transport/target/ServiceClient.java
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/transport/target/ServiceClient.java
@@ -16,6 +16,7 @@
 import org.amaranthlock.coordination.RequestCommand.Reconcile;
 import org.amaranthlock.coordination.RequestEvent.Reconciled;
 import org.amaranthlock.coordination.RequestEvent.ServiceResponded;
+import org.amaranthlock.model.HttpStatuses;
 import org.amaranthlock.model.IdempotencyKey;
 import org.amaranthlock.model.ProfileKind;
 import org.amaranthlock.model.RequestSpec;
@@ -26,8 +27,6 @@
 /** Calls plain services and queries the outcome of earlier calls. */
 final class ServiceClient {
     private static final Duration RECONCILE_TIMEOUT = Duration.ofSeconds(2);
-    private static final int FIRST_FINAL_STATUS = 200;
-    private static final int LAST_STATUS = 599;
     private static final int CONFLICT = 409;
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -165,7 +164,7 @@
 
     private static int storedStatus(JsonNode node) {
         long status = TargetJson.longField(node, "status");
-        if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
+        if (!HttpStatuses.isFinal(status)) {
             throw new MalformedDataException("field status must be a final status of HTTP");
         }
         return (int) status;
