--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/MalformedResponseTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/MalformedResponseTest.java
@@ -27,9 +27,7 @@
         cases.close();
     }
 
-    // Guards against an answer whose status is none (RFC 9112, section 4; RFC 9110, section 15), whatever the decoder
-    // takes
-    // it for.
+    // Guards against a status that the worker did not send (RFC 9112, section 4; RFC 9110, section 15).
     @ParameterizedTest
     @ValueSource(strings = {"look", "order", "draft"})
     void responseWithoutAStatusIsNoAnswer(String like) {
@@ -80,9 +78,7 @@
         checkNoneIsPassedOn();
     }
 
-    // Guards against a field that the worker did not send: a part of a line, or a line of its own, that is read as
-    // another
-    // field than a strict reader sees (RFC 9112, section 5).
+    // Guards against a field that the worker did not send, which is read from a part of a line (RFC 9112, section 5).
     @ParameterizedTest
     @ValueSource(strings = {"look", "order", "draft"})
     void responseWithALineThatIsNoFieldIsNoAnswer(String like) {
@@ -117,9 +113,9 @@
         checkNoneIsPassedOn();
     }
 
-    // Guards against a body that ends where the worker did not end it (RFC 9112, section 7.1): the size of a chunk that
+    // Guards against a body that ends where the worker did not end it: the size of a chunk is no hexadecimal number,
     // does
-    // not fit in 32 bits, or that is followed by something else.
+    // not fit in 32 bits or is followed by something else (RFC 9112, section 7.1).
     @ParameterizedTest
     @ValueSource(strings = {"look", "order", "draft"})
     void responseWithAChunkOfUnknownSizeIsNoAnswer(String like) {
@@ -221,7 +217,8 @@
             if (!response.startsWith(expected)
                     || response.contains(WORKER_TEXT)
                     || current.attempts().get() != expectedAttempts) {
-                faults.add(current.answer() + "\n-> " + current.attempts() + " attempts, " + response);
+                faults.add(current.answer().replace("\u0000", "NUL") + "\n-> " + current.attempts() + " attempts, "
+                        + response);
             }
         }
         assertThat(faults).isEmpty();
--- a/amaranthlock-net/src/test/java/org/amaranthlock/transport/objectapi/HttpObjectApiTransportTest.java
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/transport/objectapi/HttpObjectApiTransportTest.java
@@ -47,7 +47,7 @@
             "200 OK\r\ntransfer-encoding: gzip"
         }) {
             String response = "HTTP/1.1 " + beginning + "\r\n" + headers;
-            assertWithMessage(response)
+            assertWithMessage(response.replace("\u0000", "NUL"))
                     .that(eventForResponse(
                             new ObjectApiCommand.Write(1, "engines/g", 0, LEASE),
                             (head, out) -> ScriptedHttpServer.write(out, response)))
--- a/amaranthlock-net/src/test/java/org/amaranthlock/transport/target/HttpTargetTransportTest.java
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/transport/target/HttpTargetTransportTest.java
@@ -1,6 +1,9 @@
 package org.amaranthlock.transport.target;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.amaranthlock.transport.target.TargetSamples.ATTEMPT;
+import static org.amaranthlock.transport.target.TargetSamples.spec;
+import static org.amaranthlock.transport.target.TargetSamples.target;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -8,9 +11,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -24,16 +25,7 @@
 import org.amaranthlock.coordination.RequestEvent.TokensReceived;
 import org.amaranthlock.coordination.TargetCommand;
 import org.amaranthlock.coordination.TargetEvent;
-import org.amaranthlock.model.AccountId;
-import org.amaranthlock.model.AttemptId;
-import org.amaranthlock.model.FailureDomain;
-import org.amaranthlock.model.IdempotencyKey;
-import org.amaranthlock.model.Profile;
 import org.amaranthlock.model.ProfileKind;
-import org.amaranthlock.model.Region;
-import org.amaranthlock.model.RequestId;
-import org.amaranthlock.model.RequestSpec;
-import org.amaranthlock.model.ServiceName;
 import org.amaranthlock.model.Target;
 import org.amaranthlock.model.TargetId;
 import org.amaranthlock.model.Work;
@@ -45,7 +37,6 @@
 class HttpTargetTransportTest {
     private static final String STREAM_RESPONSE_HEAD =
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
-    private static final AttemptId ATTEMPT = new AttemptId(new RequestId("01-a"), 2);
 
     private final RecordingEventSink events = new RecordingEventSink();
     private final HttpTargetTransport transport = new HttpTargetTransport(events);
@@ -349,32 +340,6 @@
                 ATTEMPT, target(address), spec(work, kind), OptionalLong.of(9), timeoutMillis);
     }
 
-    private static RequestSpec spec(Work work, ProfileKind kind) {
-        return new RequestSpec(
-                ATTEMPT.request(),
-                new AccountId("acc"),
-                new ServiceName("s"),
-                new Profile("p", kind, 3, 0, 1_000),
-                Optional.of(new IdempotencyKey("k/1")),
-                1,
-                0,
-                1_000,
-                work);
-    }
-
-    private static Target target(String address) {
-        return new Target(
-                new TargetId("t1"),
-                new ServiceName("s"),
-                address,
-                new Region("eu"),
-                new FailureDomain("a"),
-                "m",
-                "v1",
-                4,
-                Set.of());
-    }
-
     private static byte[] token(int index, String text) {
         return ("id: " + index + "\ndata: {\"i\":" + index + ",\"t\":\"" + text + "\"}\n\n")
                 .getBytes(StandardCharsets.UTF_8);
--- a/amaranthlock-net/src/test/java/org/amaranthlock/transport/target/MalformedResponseTest.java
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/transport/target/MalformedResponseTest.java
@@ -2,6 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static org.amaranthlock.transport.target.TargetSamples.ATTEMPT;
+import static org.amaranthlock.transport.target.TargetSamples.spec;
+import static org.amaranthlock.transport.target.TargetSamples.target;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -12,27 +15,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.amaranthlock.coordination.Event;
 import org.amaranthlock.coordination.RequestCommand;
 import org.amaranthlock.coordination.RequestEvent.AttemptFailed;
 import org.amaranthlock.coordination.RequestEvent.FailureKind;
 import org.amaranthlock.coordination.TargetEvent;
-import org.amaranthlock.model.AccountId;
-import org.amaranthlock.model.AttemptId;
-import org.amaranthlock.model.FailureDomain;
-import org.amaranthlock.model.IdempotencyKey;
-import org.amaranthlock.model.Profile;
 import org.amaranthlock.model.ProfileKind;
-import org.amaranthlock.model.Region;
-import org.amaranthlock.model.RequestId;
-import org.amaranthlock.model.RequestSpec;
-import org.amaranthlock.model.ServiceName;
-import org.amaranthlock.model.Target;
-import org.amaranthlock.model.TargetId;
 import org.amaranthlock.model.Work;
 import org.amaranthlock.transport.RecordingEventSink;
 import org.amaranthlock.transport.ScriptedHttpServer;
@@ -41,7 +31,6 @@
 
 /** Tests calls of services and streams of engines whose responses HTTP does not allow. */
 class MalformedResponseTest {
-    private static final AttemptId ATTEMPT = new AttemptId(new RequestId("01-a"), 2);
     private static final long TIMEOUT_MILLIS = 5_000;
     private static final List<Integer> UPLOAD_BYTES = List.of(100_000, 1_000_000, 16_000_000);
     private static final int UPLOADS_OF_EACH_LENGTH = 8;
@@ -139,7 +128,7 @@
         for (String answer : answers) {
             for (Event event : List.of(callEvent(answer), streamEvent(answer))) {
                 if (!isLost(event)) {
-                    faults.add(answer + "\n-> " + event);
+                    faults.add(answer.replace("\u0000", "NUL") + "\n-> " + event);
                 }
             }
         }
@@ -180,30 +169,4 @@
         return new RequestCommand.CallService(
                 ATTEMPT, target(address), spec(work, ProfileKind.AT_MOST_ONCE), OptionalLong.empty(), TIMEOUT_MILLIS);
     }
-
-    private static RequestSpec spec(Work work, ProfileKind kind) {
-        return new RequestSpec(
-                ATTEMPT.request(),
-                new AccountId("acc"),
-                new ServiceName("s"),
-                new Profile("p", kind, 3, 0, 1_000),
-                Optional.of(new IdempotencyKey("k")),
-                1,
-                0,
-                1_000,
-                work);
-    }
-
-    private static Target target(String address) {
-        return new Target(
-                new TargetId("t1"),
-                new ServiceName("s"),
-                address,
-                new Region("eu"),
-                new FailureDomain("a"),
-                "m",
-                "v1",
-                4,
-                Set.of());
-    }
 }
