Training run: load what a report of a target's speed needs

It is loaded when a host gets a report of a target's speed, and a host sends one if the times that it measured differ by a fifth: by chance not in the training run, but in the run of the check. Change: CdsTrainingRun has such a report by itself. The other class in KNOWN-RED.txt, one of Netty, is another matter and stays there.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/CdsTrainingRun.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/cli/CdsTrainingRun.java
@@ -10,13 +10,17 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
+import org.amaranthlock.coordination.estimate.TargetSpeed;
+import org.amaranthlock.coordination.estimate.TargetSpeeds;
 import org.amaranthlock.coordination.loadreport.ReportPlanner;
 import org.amaranthlock.entry.EntryProcess;
 import org.amaranthlock.entry.log.LogOutput;
 import org.amaranthlock.entry.settings.EntrySettingsReader;
 import org.amaranthlock.model.AmaranthlockException;
 import org.amaranthlock.model.ErrorCode;
+import org.amaranthlock.model.TargetId;
 import org.amaranthlock.platform.ReadinessCheck;
 import org.amaranthlock.platform.SampleMessages;
 import org.jboss.logging.Logger;
@@ -68,6 +72,7 @@
                 sendRequests(host.clientAddress().getPort());
             }
         }
+        reportSpeed();
         stopOne(hosts.removeLast());
         hosts.forEach(EntryProcess::drain);
         for (EntryProcess host : hosts) {
@@ -76,6 +81,13 @@
         return 0;
     }
 
+    /** Reports the speed of a target; whether the hosts report one to each other depends on the times that they measure. */
+    private static void reportSpeed() {
+        TargetSpeeds speeds = new TargetSpeeds();
+        speeds.updateRemote("rehearsal-0", Map.of(new TargetId("i-1"), new TargetSpeed(2, 1)));
+        speeds.removeRemote("rehearsal-0");
+    }
+
     /** Stops a host beside others, which lose their connections to it; a stack trace is logged, as on any fault. */
     private static void stopOne(EntryProcess host) throws InterruptedException {
         host.drain();
