Name the filter of answers for what it filters

Cause: reading the diff: the filter fails malformed answers, and its test, its exception and the entry hosts' say malformed. Change: ResponseValidationFilter is MalformedResponseFilter; no behaviour, so no test that failed before.

--- a/amaranthlock-net/src/main/java/org/amaranthlock/transport/http/HttpClientSupport.java
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/transport/http/HttpClientSupport.java
@@ -42,7 +42,7 @@
                 .socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MILLIS)
                 .executionStrategy(offloadNone())
                 .loadBalancerFactory(loadBalancerWithoutOutlierDetection())
-                .appendConnectionFilter(new ResponseValidationFilter())
+                .appendConnectionFilter(new MalformedResponseFilter())
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
                 .buildStreaming();
     }
--- a/amaranthlock-net/src/main/java/org/amaranthlock/transport/http/ResponseValidationFilter.java
+++ b/amaranthlock-net/src/main/java/org/amaranthlock/transport/http/MalformedResponseFilter.java
@@ -21,7 +21,7 @@
  * Fails requests whose response has a head that HTTP does not allow (RFC 9110 and RFC 9112), for what ServiceTalk's decoder
  * accepts beyond it, and closes their connection.
  */
-final class ResponseValidationFilter implements StreamingHttpConnectionFilterFactory {
+final class MalformedResponseFilter implements StreamingHttpConnectionFilterFactory {
     private static final char DELETE = 0x7f;
 
     /** The compiler warns of {@code close}, which the filter inherits and does not change. */
@@ -61,7 +61,7 @@
 
     private static boolean hasControlCharacter(HttpHeaders headers) {
         for (Map.Entry<CharSequence, CharSequence> header : headers) {
-            if (header.getValue().chars().anyMatch(ResponseValidationFilter::isControl)) {
+            if (header.getValue().chars().anyMatch(MalformedResponseFilter::isControl)) {
                 return true;
             }
         }
