Tests: close the port of a stand-in before its close returns

Cause: HttpTargetTransportTest.lostStreamOfADeadTargetReportsItUnreachable failed once (Reachable instead of Unreachable). A virtual thread that accepts connections keeps the port open for a moment after close; the probe of the lost stream was connected by then. Change: ScriptedHttpServer.close waits for that thread. No check is changed.

--- a/amaranthlock-net/src/test/java/org/amaranthlock/transport/ScriptedHttpServer.java
+++ b/amaranthlock-net/src/test/java/org/amaranthlock/transport/ScriptedHttpServer.java
@@ -23,6 +23,7 @@
     private final ServerSocket socket;
     private final RequestHandler handler;
     private final boolean keepAlive;
+    private final Thread accepting;
     private final BlockingQueue<String> requestHeads = new LinkedBlockingQueue<>();
     private final BlockingQueue<Exception> connectionFailures = new LinkedBlockingQueue<>();
 
@@ -36,7 +37,7 @@
         this.handler = handler;
         this.keepAlive = keepAlive;
         socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        Thread.ofVirtual().start(this::acceptConnections);
+        accepting = Thread.ofVirtual().start(this::acceptConnections);
     }
 
     /** Returns the IP address and port of the server. */
@@ -61,9 +62,15 @@
         }
     }
 
+    /** Closes the server; no connection can be opened any more when this returns. */
     @Override
     public void close() throws IOException {
         socket.close();
+        try {
+            accepting.join(); // the port stays open while a thread accepts connections
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private void acceptConnections() {
