Show what delays requests within a host: late threads, bytes for other hosts, reports passed on

Passed with the change: LoadReportExchangeTest (21), PeerConnectionsTest (1), EntryProcessTest (22).

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -225,6 +225,8 @@
                 LIMIT_REPORT_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
         RegionSetup.publishBytes(regionLinks, trafficGroup.next(), metrics);
+        EventLoopMonitor.start("traffic", trafficGroup.next(), EntryProcess::monotonicMillis, log, metrics);
+        EventLoopMonitor.start("control", controlGroup.next(), EntryProcess::monotonicMillis, log, metrics);
         promptPartExchange.start();
         rolloutService.ifPresent(RolloutService::start);
         readinessServer.start();
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/LoadReportExchange.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/LoadReportExchange.java
@@ -63,6 +63,9 @@
     /** Time after which the plan is made again, because hosts may have fallen silent. */
     private static final long PLAN_EXPIRY_MILLIS = 500;
 
+    /** Interval of the log lines of a host that passes reports on. */
+    private static final long PASS_ON_LOG_INTERVAL_MILLIS = 5_000;
+
     private final String hostName;
     private final EventLoop loop;
     private final Links links;
@@ -84,6 +87,9 @@
     /** Next time at which reports are passed on; null if there are none. */
     private ScheduledFuture<?> nextPassOn;
 
+    private int passes;
+    private int passedOnReports;
+    private long passOnLoggedAtMillis;
     private long checkedAtMillis;
     private long lastCheckId;
     private ReportPlan plan;
@@ -299,6 +305,18 @@
         ReportPlan current = currentPlan();
         sendBundle(current.members(), batch.all(), false);
         sendBundle(current.remoteRelays(), batch.ofLocalDomain(), true);
+        logPassOn(batch.all().size(), current.passOnRecipients().size());
+    }
+
+    private void logPassOn(int reports, int recipients) {
+        passes++;
+        passedOnReports += reports;
+        if (passedOnAtMillis - passOnLoggedAtMillis >= PASS_ON_LOG_INTERVAL_MILLIS) {
+            log.write("reports-passed-on", "passes", passes, "reports", passedOnReports, "recipients", recipients);
+            passOnLoggedAtMillis = passedOnAtMillis;
+            passes = 0;
+            passedOnReports = 0;
+        }
     }
 
     private void sendBundle(Set<String> hosts, List<ObservedReport> reports, boolean passOn) {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/metrics/EntryMetrics.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/metrics/EntryMetrics.java
@@ -68,6 +68,17 @@
             .classicOnly()
             .classicUpperBounds(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1)
             .register(registry);
+    private final Histogram eventLoopLateness = Histogram.builder()
+            .name("amaranthlock_event_loop_late_seconds")
+            .help("How late the tasks of a thread run, by thread.")
+            .labelNames("loop")
+            .classicOnly()
+            .classicUpperBounds(0.005, 0.02, 0.1, 0.25, 0.5, 1)
+            .register(registry);
+    private final Gauge unsentPeerBytes = Gauge.builder()
+            .name("amaranthlock_peer_unsent_bytes")
+            .help("Bytes for other hosts that the operating system has not taken.")
+            .register(registry);
     private final Counter relays = Counter.builder()
             .name("amaranthlock_relays_total")
             .help("Requests passed to other hosts, by result.")
@@ -299,6 +310,16 @@
         peerBytes.labelValues(direction, type).inc(bytes);
     }
 
+    /** Updates the bytes for other hosts that the operating system has not taken. */
+    public void updateUnsentPeerBytes(long bytes) {
+        unsentPeerBytes.set(bytes);
+    }
+
+    /** Records how late a task of a thread ran. */
+    public void recordEventLoopLateness(String loop, long lateMillis) {
+        eventLoopLateness.labelValues(loop).observe(lateMillis / 1_000.0);
+    }
+
     /** Counts a choice of a target. */
     public void recordPlacement(String reason) {
         placements.labelValues(reason).inc();
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
@@ -51,6 +51,12 @@
     /** Bytes waiting to be sent from which on a connection counts as stuck. */
     private static final int MAX_UNSENT_BYTES = 1 << 20;
 
+    /** Traffic to all other hosts between two maintenances from which on a line is written. */
+    private static final long LOGGED_SENT_BYTES = 256 << 10;
+
+    /** Bytes for all other hosts that wait to be sent from which on a line is written. */
+    private static final long LOGGED_UNSENT_BYTES = 64 << 10;
+
     private static final int LENGTH_BYTES = 3;
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
@@ -74,6 +80,7 @@
     private final Map<String, Integer> messageLevels = new HashMap<>();
 
     private final Set<Integer> loggedTypes = new HashSet<>();
+    private long sentBytes;
     private volatile PeerListener listener;
     private volatile Supplier<EntryPeerMessage> greeting;
     private Set<PeerRegistration> peers = Set.of();
@@ -291,6 +298,7 @@
 
     private void maintain() {
         scheduleMaintenance();
+        reportTraffic();
         for (PeerRegistration peer : peers) {
             Channel connection = connections.get(peer.name());
             if (connection != null && connection.isOpen() && !connection.isWritable()) {
@@ -301,6 +309,23 @@
         }
     }
 
+    private void reportTraffic() {
+        long unsentBytes = connections.values().stream()
+                .mapToLong(PeerConnections::unsentBytes)
+                .sum();
+        metrics.updateUnsentPeerBytes(unsentBytes);
+        if (sentBytes >= LOGGED_SENT_BYTES || unsentBytes >= LOGGED_UNSENT_BYTES) {
+            log.write("peer-traffic", "sent_bytes", sentBytes, "unsent_bytes", unsentBytes, "peers", peers.size());
+        }
+        sentBytes = 0;
+    }
+
+    private static long unsentBytes(Channel connection) {
+        return connection.isWritable()
+                ? MAX_UNSENT_BYTES - connection.bytesBeforeUnwritable()
+                : MAX_UNSENT_BYTES / 2 + connection.bytesBeforeWritable();
+    }
+
     private void connect(PeerRegistration peer) {
         Channel existing = connections.get(peer.name());
         if (existing != null && existing.isOpen()) {
@@ -341,6 +366,7 @@
             sentFrameListener.onSent(domain, message, frame.length + LENGTH_BYTES);
         }
         metrics.recordPeerMessage("sent", message.getClass().getSimpleName(), frame.length);
+        sentBytes += frame.length + LENGTH_BYTES;
         connection.writeAndFlush(Unpooled.wrappedBuffer(frame));
     }
 
