--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/LoadReportExchange.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/LoadReportExchange.java
@@ -23,6 +23,7 @@
 import org.amaranthlock.coordination.loadreport.ReportVersion;
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
+import org.amaranthlock.entry.peer.PeerFrame;
 
 /**
  * Sends the load reports of this host, passes on those of others, and receives them all. All calls are on the control
@@ -105,7 +106,7 @@
         Set<String> registered();
 
         /** Sends a message to those of the hosts that are connected and read it; returns to how many. */
-        int send(Collection<String> hosts, EntryPeerMessage message);
+        int send(Collection<String> hosts, PeerFrame frame);
 
         /** Opens a connection to a registered host if there is none. */
         void connect(String host);
@@ -266,8 +267,8 @@
         sequence++;
         sentAtMillis = clockMillis.getAsLong();
         ReportPlan current = currentPlan();
-        links.send(current.direct(), new EntryPeerMessage.LoadReport(local, version(), false));
-        links.send(current.relays(), new EntryPeerMessage.LoadReport(local, version(), true));
+        send(current.direct(), new EntryPeerMessage.LoadReport(local, version(), false));
+        send(current.relays(), new EntryPeerMessage.LoadReport(local, version(), true));
         if (current.relaysItself()) {
             passOn(new ObservedReport(local, version(), sentAtMillis), true);
         }
@@ -326,10 +327,14 @@
                     .map(report -> new EntryPeerMessage.AgedReport(
                             report.report(), report.version(), Math.max(0, nowMillis - report.atMillis())))
                     .toList();
-            links.send(hosts, new EntryPeerMessage.ReportBundle(aged, passOn));
+            send(hosts, new EntryPeerMessage.ReportBundle(aged, passOn));
         }
     }
 
+    private int send(Collection<String> hosts, EntryPeerMessage message) {
+        return hosts.isEmpty() ? 0 : links.send(hosts, PeerFrame.of(message));
+    }
+
     private ReportPlan currentPlan() {
         long nowMillis = clockMillis.getAsLong();
         if (plan == null || nowMillis - plannedAtMillis >= PLAN_EXPIRY_MILLIS) {
@@ -386,8 +391,7 @@
     }
 
     private void check(String host, long nowMillis) {
-        if (!checks.containsKey(host)
-                && links.send(List.of(host), new EntryPeerMessage.LinkCheck(lastCheckId + 1)) > 0) {
+        if (!checks.containsKey(host) && send(List.of(host), new EntryPeerMessage.LinkCheck(lastCheckId + 1)) > 0) {
             checks.put(host, new Check(++lastCheckId, nowMillis));
         }
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerLinks.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerLinks.java
@@ -9,6 +9,7 @@
 import org.amaranthlock.coordination.region.RegionLinks;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.entry.peer.PeerConnections;
+import org.amaranthlock.entry.peer.PeerFrame;
 import org.amaranthlock.model.FailureDomain;
 import org.amaranthlock.platform.PeerRegistration;
 
@@ -105,6 +106,11 @@
         return connections.send(hosts, message);
     }
 
+    @Override
+    public int send(Collection<String> hosts, PeerFrame frame) {
+        return connections.send(hosts, frame);
+    }
+
     @Override
     public void connect(String host) {
         connections.connect(host);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
@@ -57,7 +57,6 @@
     /** Bytes for all other hosts that wait to be sent from which on a line is written. */
     private static final long LOGGED_UNSENT_BYTES = 64 << 10;
 
-    private static final int LENGTH_BYTES = 3;
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
     /** Interval at which closed connections are opened again and stuck ones closed. */
@@ -126,7 +125,10 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
-                                .addLast(frameDecoder(), new LengthFieldPrepender(LENGTH_BYTES), new InboundHandler());
+                                .addLast(
+                                        frameDecoder(),
+                                        new LengthFieldPrepender(PeerFrame.LENGTH_BYTES),
+                                        new InboundHandler());
                     }
                 })
                 .bind(address)
@@ -179,7 +181,7 @@
         if (!isConnected(peer) || query.requiredLevel() > messageLevel(peer)) {
             return false;
         }
-        write(peer, connections.get(peer), query, EntryPeerMessageCodec.encode(query));
+        write(peer, connections.get(peer), PeerFrame.of(query));
         return true;
     }
 
@@ -238,14 +240,15 @@
 
     /** Sends a message to those of the hosts that are connected and read it; returns to how many. */
     public int send(Collection<String> hosts, EntryPeerMessage message) {
-        if (hosts.isEmpty()) {
-            return 0;
-        }
+        return hosts.isEmpty() ? 0 : send(hosts, PeerFrame.of(message));
+    }
+
+    /** Like {@link #send(Collection, EntryPeerMessage)}, for an encoded message. */
+    public int send(Collection<String> hosts, PeerFrame frame) {
         int receivers = 0;
-        byte[] frame = EntryPeerMessageCodec.encode(message);
         for (String host : hosts) {
-            if (isConnected(host) && message.requiredLevel() <= messageLevel(host)) {
-                write(host, connections.get(host), message, frame);
+            if (isConnected(host) && frame.message().requiredLevel() <= messageLevel(host)) {
+                write(host, connections.get(host), frame);
                 receivers++;
             }
         }
@@ -346,7 +349,7 @@
                         channel.pipeline()
                                 .addLast(
                                         frameDecoder(),
-                                        new LengthFieldPrepender(LENGTH_BYTES),
+                                        new LengthFieldPrepender(PeerFrame.LENGTH_BYTES),
                                         new ResponseHandler(peer.name()));
                     }
                 })
@@ -357,17 +360,17 @@
     }
 
     private static LengthFieldBasedFrameDecoder frameDecoder() {
-        return new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
+        return new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, PeerFrame.LENGTH_BYTES, 0, PeerFrame.LENGTH_BYTES);
     }
 
-    private void write(String peer, Channel connection, EntryPeerMessage message, byte[] frame) {
+    private void write(String peer, Channel connection, PeerFrame frame) {
         FailureDomain domain = domains.get(peer);
         if (domain != null) {
-            sentFrameListener.onSent(domain, message, frame.length + LENGTH_BYTES);
+            sentFrameListener.onSent(domain, frame.message(), frame.bytes());
         }
-        metrics.recordPeerMessage("sent", message.getClass().getSimpleName(), frame.length);
-        sentBytes += frame.length + LENGTH_BYTES;
-        connection.writeAndFlush(Unpooled.wrappedBuffer(frame));
+        metrics.recordPeerMessage("sent", frame.message().getClass().getSimpleName(), frame.encoded().length);
+        sentBytes += frame.bytes();
+        connection.writeAndFlush(Unpooled.wrappedBuffer(frame.encoded()));
     }
 
     /** Decodes frames; one of a newer build is ignored, and one that cannot be decoded closes its connection. */
@@ -412,7 +415,7 @@
         @Override
         public void handlerAdded(ChannelHandlerContext context) {
             Channel connection = context.channel();
-            reply = message -> write(peer, connection, message, EntryPeerMessageCodec.encode(message));
+            reply = message -> write(peer, connection, PeerFrame.of(message));
         }
 
         @Override
@@ -459,8 +462,7 @@
         @Override
         public void channelActive(ChannelHandlerContext context) {
             // The peer learns from it what this host reads, and need not wait for the next one.
-            EntryPeerMessage greetingMessage = greeting.get();
-            write(peer, context.channel(), greetingMessage, EntryPeerMessageCodec.encode(greetingMessage));
+            write(peer, context.channel(), PeerFrame.of(greeting.get()));
             listener.onConnectionOpened(peer);
         }
 
