Bound what load reports take of the links, and divide the work of passing them on

- ReportTraffic bounds what reports may take of a link, from their sizes and rate as all hosts see them: the least time between two reports of a host, and the number of groups that a failure domain is divided into, each with two hosts of its own that pass its reports on.
With little to report there is one group, as before.
- ReportPassOn and PacedSender send a pass host by host at a bounded rate in place of all at once; reports for the hosts that pass them on again go first.

The sender of a report chooses as before who passes it on, and no message changes, so builds may be mixed.

LoadReportExchangeTest passes (21).

--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/loadreport/ReportOutbox.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/loadreport/ReportOutbox.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,19 +18,9 @@
     /** Age from which a report is not passed on, because a newer one is due. */
     private static final long MAX_AGE_MILLIS = 2_500;
 
-    private final Map<String, Pending> pending = new LinkedHashMap<>();
+    private final Map<String, ObservedReport> pending = new LinkedHashMap<>();
     private final Map<String, ObservedReport> passedOn = new HashMap<>();
 
-    private record Pending(ObservedReport report, boolean ofLocalDomain) {}
-
-    /**
-     * Reports to send.
-     *
-     * @param all reports for the hosts of the local failure domain
-     * @param ofLocalDomain those of hosts of the local failure domain, for the other domains
-     */
-    public record Batch(List<ObservedReport> all, List<ObservedReport> ofLocalDomain) {}
-
     /** How soon reports are to be passed on. */
     public enum Urgency {
         /** The report was passed on before. */
@@ -40,36 +31,46 @@
         CHANGED
     }
 
-    /**
-     * Adds a report.
-     *
-     * @param ofLocalDomain whether its host is in the local failure domain
-     */
-    public Urgency add(ObservedReport report, boolean ofLocalDomain) {
+    /** Adds a report. */
+    public Urgency add(ObservedReport report) {
         ObservedReport before = passedOn.get(report.host());
         if (before != null && !report.version().replaces(before.version())) {
             return Urgency.NONE;
         }
         passedOn.put(report.host(), report);
-        pending.put(report.host(), new Pending(report, ofLocalDomain));
+        pending.put(report.host(), report);
         boolean repeated = before != null && before.report().equals(report.report());
         return repeated ? Urgency.REPEATED : Urgency.CHANGED;
     }
 
-    /** Removes and returns the reports that are to be passed on. */
-    public Batch take(long nowMillis) {
-        List<ObservedReport> all = new ArrayList<>();
-        List<ObservedReport> ofLocalDomain = new ArrayList<>();
-        for (Pending next : pending.values()) {
-            if (nowMillis - next.report().atMillis() <= MAX_AGE_MILLIS) {
-                all.add(next.report());
-                if (next.ofLocalDomain()) {
-                    ofLocalDomain.add(next.report());
-                }
+    /**
+     * Removes and returns the reports that are to be passed on now, those first that have waited longest.
+     *
+     * @param maxBytes approximate size of the reports together; further ones wait, but one is always returned
+     */
+    public List<ObservedReport> take(long maxBytes, long nowMillis) {
+        List<ObservedReport> taken = new ArrayList<>();
+        long bytes = 0;
+        Iterator<ObservedReport> waiting = pending.values().iterator();
+        while (waiting.hasNext()) {
+            ObservedReport report = waiting.next();
+            if (nowMillis - report.atMillis() > MAX_AGE_MILLIS) {
+                waiting.remove();
+                continue;
             }
+            bytes += ReportTraffic.approximateBytes(report.report());
+            if (!taken.isEmpty() && bytes > maxBytes) {
+                break;
+            }
+            taken.add(report);
+            waiting.remove();
         }
-        pending.clear();
-        return new Batch(all, ofLocalDomain);
+        return taken;
+    }
+
+    /** Returns whether reports wait. */
+    public boolean isEmpty() {
+        return pending.isEmpty();
     }
 
     /** Forgets the hosts that are not in {@code hosts}. */
--- a/amaranthlock-core/src/main/java/org/amaranthlock/coordination/loadreport/ReportPlanner.java
+++ b/amaranthlock-core/src/main/java/org/amaranthlock/coordination/loadreport/ReportPlanner.java
@@ -21,15 +21,16 @@
  * one, the messages would grow with the square of the hosts. In a large fleet a host sends its report to two hosts of its
  * failure domain; these send what they got from their domain to the whole domain and to two hosts of each other domain,
  * which send it to theirs. The sender chooses who passes its report on, so hosts need not agree, and with two of them a
- * host that is frozen, cut off or gone delays nothing. In a small fleet, and to hosts of earlier builds, reports go
- * directly.
+ * host that is frozen, cut off or gone delays nothing. If there is too much to pass on for the link of one host, the hosts
+ * of a domain are divided into groups, each with two hosts of its own that pass its reports on. In a small fleet, and to
+ * hosts of earlier builds, reports go directly.
  */
 public final class ReportPlanner {
     /** Largest fleet in which each host reports to each other one; relays would save few messages there. */
     public static final int MAX_DIRECT_HOSTS = 24;
 
     /** Hosts of a failure domain that pass on the same report. */
-    private static final int RELAYS_PER_DOMAIN = 2;
+    private static final int RELAYS_PER_GROUP = 2;
 
     private final String localHost;
     private final FailureDomain localDomain;
@@ -51,8 +52,10 @@
      *
      * @param connected hosts to which this one is connected
      * @param hostCount hosts of the fleet, connected or not, with this one
+     * @param groups groups into which the hosts of each failure domain are divided, if it has enough of them
      */
-    public ReportPlan plan(Collection<ReportPeer> connected, int hostCount) {
+    public ReportPlan plan(Collection<ReportPeer> connected, int hostCount, int groups) {
+        Arguments.require(groups > 0, "groups must be positive");
         Map<FailureDomain, List<ReportPeer>> byDomain = connected.stream()
                 .filter(ReportPeer::passesOn)
                 .collect(Collectors.groupingBy(
@@ -61,9 +64,12 @@
                         Collectors.toList()));
         List<ReportPeer> members = byDomain.getOrDefault(localDomain, List.of());
         byDomain.remove(localDomain);
-        List<String> localRelays = localRelays(members);
+        List<String> localOrder = localOrder(members);
+        int position = localOrder.indexOf(localHost);
+        List<String> localRelays = relaysOfGroup(localOrder, position, groups);
         Set<String> remoteRelays = new HashSet<>();
-        byDomain.forEach((domain, hosts) -> remoteRelays.addAll(remoteRelays(domain, hosts)));
+        byDomain.forEach((domain, hosts) ->
+                remoteRelays.addAll(relaysOfGroup(remoteOrder(domain, hosts), position / RELAYS_PER_GROUP, groups)));
         boolean direct = !relaysEnabled || hostCount <= MAX_DIRECT_HOSTS;
         Set<String> otherRelays = new HashSet<>(localRelays);
         otherRelays.remove(localHost);
@@ -77,28 +83,45 @@
                 remoteRelays);
     }
 
-    private List<String> localRelays(List<ReportPeer> members) {
+    /** Returns the number of hosts of the local failure domain that pass reports on, with this one. */
+    public int domainSize(Collection<ReportPeer> connected) {
+        return 1
+                + (int) connected.stream()
+                        .filter(peer -> peer.passesOn() && peer.domain().equals(localDomain))
+                        .count();
+    }
+
+    private List<String> localOrder(List<ReportPeer> members) {
         List<String> candidates = new ArrayList<>();
         candidates.add(localHost);
         members.stream().filter(ReportPeer::responsive).map(ReportPeer::name).forEach(candidates::add);
-        return first(localDomain, candidates);
+        return order(localDomain, candidates);
     }
 
-    /**
-     * Returns the hosts of another domain to which this one passes on. Both relays of this domain send to both of them,
-     * so that one frozen host in each domain cuts no way.
-     */
-    private static List<String> remoteRelays(FailureDomain domain, List<ReportPeer> hosts) {
+    /** Returns the hosts of another domain that this one may have pass reports on, in their order. */
+    private static List<String> remoteOrder(FailureDomain domain, List<ReportPeer> hosts) {
         List<String> responsive = hosts.stream()
                 .filter(ReportPeer::responsive)
                 .map(ReportPeer::name)
                 .toList();
-        return first(domain, responsive.isEmpty() ? List.copyOf(names(hosts)) : responsive);
+        return order(domain, responsive.isEmpty() ? List.copyOf(names(hosts)) : responsive);
+    }
+
+    /**
+     * Returns the hosts that pass reports on for a group. Both relays of a group send to both of them in another domain, so
+     * that one frozen host in each domain cuts no way.
+     *
+     * @param ordered hosts of a failure domain; the first ones pass reports on
+     * @param index number that is mapped to a group
+     */
+    private static List<String> relaysOfGroup(List<String> ordered, int index, int groups) {
+        int group = index % Math.clamp(ordered.size() / RELAYS_PER_GROUP, 1, groups);
+        int first = group * RELAYS_PER_GROUP;
+        return ordered.subList(first, Math.min(first + RELAYS_PER_GROUP, ordered.size()));
     }
 
-    private static List<String> first(FailureDomain domain, List<String> candidates) {
-        List<String> ordered = RendezvousOrder.order(domain.value(), candidates, Function.identity());
-        return ordered.subList(0, Math.min(RELAYS_PER_DOMAIN, ordered.size()));
+    private static List<String> order(FailureDomain domain, List<String> candidates) {
+        return RendezvousOrder.order(domain.value(), candidates, Function.identity());
     }
 
     private static Set<String> names(List<ReportPeer> peers) {
--- a/amaranthlock-core/src/test/java/org/amaranthlock/coordination/loadreport/ReportPlannerTest.java
+++ b/amaranthlock-core/src/test/java/org/amaranthlock/coordination/loadreport/ReportPlannerTest.java
@@ -4,8 +4,11 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -13,6 +16,7 @@
 import org.amaranthlock.model.FailureDomain;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the recipients of load reports in fleets of six failure domains. */
@@ -65,6 +69,52 @@
         }
     }
 
+    // Guards against one host of a domain that passes on what is too much for its link.
+    @ParameterizedTest
+    @CsvSource({"90, 3", "330, 8", "330, 27"})
+    void hostsOfGroupsShareTheWorkEvenly(int hosts, int groups) {
+        Map<String, Integer> reportersByRelay = new HashMap<>();
+        Map<String, Integer> relaysByRemoteRelay = new HashMap<>();
+        for (int host = 0; host < hosts; host++) {
+            Set<String> relays = relaysOf(host, hosts, groups);
+            assertThat(relays).hasSize(2);
+            relays.forEach(relay -> reportersByRelay.merge(relay, 1, Integer::sum));
+        }
+        for (String relay : reportersByRelay.keySet()) {
+            Set<String> remote =
+                    plan(index(relay), hosts, groups, other -> true).remoteRelays();
+            assertThat(remote).hasSize(2 * (DOMAINS - 1));
+            remote.forEach(name -> relaysByRemoteRelay.merge(name, 1, Integer::sum));
+        }
+        assertThat(reportersByRelay).hasSize(2 * groups * DOMAINS);
+        int membersOfGroup = (int) Math.ceil(hosts / (double) DOMAINS / groups);
+        assertThat(Collections.max(reportersByRelay.values())).isAtMost(membersOfGroup);
+        assertThat(new HashSet<>(relaysByRemoteRelay.values())).containsExactly(2 * (DOMAINS - 1));
+    }
+
+    // Guards against hosts that nobody passes a report on to, because the hosts of other domains have other groups.
+    @Test
+    void relaysOfEachGroupReachAllHosts() {
+        for (int host = 0; host < 90; host++) {
+            for (String relay : relaysOf(host, 90, 3)) {
+                Set<String> reached =
+                        new HashSet<>(plan(index(relay), 90, 3, other -> true).members());
+                for (String remote : plan(index(relay), 90, 3, other -> true).remoteRelays()) {
+                    reached.add(remote);
+                    reached.addAll(plan(index(remote), 90, 2, other -> true).members());
+                }
+                assertWithMessage("hosts reached through %s", relay)
+                        .that(reached)
+                        .hasSize(89);
+            }
+        }
+    }
+
+    @Test
+    void moreGroupsThanPairsOfHostsUseAllHosts() {
+        assertThat(relaysOf(0, 30, 100)).hasSize(2);
+    }
+
     @Test
     void hostThatDoesNotRespondIsReplaced() {
         Set<String> before = relaysOf(6, 95, host -> true);
@@ -77,7 +127,7 @@
     @Test
     void hostWithoutOthersInItsDomainPassesOnItsOwnReport() {
         ReportPlan plan =
-                new ReportPlanner("alone", new FailureDomain("other"), true).plan(peers(95, host -> true), 96);
+                new ReportPlanner("alone", new FailureDomain("other"), true).plan(peers(95, host -> true), 96, 1);
         assertThat(plan.relays()).isEmpty();
         assertThat(plan.relaysItself()).isTrue();
         assertThat(plan.remoteRelays()).hasSize(2 * DOMAINS);
@@ -88,21 +138,28 @@
     void hostsOfEarlierBuildsGetReportsDirectly() {
         List<ReportPeer> peers = new ArrayList<>(peers(95, host -> true));
         peers.add(new ReportPeer("old", domain(3), false, true));
-        ReportPlan plan = new ReportPlanner("host-0", domain(0), true).plan(peers, 96);
+        ReportPlan plan = new ReportPlanner("host-0", domain(0), true).plan(peers, 96, 1);
         assertThat(plan.direct()).containsExactly("old");
         assertThat(plan.passOnRecipients()).doesNotContain("old");
     }
 
     @Test
     void switchedOffMechanismLeavesDirectReportsAndGoesOnServingOthers() {
-        ReportPlan plan = new ReportPlanner("host-0", domain(0), false).plan(peers(95, host -> true), 95);
+        ReportPlan plan = new ReportPlanner("host-0", domain(0), false).plan(peers(95, host -> true), 95, 1);
         assertThat(plan.direct()).hasSize(95);
         assertThat(plan.usesRelays()).isFalse();
         assertThat(plan.members()).isNotEmpty();
     }
 
     private static Set<String> relaysOf(int host, int hosts, Predicate<String> responsive) {
-        ReportPlan plan = plan(host, hosts, responsive);
+        return relays(host, plan(host, hosts, responsive));
+    }
+
+    private static Set<String> relaysOf(int host, int hosts, int groups) {
+        return relays(host, plan(host, hosts, groups, other -> true));
+    }
+
+    private static Set<String> relays(int host, ReportPlan plan) {
         Set<String> relays = new HashSet<>(plan.relays());
         if (plan.relaysItself()) {
             relays.add("host-" + host);
@@ -111,10 +168,14 @@
     }
 
     private static ReportPlan plan(int host, int hosts, Predicate<String> responsive) {
+        return plan(host, hosts, 1, responsive);
+    }
+
+    private static ReportPlan plan(int host, int hosts, int groups, Predicate<String> responsive) {
         List<ReportPeer> others = peers(hosts, responsive).stream()
                 .filter(peer -> !peer.name().equals("host-" + host))
                 .toList();
-        return new ReportPlanner("host-" + host, domain(host), true).plan(others, hosts);
+        return new ReportPlanner("host-" + host, domain(host), true).plan(others, hosts, groups);
     }
 
     private static List<ReportPeer> peers(int hosts, Predicate<String> responsive) {
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/LoadReportExchange.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/LoadReportExchange.java
@@ -9,17 +9,16 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.amaranthlock.coordination.forwarding.HostLoadReport;
 import org.amaranthlock.coordination.loadreport.NewestReports;
 import org.amaranthlock.coordination.loadreport.ObservedReport;
-import org.amaranthlock.coordination.loadreport.ReportOutbox;
 import org.amaranthlock.coordination.loadreport.ReportPeer;
 import org.amaranthlock.coordination.loadreport.ReportPlan;
 import org.amaranthlock.coordination.loadreport.ReportPlanner;
+import org.amaranthlock.coordination.loadreport.ReportTraffic;
 import org.amaranthlock.coordination.loadreport.ReportVersion;
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
@@ -49,8 +48,13 @@
     /** Delay for each recipient of a host that has many of them, which bounds the messages that it sends. */
     private static final long PASS_ON_DELAY_MILLIS_PER_RECIPIENT = 10;
 
-    /** Time within which reports are passed on that only show that their hosts live. */
-    private static final long REPEATED_PASS_ON_DELAY_MILLIS = 500;
+    /** Longest delay of a host that has many recipients because it shares the work with others. */
+    private static final long MAX_SHARED_PASS_ON_DELAY_MILLIS = 600;
+
+    /** Time within which reports are passed on together that only show that their hosts live, in two steps. */
+    private static final long REPEATED_TO_REMOTE_DELAY_MILLIS = 400;
+
+    private static final long REPEATED_TO_MEMBERS_DELAY_MILLIS = 500;
 
     /** Interval of the checks of connections, and time after which one without an answer is silent. */
     private static final long CHECK_INTERVAL_MILLIS = 2_000;
@@ -64,9 +68,6 @@
     /** Time after which the plan is made again, because hosts may have fallen silent. */
     private static final long PLAN_EXPIRY_MILLIS = 500;
 
-    /** Interval of the log lines of a host that passes reports on. */
-    private static final long PASS_ON_LOG_INTERVAL_MILLIS = 5_000;
-
     private final String hostName;
     private final EventLoop loop;
     private final Links links;
@@ -77,24 +78,24 @@
     private final Consumer<String> unknownHostListener;
     private final DecisionLog log;
     private final NewestReports newest = new NewestReports();
-    private final ReportOutbox outbox = new ReportOutbox();
+    private final ReportTraffic traffic = new ReportTraffic();
+
+    /** Passes all reports on to the hosts of the local failure domain. */
+    private final ReportPassOn toMembers;
+
+    /** Passes the reports of the local failure domain on to hosts of the others. */
+    private final ReportPassOn toRemoteRelays;
+
     private final Map<String, Check> checks = new HashMap<>();
     private final Map<String, Long> excludedUntil = new HashMap<>();
     private HostLoadReport local;
     private long sequence;
     private long sentAtMillis;
-    private long passedOnAtMillis = Long.MIN_VALUE / 2;
-
-    /** Next time at which reports are passed on; null if there are none. */
-    private ScheduledFuture<?> nextPassOn;
-
-    private int passes;
-    private int passedOnReports;
-    private long passOnLoggedAtMillis;
     private long checkedAtMillis;
     private long lastCheckId;
     private ReportPlan plan;
     private long plannedAtMillis;
+    private int groups = 1;
     private volatile long minIntervalMillis;
 
     /** Connections to the other hosts. */
@@ -144,6 +145,13 @@
         this.listener = Objects.requireNonNull(listener, "listener");
         this.unknownHostListener = Objects.requireNonNull(unknownHostListener, "unknown host listener");
         this.log = Objects.requireNonNull(log, "log");
+        PacedSender sender = new PacedSender(
+                loop,
+                ReportTraffic.MAX_BYTES_PER_SECOND,
+                clockMillis,
+                (host, frame) -> links.send(List.of(host), frame));
+        this.toMembers = new ReportPassOn(loop, clockMillis, new Members(), sender, log);
+        this.toRemoteRelays = new ReportPassOn(loop, clockMillis, new RemoteRelays(), sender, log);
         this.local = HostLoadReport.empty(hostName);
     }
 
@@ -185,7 +193,9 @@
         Set<String> kept = new HashSet<>(registered);
         kept.add(hostName);
         newest.retain(kept);
-        outbox.retain(kept);
+        traffic.retain(kept);
+        toMembers.retain(kept);
+        toRemoteRelays.retain(kept);
         excludedUntil.keySet().retainAll(kept);
         plan = null;
     }
@@ -201,6 +211,7 @@
         ObservedReport report = new ObservedReport(
                 message.report(), message.version().orElse(ReportVersion.UNKNOWN), clockMillis.getAsLong());
         if (newest.record(report)) {
+            traffic.record(report, report.atMillis());
             listener.accept(List.of(report));
         }
         if (message.passOn()) {
@@ -223,6 +234,7 @@
                 unknownHostListener.accept(report.host());
             }
             if (newest.record(report)) {
+                traffic.record(report, nowMillis);
                 newer.add(report);
             }
             if (bundle.passOn()) {
@@ -266,6 +278,7 @@
     private void send() {
         sequence++;
         sentAtMillis = clockMillis.getAsLong();
+        traffic.record(new ObservedReport(local, version(), sentAtMillis), sentAtMillis);
         ReportPlan current = currentPlan();
         send(current.direct(), new EntryPeerMessage.LoadReport(local, version(), false));
         send(current.relays(), new EntryPeerMessage.LoadReport(local, version(), true));
@@ -279,55 +292,63 @@
     }
 
     private void passOn(ObservedReport report, boolean ofLocalDomain) {
-        ReportOutbox.Urgency urgency = outbox.add(report, ofLocalDomain);
-        if (urgency != ReportOutbox.Urgency.NONE) {
-            int recipients = currentPlan().passOnRecipients().size();
-            long delayMillis = Math.max(MIN_PASS_ON_DELAY_MILLIS, recipients * PASS_ON_DELAY_MILLIS_PER_RECIPIENT);
-            boolean repeated = urgency == ReportOutbox.Urgency.REPEATED;
-            schedulePassOn(repeated ? Math.max(REPEATED_PASS_ON_DELAY_MILLIS, delayMillis) : delayMillis);
+        toMembers.add(report);
+        if (ofLocalDomain) {
+            toRemoteRelays.add(report);
         }
     }
 
-    /** Passes on after a delay at the latest. */
-    private void schedulePassOn(long delayMillis) {
-        if (nextPassOn != null && nextPassOn.getDelay(TimeUnit.MILLISECONDS) <= delayMillis) {
-            return;
+    /**
+     * Returns the time within which changed reports are passed on together. Hosts that share the work send more messages
+     * together, each with less in it, and so wait longer.
+     */
+    private long passOnDelayMillis(int recipients) {
+        long aloneMillis = recipients * PASS_ON_DELAY_MILLIS_PER_RECIPIENT;
+        long sharedMillis = Math.min(aloneMillis * groups, MAX_SHARED_PASS_ON_DELAY_MILLIS);
+        return Math.max(MIN_PASS_ON_DELAY_MILLIS, Math.max(aloneMillis, sharedMillis));
+    }
+
+    private final class Members implements ReportPassOn.Recipients {
+        @Override
+        public Set<String> hosts() {
+            return currentPlan().members();
         }
-        if (nextPassOn != null) {
-            nextPassOn.cancel(false);
+
+        @Override
+        public long delayMillis() {
+            return passOnDelayMillis(currentPlan().members().size());
         }
-        nextPassOn = loop.schedule(this::sendOutbox, delayMillis, TimeUnit.MILLISECONDS);
-    }
 
-    private void sendOutbox() {
-        nextPassOn = null;
-        passedOnAtMillis = clockMillis.getAsLong();
-        ReportOutbox.Batch batch = outbox.take(passedOnAtMillis);
-        ReportPlan current = currentPlan();
-        sendBundle(current.members(), batch.all(), false);
-        sendBundle(current.remoteRelays(), batch.ofLocalDomain(), true);
-        logPassOn(batch.all().size(), current.passOnRecipients().size());
-    }
+        @Override
+        public long repeatedDelayMillis() {
+            return Math.max(REPEATED_TO_MEMBERS_DELAY_MILLIS, delayMillis());
+        }
 
-    private void logPassOn(int reports, int recipients) {
-        passes++;
-        passedOnReports += reports;
-        if (passedOnAtMillis - passOnLoggedAtMillis >= PASS_ON_LOG_INTERVAL_MILLIS) {
-            log.write("reports-passed-on", "passes", passes, "reports", passedOnReports, "recipients", recipients);
-            passOnLoggedAtMillis = passedOnAtMillis;
-            passes = 0;
-            passedOnReports = 0;
+        @Override
+        public boolean passOn() {
+            return false;
         }
     }
 
-    private void sendBundle(Set<String> hosts, List<ObservedReport> reports, boolean passOn) {
-        if (!hosts.isEmpty() && !reports.isEmpty()) {
-            long nowMillis = clockMillis.getAsLong();
-            List<EntryPeerMessage.AgedReport> aged = reports.stream()
-                    .map(report -> new EntryPeerMessage.AgedReport(
-                            report.report(), report.version(), Math.max(0, nowMillis - report.atMillis())))
-                    .toList();
-            send(hosts, new EntryPeerMessage.ReportBundle(aged, passOn));
+    private final class RemoteRelays implements ReportPassOn.Recipients {
+        @Override
+        public Set<String> hosts() {
+            return currentPlan().remoteRelays();
+        }
+
+        @Override
+        public long delayMillis() {
+            return passOnDelayMillis(currentPlan().remoteRelays().size());
+        }
+
+        @Override
+        public long repeatedDelayMillis() {
+            return Math.max(REPEATED_TO_REMOTE_DELAY_MILLIS, delayMillis());
+        }
+
+        @Override
+        public boolean passOn() {
+            return true;
         }
     }
 
@@ -343,9 +364,13 @@
                     .map(peer -> new ReportPeer(
                             peer.name(), peer.domain(), peer.passesOn(), isResponsive(peer.name(), nowMillis)))
                     .toList();
-            plan = planner.plan(peers, links.registered().size() + 1);
+            int hosts = links.registered().size() + 1;
+            int domainSize = planner.domainSize(peers);
+            groups = traffic.groups(domainSize, hosts, RELAYED_HEARTBEAT_MILLIS, nowMillis);
+            plan = planner.plan(peers, hosts, groups);
             plannedAtMillis = nowMillis;
-            minIntervalMillis = plan.usesRelays() ? RELAYED_INTERVAL_MILLIS : 0;
+            minIntervalMillis = Math.max(
+                    plan.usesRelays() ? RELAYED_INTERVAL_MILLIS : 0, traffic.minIntervalMillis(plan.usesRelays()));
         }
         return plan;
     }
@@ -384,7 +409,7 @@
         }
         ReportPlan current = currentPlan();
         Set<String> hosts = new HashSet<>(current.relays());
-        if (nowMillis - passedOnAtMillis <= PASSING_ON_MILLIS) {
+        if (nowMillis - toRemoteRelays.passedOnAtMillis() <= PASSING_ON_MILLIS) {
             hosts.addAll(current.remoteRelays());
         }
         return hosts;
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
@@ -325,7 +325,7 @@
 
     private static long unsentBytes(Channel connection) {
         return connection.isWritable()
-                ? MAX_UNSENT_BYTES - connection.bytesBeforeUnwritable()
+                ? MAX_UNSENT_BYTES + 1 - connection.bytesBeforeUnwritable()
                 : MAX_UNSENT_BYTES / 2 + connection.bytesBeforeWritable();
     }
 
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReportFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReportFleet.java
@@ -84,6 +84,8 @@
         final Set<String> unknownHosts = new HashSet<>();
         final Link outgoing = new Link();
         final Link incoming = new Link();
+        private final LoadReportCollector collector;
+        private HostLoadReport load;
         boolean earlierBuild;
         boolean alive = true;
         boolean frozen;
@@ -102,6 +104,8 @@
                     reports -> reports.forEach(report -> known.put(report.host(), report)),
                     unknownHosts::add,
                     new DecisionLog(Logger.getLogger("load-report-exchange-test"), () -> nowMillis));
+            this.collector = new LoadReportCollector(
+                    channel.eventLoop(), () -> nowMillis, () -> load, exchange::minIntervalMillis, exchange::publish);
         }
 
         @Override
@@ -152,11 +156,13 @@
         }
 
         void publish(int prefilling) {
-            publish(report(name, prefilling));
+            exchange.publish(report(name, prefilling));
         }
 
-        void publish(HostLoadReport report) {
-            exchange.publish(report);
+        /** Changes the load, which is reported as often as the host may. */
+        void changeLoad(HostLoadReport newLoad) {
+            load = newLoad;
+            collector.onLoadChanged();
         }
 
         /** Returns the age of the newest report of another host. */
@@ -200,7 +206,7 @@
                 .findFirst()
                 .orElseThrow();
         return new ReportPlanner(member.name, member.domain, true)
-                .plan(member.connected(), hosts.size())
+                .plan(member.connected(), hosts.size(), 1)
                 .relays()
                 .iterator()
                 .next();
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReportTrafficTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReportTrafficTest.java
@@ -11,6 +11,7 @@
 import org.amaranthlock.coordination.forwarding.InFlightLoad;
 import org.amaranthlock.coordination.targetlimit.LimitReport;
 import org.amaranthlock.model.TargetId;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -49,9 +50,17 @@
 
     // Guards against hosts that take others for silent because reports wait for links.
     @ParameterizedTest
-    @ValueSource(ints = {9, 90, 330})
+    @ValueSource(ints = {9, 90})
     void reportsOfABusyFleetStayYoung(int hostCount) {
-        ReportFleet fleet = busyFleet(hostCount);
+        assertReportsStayYoung(busyFleet(hostCount));
+    }
+
+    @Test
+    void reportsOfABusyFleetOf330HostsStayYoung() {
+        assertReportsStayYoung(busyFleet(330));
+    }
+
+    private static void assertReportsStayYoung(ReportFleet fleet) {
         for (int step = 0; step < 10; step++) {
             changeLoad(fleet, step);
             assertWithMessage("oldest report").that(fleet.oldestReportMillis()).isAtMost(HOST_SILENCE_MILLIS);
@@ -70,7 +79,7 @@
     }
 
     private static void changeLoad(ReportFleet fleet, int step) {
-        fleet.hosts.values().forEach(host -> host.publish(report(host.name, step)));
+        fleet.hosts.values().forEach(host -> host.changeLoad(report(host.name, step)));
         fleet.advance(CHANGE_INTERVAL_MILLIS);
     }
 
