Bound what responses to hosts that start or follow take of the link of a reader

ResponseBudget bounds these bytes. A host that starts is told all, all but the targets, or nothing, and asks the next reader or the store for the rest, as it does when a reader does not know them; a follower is told NotKnown and watches the store itself. Builds may be mixed, since both are answers that hosts know.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -49,6 +49,7 @@
 import org.amaranthlock.entry.control.PromptPartExchange;
 import org.amaranthlock.entry.control.PromptPartVerdicts;
 import org.amaranthlock.entry.control.ReservationQueryClient;
+import org.amaranthlock.entry.control.ResponseBudget;
 import org.amaranthlock.entry.control.RolloutListener;
 import org.amaranthlock.entry.control.RolloutService;
 import org.amaranthlock.entry.control.StartFromPeers;
@@ -143,7 +144,8 @@
         this.log = new DecisionLog(Logger.getLogger("amaranthlock"), EntryProcess::monotonicMillis);
         EventLoop trafficLoop = trafficGroup.next();
         EventLoop controlLoop = controlGroup.next();
-        SuspensionAwareClock ageClock = createAgeClock();
+        SuspensionAwareClock ageClock =
+                new SuspensionAwareClock(EntryProcess::monotonicMillis, System::currentTimeMillis);
         UniformRandomProvider random = RandomSource.SPLIT_MIX_64.create();
         this.regionLinks = RegionSetup.createLinks(settings, log, metrics);
         this.peerConnections = createPeerConnections(controlLoop);
@@ -166,7 +168,8 @@
         this.store = new NettyPlatformStore(
                 controlLoop, settings.storeAddress(), RegionSetup.countStoreCalls(regionLinks, trafficLoop));
         this.promptPartExchange = createPromptPartExchange(promptPartGuard, trafficLoop, controlLoop, random);
-        PeerStoreServer peerStoreServer = new PeerStoreServer(ageClock::read);
+        PeerStoreServer peerStoreServer =
+                new PeerStoreServer(ageClock::read, new ResponseBudget(EntryProcess::monotonicMillis));
         PeerStoreClient peerStoreClient = createPeerStoreClient(controlLoop);
         this.targetWatcher = createTargetWatcher(trafficLoop, controlLoop, peerStoreClient, peerStoreServer);
         this.configurationPoller = createConfigurationPoller(controlLoop, ageClock, peerStoreClient, peerStoreServer);
@@ -518,10 +521,6 @@
                 log);
     }
 
-    private static SuspensionAwareClock createAgeClock() {
-        return new SuspensionAwareClock(EntryProcess::monotonicMillis, System::currentTimeMillis);
-    }
-
     private ReservationQueryClient createReservationQueryClient(EventLoop controlLoop, EventLoop trafficLoop) {
         return new ReservationQueryClient(settings.hostName(), controlLoop, trafficLoop, peerLinks, log);
     }
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PeerStoreServer.java
@@ -30,6 +30,7 @@
     private static final int MAX_PENDING_QUERIES = 1_000;
 
     private final Supplier<ClockReading> clock;
+    private final ResponseBudget budget;
     private final List<PendingConfigurationQuery> pendingConfigurationQueries = new ArrayList<>();
     private final List<PendingTargetsQuery> pendingTargetsQueries = new ArrayList<>();
     private final Deque<RetainedChange> retainedChanges = new ArrayDeque<>();
@@ -57,12 +58,18 @@
     private record PendingTargetsQuery(TargetsQuery query, Consumer<EntryPeerMessage> reply) {}
 
     /** Creates a server that measures the intervals in its responses with {@code clock}. */
-    public PeerStoreServer(Supplier<ClockReading> clock) {
+    public PeerStoreServer(Supplier<ClockReading> clock, ResponseBudget budget) {
         this.clock = Objects.requireNonNull(clock, "clock");
+        this.budget = Objects.requireNonNull(budget, "budget");
         this.listSentAt = clock.get();
         this.watchSentAt = listSentAt;
     }
 
+    /** Returns whether the link of this host has room for a response now, which is then to be sent. */
+    boolean hasRoomFor(EntryPeerMessage response) {
+        return budget.tryTake(response);
+    }
+
     /** Handles a query about the configuration. */
     public void handleQuery(ConfigurationQuery query, Consumer<EntryPeerMessage> reply) {
         boolean known = configurationVersion.filter(query.version()::matches).isPresent();
@@ -206,6 +213,8 @@
                 .map(RetainedChange::change)
                 .toList();
         StorePosition position = targetsPosition.atLeast(query.position().revision());
-        reply.accept(new EntryPeerMessage.TargetsChanged(query.id(), position, newer));
+        EntryPeerMessage response = new EntryPeerMessage.TargetsChanged(query.id(), position, newer);
+        boolean affordable = newer.isEmpty() || hasRoomFor(response);
+        reply.accept(affordable ? response : new EntryPeerMessage.NotKnown(query.id()));
     }
 }
--- /dev/null
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ResponseBudget.java
@@ -0,0 +1,48 @@
+package org.amaranthlock.entry.control;
+
+import java.util.Objects;
+import java.util.function.LongSupplier;
+import org.amaranthlock.entry.peer.EntryPeerMessage;
+import org.amaranthlock.entry.peer.PeerFrame;
+
+/**
+ * Bounds what responses with data from the store take of the link of this host, on which requests travel too.
+ *
+ * <p>Load pattern: many hosts start at once, or many targets change at once, and all hosts of a failure domain ask the one
+ * that reads the store for them. Those that get no response in full read the store themselves. Not thread-safe.
+ */
+public final class ResponseBudget {
+    /** A fifth of the narrowest link of a deployment, which has 7 Mbit/s. */
+    private static final int BYTES_PER_SECOND = 175_000;
+
+    /** Bytes that may be sent at once; that link carries them in 75 ms. */
+    private static final int BURST_BYTES = 64 << 10;
+
+    private final LongSupplier clockMillis;
+    private long availableBytes = BURST_BYTES;
+    private long refilledAtMillis;
+
+    /** Creates a budget of which nothing is used. */
+    public ResponseBudget(LongSupplier clockMillis) {
+        this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
+        this.refilledAtMillis = clockMillis.getAsLong();
+    }
+
+    /** Takes the bytes of a message from the budget; returns whether it had as many. */
+    boolean tryTake(EntryPeerMessage message) {
+        refill();
+        int bytes = PeerFrame.of(message).bytes();
+        if (bytes > availableBytes) {
+            return false;
+        }
+        availableBytes -= bytes;
+        return true;
+    }
+
+    private void refill() {
+        long nowMillis = clockMillis.getAsLong();
+        long refill = Math.max(0, nowMillis - refilledAtMillis) * BYTES_PER_SECOND / 1_000;
+        availableBytes = Math.min(BURST_BYTES, availableBytes + refill);
+        refilledAtMillis = nowMillis;
+    }
+}
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/StartStateServer.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/StartStateServer.java
@@ -88,12 +88,25 @@
 
     private void respond(PendingQuery query) {
         if (promptPartExchange.knowsVerdicts()) {
-            promptPartExchange.fullReport(report -> query.reply().accept(state(query, Optional.of(report))));
+            promptPartExchange.fullReport(
+                    report -> query.reply().accept(affordable(state(query, Optional.of(report)))));
         } else {
-            query.reply().accept(state(query, Optional.empty()));
+            query.reply().accept(affordable(state(query, Optional.empty())));
         }
     }
 
+    /** Returns what of a state the link has room for: all of it, all but the targets, or nothing. */
+    private StartState affordable(StartState state) {
+        StartState withoutTargets =
+                new StartState(state.id(), state.configuration(), Optional.empty(), state.verdicts());
+        if (peerStoreServer.hasRoomFor(state)) {
+            return state;
+        }
+        return peerStoreServer.hasRoomFor(withoutTargets)
+                ? withoutTargets
+                : new StartState(state.id(), Optional.empty(), Optional.empty(), Optional.empty());
+    }
+
     private StartState state(PendingQuery query, Optional<PromptPartReport> verdicts) {
         Optional<KnownObjects> configuration = configurationPoller
                 .known()
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerStoreServerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerStoreServerTest.java
@@ -16,7 +16,8 @@
 
 class PeerStoreServerTest {
     private final long[] nowMillis = {0};
-    private final PeerStoreServer server = new PeerStoreServer(() -> ClockReading.of(nowMillis[0]));
+    private final PeerStoreServer server =
+            new PeerStoreServer(() -> ClockReading.of(nowMillis[0]), new ResponseBudget(() -> nowMillis[0]));
     private final List<EntryPeerMessage> replies = new ArrayList<>();
 
     @Test
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReportFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReportFleet.java
@@ -32,9 +32,6 @@
 
     private static final int ONE_WAY_MILLIS = 12;
 
-    /** Headers of TCP and IP. */
-    private static final int HEADER_BYTES = 40;
-
     final Map<String, Host> hosts = new TreeMap<>();
 
     /** Connections over which nothing arrives although they are open, as sender and receiver. */
@@ -55,26 +52,6 @@
         this.linkBytesPerMilli = linkBytesPerMilli;
     }
 
-    /** One direction of the link of a host, which carries one message after the other. */
-    final class Link {
-        private double freeAtMillis;
-        private double longestQueueMillis;
-
-        /** Returns when a message that is handed over at a time has passed. */
-        double pass(int bytes, double atMillis) {
-            freeAtMillis = Math.max(freeAtMillis, atMillis) + bytes / linkBytesPerMilli;
-            longestQueueMillis = Math.max(longestQueueMillis, freeAtMillis - atMillis);
-            return freeAtMillis;
-        }
-
-        /** Returns the longest time for which something handed over would have waited since the last call. */
-        double takeLongestQueueMillis() {
-            double longest = longestQueueMillis;
-            longestQueueMillis = 0;
-            return longest;
-        }
-    }
-
     /** Host that is connected to all others. */
     final class Host implements LoadReportExchange.Links {
         final String name;
@@ -82,8 +59,8 @@
         final LoadReportExchange exchange;
         final Map<String, ObservedReport> known = new HashMap<>();
         final Set<String> unknownHosts = new HashSet<>();
-        final Link outgoing = new Link();
-        final Link incoming = new Link();
+        final SimulatedLink outgoing = new SimulatedLink(linkBytesPerMilli);
+        final SimulatedLink incoming = new SimulatedLink(linkBytesPerMilli);
         private final LoadReportCollector collector;
         private HostLoadReport load;
         boolean earlierBuild;
@@ -250,7 +227,7 @@
 
     private void deliver(Host sender, Host receiver, PeerFrame frame) {
         messages++;
-        int bytes = frame.bytes() + HEADER_BYTES;
+        int bytes = frame.bytes();
         double passedMillis = sender.outgoing.pass(bytes, nowMillis);
         schedule(passedMillis + ONE_WAY_MILLIS, () -> {
             double arrivedMillis = receiver.incoming.pass(bytes, nowMillis);
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReportTrafficTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReportTrafficTest.java
@@ -17,15 +17,6 @@
 
 /** Tests what load reports take of the links of the hosts, in virtual time, with the narrowest links of deployments. */
 class ReportTrafficTest {
-    /** Bytes that a link of 7 Mbit/s carries in a millisecond. */
-    private static final double LINK_BYTES_PER_MILLI = 875;
-
-    /**
-     * Longest time for which reports may keep a request waiting at a link. A request and its answer pass the links of
-     * their host four times, and an answer half a second after the time limit of a request is late.
-     */
-    private static final int MAX_QUEUE_MILLIS = 500 / 4;
-
     /** Time after which a host that does not report is given up for requests that it serves for others. */
     private static final int HOST_SILENCE_MILLIS = 2_500;
 
@@ -41,10 +32,10 @@
         for (ReportFleet.Host host : fleet.hosts.values()) {
             assertWithMessage("outgoing link of %s", host.name)
                     .that(host.outgoing.takeLongestQueueMillis())
-                    .isAtMost(MAX_QUEUE_MILLIS);
+                    .isAtMost(SimulatedLink.MAX_QUEUE_MILLIS);
             assertWithMessage("incoming link of %s", host.name)
                     .that(host.incoming.takeLongestQueueMillis())
-                    .isAtMost(MAX_QUEUE_MILLIS);
+                    .isAtMost(SimulatedLink.MAX_QUEUE_MILLIS);
         }
     }
 
@@ -69,7 +60,7 @@
 
     /** Returns a fleet whose load has changed for some seconds as fast as hosts report it. */
     private static ReportFleet busyFleet(int hostCount) {
-        ReportFleet fleet = new ReportFleet(LINK_BYTES_PER_MILLI);
+        ReportFleet fleet = new ReportFleet(SimulatedLink.NARROWEST_BYTES_PER_MILLI);
         fleet.start(hostCount);
         fleet.advance(4_000);
         for (int step = 0; step < 30; step++) {
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/StartFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/StartFleet.java
@@ -21,6 +21,7 @@
 import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.metrics.EntryMetrics;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
+import org.amaranthlock.entry.peer.PeerFrame;
 import org.amaranthlock.model.FailureDomain;
 import org.amaranthlock.model.TargetId;
 import org.amaranthlock.platform.PeerRegistration;
@@ -129,12 +130,16 @@
 
     /** Process of a host. */
     final class Host {
+        /** Counts the responses to other hosts and delays none. */
+        final SimulatedLink outgoing = new SimulatedLink(SimulatedLink.NARROWEST_BYTES_PER_MILLI);
+
         final String name;
         private final String domain;
         private final long startedAtMillis = nowMillis;
         private final DecisionLog log = new DecisionLog(Logger.getLogger(LOGGER), () -> nowMillis);
         private final EntryMetrics metrics = new EntryMetrics();
-        private final PeerStoreServer server = new PeerStoreServer(this::clock);
+        private final ResponseBudget budget = new ResponseBudget(() -> nowMillis);
+        private final PeerStoreServer server = new PeerStoreServer(this::clock, budget);
         private final PeerStoreClient client;
         private final ConfigurationPoller poller;
         private final TargetWatcher watcher;
@@ -437,6 +442,7 @@
         }
 
         private void respond(Host sender, EntryPeerMessage reply) {
+            outgoing.pass(PeerFrame.of(reply).bytes(), nowMillis);
             send(sender, () -> {
                 if (sender.silent.contains(name)) {
                     return;
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
@@ -36,7 +36,7 @@
             channel.eventLoop(),
             () -> nowMillis,
             new NoPeers(),
-            new PeerStoreServer(() -> ClockReading.of(nowMillis)),
+            new PeerStoreServer(() -> ClockReading.of(nowMillis), new ResponseBudget(() -> nowMillis)),
             this::publish,
             Mechanisms.ALL,
             new DecisionLog(Logger.getLogger("target-watcher-test"), () -> nowMillis),
