--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReaderTrafficTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReaderTrafficTest.java
@@ -15,6 +15,9 @@
     private static final int SETTLE_MILLIS = 15_000;
     private static final int DOWN_MILLIS = 500;
 
+    /** Time after which no request may reach a target that leaves. */
+    private static final int DRAIN_MILLIS = 2_500;
+
     // Guards against requests that wait at a reader because many hosts of its domain start at once.
     @ParameterizedTest
     @ValueSource(ints = {9, 90, 330})
@@ -38,8 +41,16 @@
     @ValueSource(ints = {9, 90, 330})
     void changeOfManyTargetsKeepsRequestsWaitingBriefly(int hostCount) {
         StartFleet fleet = runningFleet(hostCount);
-        putTargets(fleet, hostCount * TARGETS_PER_HOST / DOMAINS, "draining");
-        fleet.advance(SETTLE_MILLIS);
+        int changed = hostCount * TARGETS_PER_HOST / DOMAINS;
+        putTargets(fleet, changed, "draining");
+        fleet.advance(DRAIN_MILLIS);
+        for (StartFleet.Host host : fleet.hosts.values()) {
+            for (int i = 0; i < changed; i++) {
+                assertWithMessage("%s uses %s", host.name, target(i))
+                        .that(host.uses(target(i)))
+                        .isFalse();
+            }
+        }
         assertRequestsWaitBriefly(fleet.hosts.values());
     }
 
@@ -57,10 +68,14 @@
 
     private static void putTargets(StartFleet fleet, int count, String state) {
         for (int i = 0; i < count; i++) {
-            fleet.putTarget("i-%010x".formatted(i), state);
+            fleet.putTarget(target(i), state);
         }
     }
 
+    private static String target(int index) {
+        return "i-%010x".formatted(index);
+    }
+
     private static void assertRequestsWaitBriefly(Collection<StartFleet.Host> hosts) {
         for (StartFleet.Host host : hosts) {
             assertWithMessage("outgoing link of %s", host.name)
