Leave more room for responses while a host starts

When all hosts start at once, the reader of a failure domain answers all that wait for what it has read; with the budget of a running host most of them would have read the store themselves. A host that has started less than two seconds ago has few requests of its own.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ResponseBudget.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ResponseBudget.java
@@ -18,14 +18,21 @@
     /** Bytes that may be sent at once; that link carries them in 75 ms. */
     private static final int BURST_BYTES = 64 << 10;
 
+    /** The same while this host starts, has few requests of its own, and all others may wait for what it has read. */
+    private static final int START_BYTES = 512 << 10;
+
+    private static final long START_MILLIS = 2_000;
+
     private final LongSupplier clockMillis;
-    private long availableBytes = BURST_BYTES;
+    private final long startedAtMillis;
+    private long availableBytes = START_BYTES;
     private long refilledAtMillis;
 
     /** Creates a budget of which nothing is used. */
     public ResponseBudget(LongSupplier clockMillis) {
         this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
-        this.refilledAtMillis = clockMillis.getAsLong();
+        this.startedAtMillis = clockMillis.getAsLong();
+        this.refilledAtMillis = startedAtMillis;
     }
 
     /** Takes the bytes of a message from the budget; returns whether it had as many. */
@@ -42,7 +49,8 @@
     private void refill() {
         long nowMillis = clockMillis.getAsLong();
         long refill = Math.max(0, nowMillis - refilledAtMillis) * BYTES_PER_SECOND / 1_000;
-        availableBytes = Math.min(BURST_BYTES, availableBytes + refill);
+        int limit = nowMillis - startedAtMillis < START_MILLIS ? START_BYTES : BURST_BYTES;
+        availableBytes = Math.min(limit, availableBytes + refill);
         refilledAtMillis = nowMillis;
     }
 }
