--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReportTrafficTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReportTrafficTest.java
@@ -20,6 +20,9 @@
     /** Time after which a host that does not report is given up for requests that it serves for others. */
     private static final int HOST_SILENCE_MILLIS = 2_500;
 
+    /** Time after which reports are used no more; see TargetLoadBalancer. */
+    private static final int REPORT_EXPIRY_MILLIS = 4_000;
+
     private static final int CHANGE_INTERVAL_MILLIS = 200;
     private static final int STREAMS = 8;
     private static final int SLOWER_TARGETS = 20;
@@ -51,6 +54,20 @@
         assertReportsStayYoung(busyFleet(330));
     }
 
+    // Guards against a busy fleet that knows nothing of a group of hosts while one that passes its reports on is
+    // frozen.
+    @Test
+    void reportsOfABusyFleetGoOnWhenHostsThatPassThemOnFreeze() {
+        ReportFleet fleet = busyFleet(90);
+        for (int domain = 0; domain < ReportFleet.DOMAINS; domain++) {
+            fleet.hosts.get(fleet.relay(domain)).frozen = true;
+        }
+        for (int step = 0; step < 20; step++) {
+            changeLoad(fleet, step);
+            assertWithMessage("oldest report").that(fleet.oldestReportMillis()).isAtMost(REPORT_EXPIRY_MILLIS);
+        }
+    }
+
     private static void assertReportsStayYoung(ReportFleet fleet) {
         for (int step = 0; step < 10; step++) {
             changeLoad(fleet, step);
