--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReportFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReportFleet.java
@@ -101,7 +101,8 @@
         @Override
         public int send(Collection<String> receivers, PeerFrame frame) {
             if (alive && !frozen) {
-                receivers.forEach(receiver -> deliver(this, hosts.get(receiver), frame));
+                // Sorted, since the order of immutable sets differs from run to run.
+                receivers.stream().sorted().forEach(receiver -> deliver(this, hosts.get(receiver), frame));
             }
             return receivers.size();
         }
