--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/LoadReportExchange.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/LoadReportExchange.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.amaranthlock.coordination.forwarding.HostLoadReport;
 import org.amaranthlock.coordination.loadreport.NewestReports;
@@ -51,9 +52,10 @@
     /** Longest delay of a host that has many recipients because it shares the work with others. */
     private static final long MAX_SHARED_PASS_ON_DELAY_MILLIS = 600;
 
-    /** Time within which reports are passed on together that only show that their hosts live, in two steps. */
+    /** Time within which reports that only show that their hosts live are passed on together to other domains. */
     private static final long REPEATED_TO_REMOTE_DELAY_MILLIS = 400;
 
+    /** The same to the hosts of the local domain, which is the last step of such a report. */
     private static final long REPEATED_TO_MEMBERS_DELAY_MILLIS = 500;
 
     /** Interval of the checks of connections, and time after which one without an answer is silent. */
@@ -150,8 +152,11 @@
                 ReportTraffic.MAX_BYTES_PER_SECOND,
                 clockMillis,
                 (host, frame) -> links.send(List.of(host), frame));
-        this.toMembers = new ReportPassOn(loop, clockMillis, new Members(), sender, log);
-        this.toRemoteRelays = new ReportPassOn(loop, clockMillis, new RemoteRelays(), sender, log);
+        PlannedRecipients members = new PlannedRecipients(ReportPlan::members, REPEATED_TO_MEMBERS_DELAY_MILLIS, false);
+        PlannedRecipients remoteRelays =
+                new PlannedRecipients(ReportPlan::remoteRelays, REPEATED_TO_REMOTE_DELAY_MILLIS, true);
+        this.toMembers = new ReportPassOn(loop, clockMillis, members, sender, log);
+        this.toRemoteRelays = new ReportPassOn(loop, clockMillis, remoteRelays, sender, log);
         this.local = HostLoadReport.empty(hostName);
     }
 
@@ -308,47 +313,37 @@
         return Math.max(MIN_PASS_ON_DELAY_MILLIS, Math.max(aloneMillis, sharedMillis));
     }
 
-    private final class Members implements ReportPassOn.Recipients {
-        @Override
-        public Set<String> hosts() {
-            return currentPlan().members();
-        }
-
-        @Override
-        public long delayMillis() {
-            return passOnDelayMillis(currentPlan().members().size());
+    /** Recipients that the current plan names. */
+    private final class PlannedRecipients implements ReportPassOn.Recipients {
+        private final Function<ReportPlan, Set<String>> selection;
+        private final long minRepeatedDelayMillis;
+        private final boolean passOn;
+
+        private PlannedRecipients(
+                Function<ReportPlan, Set<String>> selection, long minRepeatedDelayMillis, boolean passOn) {
+            this.selection = selection;
+            this.minRepeatedDelayMillis = minRepeatedDelayMillis;
+            this.passOn = passOn;
         }
 
-        @Override
-        public long repeatedDelayMillis() {
-            return Math.max(REPEATED_TO_MEMBERS_DELAY_MILLIS, delayMillis());
-        }
-
-        @Override
-        public boolean passOn() {
-            return false;
-        }
-    }
-
-    private final class RemoteRelays implements ReportPassOn.Recipients {
         @Override
         public Set<String> hosts() {
-            return currentPlan().remoteRelays();
+            return selection.apply(currentPlan());
         }
 
         @Override
         public long delayMillis() {
-            return passOnDelayMillis(currentPlan().remoteRelays().size());
+            return passOnDelayMillis(hosts().size());
         }
 
         @Override
         public long repeatedDelayMillis() {
-            return Math.max(REPEATED_TO_REMOTE_DELAY_MILLIS, delayMillis());
+            return Math.max(minRepeatedDelayMillis, delayMillis());
         }
 
         @Override
         public boolean passOn() {
-            return true;
+            return passOn;
         }
     }
 
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ReportPassOn.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ReportPassOn.java
@@ -48,7 +48,7 @@
 
     private long passedOnAtMillis = Long.MIN_VALUE / 2;
     private int passes;
-    private int loggedPasses;
+    private int passesSinceLog;
     private int reportsSinceLog;
     private long loggedAtMillis;
 
@@ -119,14 +119,13 @@
         List<ObservedReport> reports = outbox.take(maxBytes, passedOnAtMillis);
         due = !outbox.isEmpty();
         logPass(reports.size(), hosts.size());
-        if (!reports.isEmpty() && !hosts.isEmpty()) {
-            sending = true;
-            PacedSender.Priority priority =
-                    recipients.passOn() ? PacedSender.Priority.URGENT : PacedSender.Priority.NORMAL;
-            sender.send(hosts, messages(reports), priority, this::onSent);
-        } else {
+        if (reports.isEmpty() || hosts.isEmpty()) {
             due = false;
+            return;
         }
+        sending = true;
+        PacedSender.Priority priority = recipients.passOn() ? PacedSender.Priority.URGENT : PacedSender.Priority.NORMAL;
+        sender.send(hosts, messages(reports), priority, this::onSent);
     }
 
     private void onSent() {
@@ -162,12 +161,12 @@
     }
 
     private void logPass(int reports, int hosts) {
-        loggedPasses++;
+        passesSinceLog++;
         reportsSinceLog += reports;
         if (passedOnAtMillis - loggedAtMillis >= LOG_INTERVAL_MILLIS) {
-            log.write("reports-passed-on", "passes", loggedPasses, "reports", reportsSinceLog, "recipients", hosts);
+            log.write("reports-passed-on", "passes", passesSinceLog, "reports", reportsSinceLog, "recipients", hosts);
             loggedAtMillis = passedOnAtMillis;
-            loggedPasses = 0;
+            passesSinceLog = 0;
             reportsSinceLog = 0;
         }
     }
