Log which responses a reader leaves out for want of room on its link

Without the line an operator could not tell a reader that spares its link from one that does not know the answer. No decision changes; ReaderTrafficTest, StartCallsTest, StartFromPeersTest, PeerStoreServerTest, TargetWatcherTest, TargetDelayTest and ConfigurationDelayTest pass.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/EntryProcess.java
@@ -169,7 +169,7 @@
                 controlLoop, settings.storeAddress(), RegionSetup.countStoreCalls(regionLinks, trafficLoop));
         this.promptPartExchange = createPromptPartExchange(promptPartGuard, trafficLoop, controlLoop, random);
         PeerStoreServer peerStoreServer =
-                new PeerStoreServer(ageClock::read, new ResponseBudget(EntryProcess::monotonicMillis));
+                new PeerStoreServer(ageClock::read, new ResponseBudget(EntryProcess::monotonicMillis, log));
         PeerStoreClient peerStoreClient = createPeerStoreClient(controlLoop);
         this.targetWatcher = createTargetWatcher(trafficLoop, controlLoop, peerStoreClient, peerStoreServer);
         this.configurationPoller = createConfigurationPoller(controlLoop, ageClock, peerStoreClient, peerStoreServer);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ResponseBudget.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/ResponseBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.function.LongSupplier;
+import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.entry.peer.PeerFrame;
 
@@ -24,13 +25,15 @@
     private static final long START_MILLIS = 2_000;
 
     private final LongSupplier clockMillis;
+    private final DecisionLog log;
     private final long startedAtMillis;
     private long availableBytes = START_BYTES;
     private long refilledAtMillis;
 
     /** Creates a budget of which nothing is used. */
-    public ResponseBudget(LongSupplier clockMillis) {
+    public ResponseBudget(LongSupplier clockMillis, DecisionLog log) {
         this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
+        this.log = Objects.requireNonNull(log, "log");
         this.startedAtMillis = clockMillis.getAsLong();
         this.refilledAtMillis = startedAtMillis;
     }
@@ -40,6 +43,8 @@
         refill();
         int bytes = PeerFrame.of(message).bytes();
         if (bytes > availableBytes) {
+            String type = message.getClass().getSimpleName();
+            log.write("response-left-out", "type", type, "bytes", bytes, "available_bytes", availableBytes);
             return false;
         }
         availableBytes -= bytes;
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ConfigurationFleet.java
@@ -139,7 +139,8 @@
     final class Host {
         private final String name;
         private final String domain;
-        private final ResponseBudget budget = new ResponseBudget(() -> nowMillis);
+        private final ResponseBudget budget = new ResponseBudget(
+                () -> nowMillis, new DecisionLog(Logger.getLogger("configuration-fleet"), () -> nowMillis));
         private final PeerStoreServer server = new PeerStoreServer(this::clock, budget);
         private final PeerStoreClient client;
         private final ConfigurationPoller poller;
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerStoreServerTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PeerStoreServerTest.java
@@ -7,17 +7,22 @@
 import java.util.List;
 import java.util.OptionalLong;
 import org.amaranthlock.coordination.forwarding.ClockReading;
+import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.platform.ObjectVersion;
 import org.amaranthlock.platform.StoreChange;
 import org.amaranthlock.platform.StorePosition;
 import org.amaranthlock.platform.StoredObject;
+import org.jboss.logging.Logger;
 import org.junit.jupiter.api.Test;
 
 class PeerStoreServerTest {
     private final long[] nowMillis = {0};
-    private final PeerStoreServer server =
-            new PeerStoreServer(() -> ClockReading.of(nowMillis[0]), new ResponseBudget(() -> nowMillis[0]));
+    private final PeerStoreServer server = new PeerStoreServer(
+            () -> ClockReading.of(nowMillis[0]),
+            new ResponseBudget(
+                    () -> nowMillis[0],
+                    new DecisionLog(Logger.getLogger("peer-store-server-test"), () -> nowMillis[0])));
     private final List<EntryPeerMessage> replies = new ArrayList<>();
 
     @Test
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/StartFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/StartFleet.java
@@ -138,7 +138,7 @@
         private final long startedAtMillis = nowMillis;
         private final DecisionLog log = new DecisionLog(Logger.getLogger(LOGGER), () -> nowMillis);
         private final EntryMetrics metrics = new EntryMetrics();
-        private final ResponseBudget budget = new ResponseBudget(() -> nowMillis);
+        private final ResponseBudget budget = new ResponseBudget(() -> nowMillis, log);
         private final PeerStoreServer server = new PeerStoreServer(this::clock, budget);
         private final PeerStoreClient client;
         private final ConfigurationPoller poller;
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/TargetWatcherTest.java
@@ -36,7 +36,11 @@
             channel.eventLoop(),
             () -> nowMillis,
             new NoPeers(),
-            new PeerStoreServer(() -> ClockReading.of(nowMillis), new ResponseBudget(() -> nowMillis)),
+            new PeerStoreServer(
+                    () -> ClockReading.of(nowMillis),
+                    new ResponseBudget(
+                            () -> nowMillis,
+                            new DecisionLog(Logger.getLogger("target-watcher-test"), () -> nowMillis))),
             this::publish,
             Mechanisms.ALL,
             new DecisionLog(Logger.getLogger("target-watcher-test"), () -> nowMillis),
