--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/peer/PeerConnections.java
@@ -314,6 +314,7 @@
 
     private void reportTraffic() {
         long unsentBytes = connections.values().stream()
+                .filter(Channel::isActive)
                 .mapToLong(PeerConnections::unsentBytes)
                 .sum();
         metrics.updateUnsentPeerBytes(unsentBytes);
