Go on passing reports on after a message that cannot be made

Such a message is logged as peer-message-fault and left out. PacedSenderTest.goesOnAfterAMessageThatCannotBeMade failed before (nothing told as sent) and passes.

--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/LoadReportExchange.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/LoadReportExchange.java
@@ -151,7 +151,8 @@
                 loop,
                 ReportTraffic.MAX_BYTES_PER_SECOND,
                 clockMillis,
-                (host, frame) -> links.send(List.of(host), frame));
+                (host, frame) -> links.send(List.of(host), frame),
+                log);
         PlannedRecipients members = new PlannedRecipients(ReportPlan::members, REPEATED_TO_MEMBERS_DELAY_MILLIS, false);
         PlannedRecipients remoteRelays =
                 new PlannedRecipients(ReportPlan::remoteRelays, REPEATED_TO_REMOTE_DELAY_MILLIS, true);
--- a/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PacedSender.java
+++ b/amaranthlock-entry/src/main/java/org/amaranthlock/entry/control/PacedSender.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.entry.peer.PeerFrame;
 
@@ -27,6 +28,7 @@
     private final int bytesPerSecond;
     private final LongSupplier clockMillis;
     private final Sender sender;
+    private final DecisionLog log;
     private final Queue<Delivery> urgent = new ArrayDeque<>();
     private final Queue<Delivery> waiting = new ArrayDeque<>();
     private boolean sending;
@@ -70,11 +72,12 @@
     private record Delivery(String host, Content content, Runnable onSent) {}
 
     /** Creates a sender that sends so many bytes in the mean while messages wait. */
-    PacedSender(EventLoop loop, int bytesPerSecond, LongSupplier clockMillis, Sender sender) {
+    PacedSender(EventLoop loop, int bytesPerSecond, LongSupplier clockMillis, Sender sender, DecisionLog log) {
         this.loop = Objects.requireNonNull(loop, "loop");
         this.bytesPerSecond = bytesPerSecond;
         this.clockMillis = Objects.requireNonNull(clockMillis, "clock");
         this.sender = Objects.requireNonNull(sender, "sender");
+        this.log = Objects.requireNonNull(log, "log");
     }
 
     /**
@@ -105,14 +108,24 @@
         int bytes = 0;
         while (bytes < BURST_BYTES && !(urgent.isEmpty() && waiting.isEmpty())) {
             Delivery next = urgent.isEmpty() ? waiting.remove() : urgent.remove();
-            PeerFrame frame = next.content().frame();
-            sender.send(next.host(), frame);
-            bytes += frame.bytes();
+            bytes += trySend(next);
             next.onSent().run();
         }
         loop.schedule(this::goOn, bytes * 1_000L / bytesPerSecond, TimeUnit.MILLISECONDS);
     }
 
+    /** Sends a message and returns its bytes; a program error is logged, because it would otherwise end all sending. */
+    private int trySend(Delivery delivery) {
+        try {
+            PeerFrame frame = delivery.content().frame();
+            sender.send(delivery.host(), frame);
+            return frame.bytes();
+        } catch (RuntimeException e) {
+            log.write("peer-message-fault", "peer", delivery.host(), "cause", e);
+            return 0;
+        }
+    }
+
     private void goOn() {
         if (urgent.isEmpty() && waiting.isEmpty()) {
             sending = false;
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PacedSenderTest.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/PacedSenderTest.java
@@ -11,8 +11,10 @@
 import org.amaranthlock.coordination.loadreport.ObservedReport;
 import org.amaranthlock.coordination.loadreport.ReportVersion;
 import org.amaranthlock.entry.control.PacedSender.Priority;
+import org.amaranthlock.entry.log.DecisionLog;
 import org.amaranthlock.entry.peer.EntryPeerMessage;
 import org.amaranthlock.entry.peer.PeerFrame;
+import org.jboss.logging.Logger;
 import org.junit.jupiter.api.Test;
 
 /** Tests the rate and the order of messages to many hosts, in virtual time. */
@@ -25,8 +27,12 @@
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final List<String> receivers = new ArrayList<>();
     private final List<Long> ages = new ArrayList<>();
-    private final PacedSender sender =
-            new PacedSender(channel.eventLoop(), BYTES_PER_SECOND, () -> nowMillis, this::receive);
+    private final PacedSender sender = new PacedSender(
+            channel.eventLoop(),
+            BYTES_PER_SECOND,
+            () -> nowMillis,
+            this::receive,
+            new DecisionLog(Logger.getLogger("paced-sender-test"), () -> nowMillis));
 
     @Test
     void sendsNoMoreThanItsRateAndOneBurst() {
@@ -69,6 +75,22 @@
         assertThat(sent).containsExactly(20);
     }
 
+    // Guards against a host that passes nothing on any more because one message could not be made.
+    @Test
+    void goesOnAfterAMessageThatCannotBeMade() {
+        channel.freezeTime();
+        List<Integer> sent = new ArrayList<>();
+        Supplier<EntryPeerMessage> faulty = () -> {
+            throw new IllegalStateException("sample fault");
+        };
+        sender.send(hosts(5), List.of(this::bundle, faulty), Priority.NORMAL, () -> sent.add(receivers.size()));
+        advance(3_000);
+        assertThat(sent).containsExactly(5);
+        sender.send(hosts(5), List.of(this::bundle), Priority.NORMAL, () -> {});
+        advance(3_000);
+        assertThat(receivers).hasSize(10);
+    }
+
     private void receive(String host, PeerFrame frame) {
         receivers.add(host);
         sentBytes += frame.bytes();
--- a/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReportFleet.java
+++ b/amaranthlock-entry/src/test/java/org/amaranthlock/entry/control/ReportFleet.java
@@ -42,6 +42,9 @@
     private long nowMillis;
     private long messages;
 
+    /** What a host has thrown while it received a message; the event loop would keep it to itself. */
+    private Throwable failure;
+
     /** Creates an empty fleet whose links delay nothing. */
     ReportFleet() {
         this(Double.POSITIVE_INFINITY);
@@ -223,6 +226,9 @@
             nowMillis++;
             channel.advanceTimeBy(1, TimeUnit.MILLISECONDS);
             channel.runPendingTasks();
+            if (failure != null) {
+                throw new AssertionError("a host failed at " + nowMillis + " ms", failure);
+            }
         }
     }
 
@@ -241,7 +247,14 @@
     }
 
     private void schedule(double atMillis, Runnable task) {
-        channel.eventLoop().schedule(task, (long) Math.ceil(atMillis) - nowMillis, TimeUnit.MILLISECONDS);
+        Runnable checked = () -> {
+            try {
+                task.run();
+            } catch (RuntimeException | AssertionError e) {
+                failure = e;
+            }
+        };
+        channel.eventLoop().schedule(checked, (long) Math.ceil(atMillis) - nowMillis, TimeUnit.MILLISECONDS);
     }
 
     private void arrive(Host sender, Host receiver, EntryPeerMessage message) {
